--- /dev/null
+++ b/apps/papayactl/httpcaller.cpp
@@ -0,0 +1,126 @@
+#include "httpcaller.h"
+
+#include "connection/httpclient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <iostream>
+
+namespace Papaya::Ctl
+{
+
+namespace
+{
+
+Asio::awaitable<void> exchange(Asio::io_context &io, Endpoint endpoint, HttpRequest request, Millis timeout,
+                               CallResult &result)
+{
+    const TimePoint deadline = Clock::now() + timeout;
+    try {
+        const HttpConnectionPtr connection = co_await connectHttp(io, endpoint, deadline);
+        HttpResponse response = co_await connection->exchange(request, deadline);
+        result.status = response.status;
+        result.fields = std::move(response.fields);
+        result.body = std::move(response.body);
+    } catch (const HttpError &error) {
+        result.failure = error.what();
+    }
+}
+
+/** @return advice for an error code of the server. */
+std::string adviceFor(const std::string &code)
+{
+    if (code == "bad-token") {
+        return "pass the right token with --token or --admin-token";
+    }
+    if (code == "unknown-team") {
+        return "name the team with --team; 'papayactl team show' lists the teams";
+    }
+    if (code == "unknown-template") {
+        return "'papayactl config show' lists the templates";
+    }
+    if (code == "not-ready" || code == "log-out") {
+        return "try again in a few seconds; 'papayactl status' shows what the instance waits for";
+    }
+    if (code == "too-many-jobs" || code == "queue-full") {
+        return "wait until earlier work has ended, or ask an operator for a higher limit";
+    }
+    if (code == "append-unknown") {
+        return "the work may still be taken; repeat the call with the same --key to learn what became of it";
+    }
+    if (code == "never-fits") {
+        return "no worker or rack is large enough; 'papayactl worker list' shows the fleet";
+    }
+    return "";
+}
+
+} // namespace
+
+nlohmann::json CallResult::json() const
+{
+    nlohmann::json value = nlohmann::json::parse(body, nullptr, false);
+    return value.is_discarded() ? nlohmann::json() : value;
+}
+
+CallResult callOnce(const Endpoint &endpoint, const HttpRequest &request, Millis timeout)
+{
+    Asio::io_context io;
+    CallResult result;
+    Asio::co_spawn(io, exchange(io, endpoint, request, timeout, result), Asio::detached);
+    io.run();
+    return result;
+}
+
+CallResult callCallers(const Options &options, HttpRequest request)
+{
+    if (!options.team.empty()) {
+        request.fields.set(Field::TEAM, options.team);
+    }
+    if (!options.token.empty()) {
+        request.fields.set(Field::AUTHORIZATION, "Bearer " + options.token);
+    }
+    if (!options.key.empty()) {
+        request.fields.set(Field::IDEMPOTENCY_KEY, options.key);
+    }
+    return callOnce(options.callers, request, options.timeout);
+}
+
+CallResult callAdmin(const Options &options, HttpRequest request)
+{
+    if (!options.adminToken.empty()) {
+        request.fields.set(Field::AUTHORIZATION, "Bearer " + options.adminToken);
+    }
+    return callOnce(options.admin, request, options.timeout);
+}
+
+ExitCode reportFailure(const Options &options, const CallResult &result, const Endpoint &endpoint)
+{
+    if (!result.reached()) {
+        std::cerr << "cannot reach " << endpoint.toString() << ": " << result.failure
+                  << "\nis an instance running there? --callers and --admin name its listeners\n";
+        return ExitCode::Unreachable;
+    }
+    if (options.json) {
+        std::cout << result.body << "\n";
+        return ExitCode::Refused;
+    }
+    const nlohmann::json body = result.json();
+    if (!body.is_object() || !body.contains("error")) {
+        std::cerr << "refused with status " << result.status << ": " << result.body << "\n";
+        return ExitCode::Refused;
+    }
+    const nlohmann::json errors = body.value("errors", nlohmann::json::array({body["error"]}));
+    for (const nlohmann::json &error : errors) {
+        const std::string path = error.value("path", "");
+        std::cerr << (path.empty() ? "" : path + ": ") << error.value("message", "") << " (" << error.value("code", "")
+                  << ")\n";
+    }
+    const std::string advice = adviceFor(body["error"].value("code", ""));
+    if (!advice.empty()) {
+        std::cerr << advice << "\n";
+    }
+    return ExitCode::Refused;
+}
+
+} // namespace Papaya::Ctl
--- /dev/null
+++ b/apps/papayactl/operatorcommands.cpp
@@ -0,0 +1,166 @@
+#include "commands.h"
+
+#include <algorithm>
+#include <iostream>
+
+namespace Papaya::Ctl
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+/** Fetches @p target of the admin API; prints the answer if JSON was asked for. */
+std::optional<Json> fetch(const Options &options, const std::string &target, ExitCode &code)
+{
+    const CallResult result = callAdmin(options, {"GET", target, {}, ""});
+    if (!result.good()) {
+        code = reportFailure(options, result, options.admin);
+        return std::nullopt;
+    }
+    code = ExitCode::Done;
+    if (options.json) {
+        std::cout << result.body << "\n";
+        return std::nullopt;
+    }
+    return result.json();
+}
+
+std::string join(const Json &object)
+{
+    std::string text;
+    for (const auto &[key, value] : object.items()) {
+        text += (text.empty() ? "" : "  ") + key + " " + plainText(value);
+    }
+    return text;
+}
+
+} // namespace
+
+ExitCode usageError(const std::string &message)
+{
+    std::cerr << message << "\n'papayactl --help' lists all commands and options\n";
+    return ExitCode::Usage;
+}
+
+std::string plainText(const Json &value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
+
+void printTable(const std::vector<std::vector<std::string>> &rows)
+{
+    std::vector<std::size_t> widths;
+    for (const auto &row : rows) {
+        widths.resize(std::max(widths.size(), row.size()));
+        for (std::size_t i = 0; i < row.size(); ++i) {
+            widths[i] = std::max(widths[i], row[i].size());
+        }
+    }
+    for (const auto &row : rows) {
+        std::string line;
+        for (std::size_t i = 0; i < row.size(); ++i) {
+            line += row[i];
+            if (i + 1 < row.size()) {
+                line += std::string(widths[i] - row[i].size() + 2, ' ');
+            }
+        }
+        std::cout << line << "\n";
+    }
+}
+
+ExitCode teamCommand(const Options &options, const Words &words)
+{
+    if (words.empty() || words[0] != "show" || words.size() > 2) {
+        return usageError("team show [TEAM]");
+    }
+    ExitCode code = ExitCode::Done;
+    const auto answer = fetch(options, "/admin/config", code);
+    if (!answer) {
+        return code;
+    }
+    std::vector<std::vector<std::string>> rows {{"TEAM", "WEIGHT", "GUARANTEES", "TEMPLATES"}};
+    for (const auto &[name, team] : (*answer)["config"]["teams"].items()) {
+        if (words.size() == 2 && words[1] != name) {
+            continue;
+        }
+        std::string templates;
+        for (const auto &[work, value] : (*answer)["config"]["templates"].items()) {
+            if (value.value("team", "") == name) {
+                templates += (templates.empty() ? "" : ",") + work;
+            }
+        }
+        rows.push_back(
+            {name, std::to_string(team.value("weight", 1)), team.value("guarantees", Json::array()).dump(), templates});
+    }
+    printTable(rows);
+    return ExitCode::Done;
+}
+
+ExitCode workerCommand(const Options &options, const Words &words)
+{
+    const std::string verb = words.empty() ? "" : words[0];
+    if ((verb == "drain" || verb == "undrain") && words.size() == 2) {
+        const CallResult result = callAdmin(options, {"POST", "/admin/workers/" + words[1] + "/" + verb, {}, ""});
+        if (!result.good()) {
+            return reportFailure(options, result, options.admin);
+        }
+        std::cout << (options.json ? result.body
+                                   : words[1] + (verb == "drain" ? " gets no new work" : " gets new work again"))
+                  << "\n";
+        return ExitCode::Done;
+    }
+    if (verb != "list" || words.size() != 1) {
+        return usageError("worker list | drain WORKER | undrain WORKER");
+    }
+    ExitCode code = ExitCode::Done;
+    const auto answer = fetch(options, "/admin/workers", code);
+    if (!answer) {
+        return code;
+    }
+    std::vector<std::vector<std::string>> rows {{"WORKER", "PLACE", "RACK", "STATE", "STANDING", "GPUS", "USED"}};
+    for (const Json &worker : (*answer)["workers"]) {
+        std::vector<std::string> row;
+        for (const char *key : {"id", "place", "rack", "state", "standing", "gpus", "gpusUsed"}) {
+            row.push_back(plainText(worker[key]));
+        }
+        rows.push_back(std::move(row));
+    }
+    printTable(rows);
+    return ExitCode::Done;
+}
+
+ExitCode statusCommand(const Options &options, const Words &words)
+{
+    if (!words.empty()) {
+        return usageError("status takes no words");
+    }
+    ExitCode code = ExitCode::Done;
+    const auto answer = fetch(options, "/admin/status", code);
+    if (!answer) {
+        return code;
+    }
+    for (const auto &[key, value] : answer->items()) {
+        if (key == "log") {
+            for (const auto &[stream, tail] : value.items()) {
+                std::cout << "log " << stream << ": " << join(tail) << "\n";
+            }
+        } else {
+            std::cout << key << ": " << (value.is_object() ? join(value) : plainText(value)) << "\n";
+        }
+    }
+    return ExitCode::Done;
+}
+
+ExitCode explainCommand(const Options &options, const Words &words)
+{
+    if (words.size() != 1) {
+        return usageError("explain JOB");
+    }
+    ExitCode code = ExitCode::Done;
+    const auto answer = fetch(options, "/admin/jobs/" + words[0] + "/explain", code);
+    if (answer) {
+        std::cout << answer->value("explanation", "") << "\n";
+    }
+    return code;
+}
+
+} // namespace Papaya::Ctl
--- /dev/null
+++ b/apps/papayactl/workcommands.cpp
@@ -0,0 +1,158 @@
+#include "commands.h"
+
+#include <iostream>
+
+namespace Papaya::Ctl
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr int WAIT_MS = 2'000; // of one long poll
+
+bool isFinal(const std::string &state) { return state == "succeeded" || state == "failed" || state == "cancelled"; }
+
+/** @return the parameters of the command line; numbers, true and false keep their types. */
+Json parametersOf(const Options &options)
+{
+    Json parameters = Json::object();
+    for (const std::string &pair : options.parameters) {
+        const std::size_t equals = pair.find('=');
+        const std::string text = equals == std::string::npos ? "" : pair.substr(equals + 1);
+        const Json value = Json::parse(text, nullptr, false);
+        const bool typed = value.is_number_integer() || value.is_boolean();
+        parameters[pair.substr(0, equals)] = typed ? value : Json(text);
+    }
+    return parameters;
+}
+
+void printJob(const Options &options, const CallResult &result)
+{
+    if (options.json) {
+        std::cout << result.body << "\n";
+        return;
+    }
+    const Json job = result.json();
+    const std::string reason = job.value("reason", "");
+    std::cout << job.value("job", "") << " " << job.value("state", "") << (reason.empty() ? "" : ": " + reason) << "\n";
+}
+
+ExitCode waitForEnd(const Options &options, const std::string &job)
+{
+    std::string last;
+    const TimePoint until = Clock::now() + options.timeout;
+    while (Clock::now() < until) {
+        const std::string target = "/v1/jobs/" + job + "?waitMs=" + std::to_string(WAIT_MS);
+        const CallResult result = callCallers(options, {"GET", target, {}, ""});
+        if (!result.good()) {
+            return reportFailure(options, result, options.callers);
+        }
+        const std::string state = result.json().value("state", "");
+        if (isFinal(state)) {
+            printJob(options, result);
+            return state == "succeeded" ? ExitCode::Done : ExitCode::Refused;
+        }
+        if (state != last) {
+            std::cerr << job << " " << state << "\n";
+        }
+        last = state;
+    }
+    std::cerr << job << " has not ended; 'papayactl explain " << job << "' says why\n";
+    return ExitCode::Refused;
+}
+
+ExitCode submit(const Options &options, const std::string &work)
+{
+    HttpRequest request {
+        "POST", "/v1/jobs", {}, Json {{"template", work}, {"parameters", parametersOf(options)}}.dump()};
+    const CallResult result = callCallers(options, std::move(request));
+    if (!result.good()) {
+        return reportFailure(options, result, options.callers);
+    }
+    if (options.wait) {
+        return waitForEnd(options, result.json().value("job", ""));
+    }
+    printJob(options, result);
+    return ExitCode::Done;
+}
+
+ExitCode simple(const Options &options, const std::string &method, const std::string &job)
+{
+    const CallResult result = callCallers(options, {method, "/v1/jobs/" + job, {}, ""});
+    if (!result.good()) {
+        return reportFailure(options, result, options.callers);
+    }
+    printJob(options, result);
+    return ExitCode::Done;
+}
+
+ExitCode list(const Options &options)
+{
+    std::vector<std::vector<std::string>> rows {{"JOB", "TEMPLATE", "STATE", "ATTEMPT", "REASON"}};
+    Json all = Json::array();
+    std::string after;
+    while (true) {
+        const CallResult result = callCallers(options, {"GET", "/v1/jobs?after=" + after, {}, ""});
+        if (!result.good()) {
+            return reportFailure(options, result, options.callers);
+        }
+        const Json page = result.json();
+        for (const Json &job : page["jobs"]) {
+            all.push_back(job);
+            rows.push_back({job.value("job", ""), job.value("template", ""), job.value("state", ""),
+                            job["attempt"].dump(), job.value("reason", "")});
+        }
+        if (!page["next"].is_string()) {
+            break;
+        }
+        after = page["next"];
+    }
+    if (options.json) {
+        std::cout << Json {{"jobs", all}}.dump() << "\n";
+    } else {
+        printTable(rows);
+    }
+    return ExitCode::Done;
+}
+
+} // namespace
+
+ExitCode jobCommand(const Options &options, const Words &words)
+{
+    const std::string verb = words.empty() ? "" : words[0];
+    if (verb == "list" && words.size() == 1) {
+        return list(options);
+    }
+    if (words.size() != 2) {
+        return usageError("job submit TEMPLATE | status JOB | cancel JOB | list");
+    }
+    if (verb == "submit") {
+        return submit(options, words[1]);
+    }
+    if (verb == "status") {
+        return options.wait ? waitForEnd(options, words[1]) : simple(options, "GET", words[1]);
+    }
+    if (verb == "cancel") {
+        return simple(options, "DELETE", words[1]);
+    }
+    return usageError("unknown command: job " + verb);
+}
+
+ExitCode requestCommand(const Options &options, const Words &words)
+{
+    if (words.size() != 1) {
+        return usageError("request TEMPLATE [--body TEXT] [--key KEY]");
+    }
+    const CallResult result = callCallers(options, {"POST", "/v1/requests/" + words[0], {}, options.body});
+    if (!result.good()) {
+        return reportFailure(options, result, options.callers);
+    }
+    std::cerr << "request " << result.fields.get(Field::REQUEST) << " outcome " << result.fields.get(Field::OUTCOME)
+              << (result.fields.has(Field::REPLAYED) ? " (kept answer)" : "") << "\n";
+    std::cout << result.body << "\n";
+    return ExitCode::Done;
+}
+
+} // namespace Papaya::Ctl
--- /dev/null
+++ b/apps/papayahalld/main.cpp
@@ -0,0 +1,60 @@
+#include "process/instance.h"
+#include "process/logging.h"
+
+#include <tclap/CmdLine.h>
+
+#include <iostream>
+
+// The server: every entry host runs one instance of it, all alike.
+
+namespace
+{
+
+constexpr const char *VERSION = "0.1.0";
+constexpr int EXIT_DONE = 0;
+constexpr int EXIT_REFUSED = 1;
+constexpr int EXIT_USAGE = 2;
+
+int run(const std::string &path, bool checkOnly)
+{
+    const auto settings = Papaya::Settings::fromFile(path);
+    if (!settings) {
+        for (const Papaya::Error &error : settings.errors()) {
+            std::cerr << path << ": " << (error.path.empty() ? "settings" : error.path) << ": " << error.message << " ("
+                      << error.code << ")\n";
+        }
+        return EXIT_REFUSED;
+    }
+    if (checkOnly) {
+        std::cout << path << ": ok\n";
+        return EXIT_DONE;
+    }
+    Papaya::startLogging(settings->logLevel, settings->instance);
+    try {
+        Papaya::Instance::start(*settings)->run();
+    } catch (const std::exception &error) {
+        Papaya::logEvent(Papaya::LogLevel::Error, "start-failed", {{"error", error.what()}});
+        return EXIT_REFUSED;
+    }
+    return EXIT_DONE;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        TCLAP::CmdLine line("Scheduler for requests and multi-accelerator jobs under team guarantees.", ' ', VERSION);
+        line.setExceptionHandling(false);
+        const TCLAP::ValueArg<std::string> settings("s", "settings", "Settings of this process, JSON with comments",
+                                                    true, "", "FILE", line);
+        const TCLAP::SwitchArg check("c", "check", "Check the settings and exit", line);
+        line.parse(argc, argv);
+        return run(settings.getValue(), check.getValue());
+    } catch (const TCLAP::ExitException &exit) {
+        return exit.getExitStatus() == 0 ? EXIT_DONE : EXIT_USAGE;
+    } catch (const TCLAP::ArgException &error) {
+        std::cerr << error.error() << " " << error.argId() << "\n";
+        return EXIT_USAGE;
+    }
+}
--- /dev/null
+++ b/packages/base/codec.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "base/result.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <string>
+#include <string_view>
+
+// Parsing and writing of JSON, CBOR and base64 with bounds on nesting, so that no input can exhaust the stack.
+
+namespace Papaya
+{
+
+/** Deepest nesting of arrays and objects that is accepted. */
+constexpr int MAX_NESTING = 32;
+
+/** Whether a JSON text may hold comments. */
+enum class Comments { Refused, Allowed };
+
+/**
+ * Parses a JSON text.
+ * @param text the whole document
+ * @param comments whether // and block comments are skipped
+ * @return the value, or an error with code "malformed"
+ */
+Result<nlohmann::json> parseJson(std::string_view text, Comments comments = Comments::Refused);
+
+/**
+ * Parses a CBOR document.
+ * @return the value, or an error with code "malformed"
+ */
+Result<nlohmann::json> parseCbor(std::string_view bytes);
+
+/** @return @p value as CBOR bytes. */
+std::string toCbor(const nlohmann::json &value);
+
+/** @return @p value as compact JSON; invalid UTF-8 is replaced. */
+std::string toJson(const nlohmann::json &value);
+
+/** @return @p bytes in standard base64 with padding. */
+std::string toBase64(std::string_view bytes);
+
+/** @return the decoded bytes, or an error with code "malformed". */
+Result<std::string> fromBase64(std::string_view text);
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/connection/hostlist.cpp
@@ -0,0 +1,105 @@
+#include "connection/hostlist.h"
+
+#include "base/codec.h"
+#include "base/objectreader.h"
+
+namespace Papaya
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr std::int64_t MAX_AMOUNT = 1'000'000'000;
+const std::vector<std::string_view> KIND_NAMES {"entry", "minion", "worker"};
+const std::vector<std::string_view> STATE_NAMES {"live", "leaving"};
+
+void readCapacity(const Json &value, const std::string &path, Errors &errors, Host &host)
+{
+    ObjectReader reader(value, path, errors);
+    host.slots = static_cast<std::uint32_t>(reader.integer("slots", 0, MAX_AMOUNT).value_or(0));
+    host.connections = static_cast<std::uint32_t>(reader.integer("connections", 0, MAX_AMOUNT).value_or(0));
+    host.resources.cores = reader.integer("cores", 0, MAX_AMOUNT).value_or(0);
+    host.resources.memoryMb = reader.integer("memoryMb", 0, MAX_AMOUNT).value_or(0);
+    host.resources.gpus = reader.integer("gpus", 0, MAX_AMOUNT).value_or(0);
+}
+
+Host readHost(const Json &value, const std::string &path, Errors &errors)
+{
+    ObjectReader reader(value, path, errors);
+    Host host;
+    host.id = reader.text("id", Presence::Required).value_or("");
+    host.kind = static_cast<HostKind>(reader.oneOf("kind", KIND_NAMES, Presence::Required).value_or(0));
+    host.place = PlaceName(reader.text("place").value_or(""));
+    host.rack = RackName(reader.text("rack").value_or(""));
+    host.state = static_cast<HostState>(reader.oneOf("state", STATE_NAMES, Presence::Required).value_or(0));
+    const auto address = Endpoint::parse(reader.text("address", Presence::Required).value_or(""));
+    if (address) {
+        host.address = *address;
+    } else {
+        reader.report("bad-address", address.errors().front().message, "address");
+    }
+    if (const Json *capacity = reader.object("capacity")) {
+        readCapacity(*capacity, reader.pathOf("capacity"), errors, host);
+    }
+    return host;
+}
+
+class HttpHostList : public HostList
+{
+public:
+    HttpHostList(HttpPool &pool, Endpoint endpoint)
+        : m_pool(pool)
+        , m_endpoint(std::move(endpoint))
+    {
+    }
+
+    Asio::awaitable<HostSnapshot> fetch(TimePoint deadline) override
+    {
+        HttpRequest request {"GET", "/v1/hosts", {}, ""};
+        const HttpResponse response = co_await m_pool.exchange(m_endpoint, std::move(request), deadline);
+        if (response.status != 200) {
+            throw std::runtime_error("host list: status " + std::to_string(response.status));
+        }
+        auto snapshot = parseHosts(response.body);
+        if (!snapshot) {
+            const Error &first = snapshot.errors().front();
+            throw std::runtime_error("host list: " + first.path + " " + first.message);
+        }
+        co_return std::move(*snapshot);
+    }
+
+private:
+    HttpPool &m_pool;
+    const Endpoint m_endpoint;
+};
+
+} // namespace
+
+Result<HostSnapshot> parseHosts(std::string_view body)
+{
+    const auto document = parseJson(body);
+    if (!document) {
+        return document.errors();
+    }
+    Errors errors;
+    ObjectReader reader(*document, "", errors);
+    HostSnapshot snapshot;
+    snapshot.asOfMs = reader.integer("asOfMs", 0, INT64_MAX).value_or(0);
+    const Json *hosts = reader.array("hosts", Presence::Required);
+    for (std::size_t i = 0; hosts != nullptr && i < hosts->size(); ++i) {
+        snapshot.hosts.push_back(readHost((*hosts)[i], "hosts[" + std::to_string(i) + "]", errors));
+    }
+    if (!errors.empty()) {
+        return errors;
+    }
+    return snapshot;
+}
+
+std::unique_ptr<HostList> makeHttpHostList(HttpPool &pool, const Endpoint &endpoint)
+{
+    return std::make_unique<HttpHostList>(pool, endpoint);
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/connection/httpserver.cpp
@@ -0,0 +1,292 @@
+#include "connection/httpserver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <unordered_map>
+
+namespace Papaya
+{
+
+namespace Beast = boost::beast;
+namespace Http = boost::beast::http;
+using Tcp = Asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+constexpr Millis ACCEPT_PAUSE {50}; // gives descriptors time to come free when accept() fails
+
+using Parser = Http::request_parser<Http::string_body>;
+
+HttpRequest toRequest(Parser &parser)
+{
+    auto &message = parser.get();
+    HttpRequest request;
+    request.method = message.method_string();
+    request.target = message.target();
+    for (const auto &field : message) {
+        request.fields.append(field.name_string(), field.value());
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+Http::response<Http::string_body> toMessage(HttpResponse response, unsigned version, bool keepAlive)
+{
+    Http::response<Http::string_body> message;
+    message.result(static_cast<unsigned>(response.status));
+    message.version(version);
+    for (const HttpField &field : response.fields.all()) {
+        message.set(field.name, field.value);
+    }
+    message.keep_alive(keepAlive);
+    message.body() = std::move(response.body);
+    message.prepare_payload();
+    return message;
+}
+
+HttpResponse errorResponse(int status, const std::string &code, const std::string &message)
+{
+    HttpResponse response;
+    response.status = status;
+    response.fields.set(Field::CONTENT_TYPE, "application/json");
+    response.fields.set(Field::OUTCOME, "not-run");
+    response.fields.set(Field::REASON, code);
+    response.body = R"({"error":{"code":")" + code + R"(","message":")" + message + R"(","path":""}})";
+    return response;
+}
+
+HttpResponse parseErrorResponse(const error_code &error)
+{
+    if (error == Http::error::body_limit) {
+        return errorResponse(413, "body-too-large", "the body passes the size limit");
+    }
+    if (error == Http::error::header_limit) {
+        return errorResponse(431, "header-too-large", "the header passes the size limit");
+    }
+    return errorResponse(400, "malformed-http", "not a valid HTTP/1.1 request");
+}
+
+bool isParseError(const error_code &error)
+{
+    return error.category() == Http::make_error_code(Http::error::bad_method).category()
+           && error != Http::error::end_of_stream && error != Http::error::partial_message;
+}
+
+} // namespace
+
+/** What the connections share; they keep it alive until the last of them ends. */
+class HttpServer::State : public std::enable_shared_from_this<State>
+{
+public:
+    State(Asio::io_context &io, const HttpLimits &limits, HttpHandler &handler)
+        : m_io(io)
+        , m_limits(limits)
+        , m_handler(handler)
+        , m_acceptor(Asio::make_strand(io))
+    {
+    }
+
+    void open(const Endpoint &address)
+    {
+        const Tcp::endpoint endpoint(Asio::ip::make_address(address.ip), address.port);
+        m_acceptor.open(endpoint.protocol());
+        m_acceptor.set_option(Tcp::acceptor::reuse_address(true));
+        m_acceptor.bind(endpoint);
+        m_acceptor.listen(Asio::socket_base::max_listen_connections);
+        m_address = {address.ip, m_acceptor.local_endpoint().port()};
+        Asio::co_spawn(m_acceptor.get_executor(), acceptLoop(shared_from_this()), Asio::detached);
+    }
+
+    void drain()
+    {
+        m_draining = true;
+        Asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+            error_code ignored;
+            self->m_acceptor.close(ignored);
+        });
+    }
+
+    void close()
+    {
+        drain();
+        const std::lock_guard lock(m_mutex);
+        for (auto &[id, stream] : m_connections) {
+            Asio::post(stream->get_executor(), [stream = stream] { stream->close(); });
+        }
+    }
+
+    [[nodiscard]] std::size_t inProgress() const { return m_inProgress; }
+    [[nodiscard]] const Endpoint &address() const { return m_address; }
+
+private:
+    using StreamPtr = std::shared_ptr<Beast::tcp_stream>;
+
+    static Asio::awaitable<void> acceptLoop(std::shared_ptr<State> self)
+    {
+        while (!self->m_draining) {
+            error_code error;
+            auto socket = co_await self->m_acceptor.async_accept(Asio::make_strand(self->m_io),
+                                                                 Asio::redirect_error(Asio::use_awaitable, error));
+            if (!error) {
+                self->admit(std::move(socket));
+            } else if (!self->m_draining) {
+                Asio::steady_timer timer(self->m_acceptor.get_executor(), ACCEPT_PAUSE);
+                co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
+            }
+        }
+    }
+
+    void admit(Tcp::socket socket)
+    {
+        error_code ignored;
+        socket.set_option(Tcp::no_delay(true), ignored);
+        auto stream = std::make_shared<Beast::tcp_stream>(std::move(socket));
+        std::uint64_t id = 0;
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_connections.size() >= m_limits.connections) {
+                return;
+            }
+            id = m_nextId++;
+            m_connections.emplace(id, stream);
+        }
+        Asio::co_spawn(stream->get_executor(), serve(shared_from_this(), stream, id), Asio::detached);
+    }
+
+    static Asio::awaitable<void> serve(std::shared_ptr<State> self, StreamPtr stream, std::uint64_t id)
+    {
+        try {
+            Beast::flat_buffer buffer;
+            while (co_await self->serveOne(*stream, buffer)) {}
+        } catch (const std::exception &) {
+            // The connection is gone; whatever was answered on it is counted by the handler.
+        }
+        error_code ignored;
+        stream->socket().shutdown(Tcp::socket::shutdown_send, ignored);
+        stream->close();
+        const std::lock_guard lock(self->m_mutex);
+        self->m_connections.erase(id);
+    }
+
+    /** @return true if the connection can take another request. */
+    Asio::awaitable<bool> serveOne(Beast::tcp_stream &stream, Beast::flat_buffer &buffer)
+    {
+        Parser parser;
+        parser.header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
+        parser.body_limit(m_limits.bodyBytes);
+        error_code error;
+        auto token = Asio::redirect_error(Asio::use_awaitable, error);
+
+        // 1. Waits for the first bytes; an idle connection costs nothing else.
+        stream.expires_after(m_limits.idle);
+        co_await Http::async_read_some(stream, buffer, parser, token);
+        // 2. Reads the rest under the tighter limits for a request that has begun.
+        if (!error && !parser.is_header_done()) {
+            stream.expires_after(m_limits.header);
+            co_await Http::async_read_header(stream, buffer, parser, token);
+        }
+        if (!error && !parser.is_done()) {
+            stream.expires_after(m_limits.body);
+            co_await Http::async_read(stream, buffer, parser, token);
+        }
+        if (error) {
+            if (isParseError(error)) {
+                co_await write(stream, parseErrorResponse(error), 11, false);
+            }
+            co_return false;
+        }
+        // 3. Answers. The time limit is off while the handler works, which has its own deadline.
+        stream.expires_never();
+        const InProgress guard(m_inProgress);
+        const bool keepAlive = parser.get().keep_alive();
+        const unsigned version = parser.get().version();
+        HttpResponse response = co_await answer(toRequest(parser));
+        if (response.status == 0) {
+            co_return false;
+        }
+        const bool keepOpen = keepAlive && !m_draining;
+        co_await write(stream, std::move(response), version, keepOpen);
+        co_return keepOpen;
+    }
+
+    Asio::awaitable<HttpResponse> answer(HttpRequest request)
+    {
+        try {
+            co_return co_await m_handler.handle(std::move(request));
+        } catch (const std::exception &) {
+            HttpResponse response = errorResponse(500, "internal", "the request failed inside the server");
+            response.fields.set(Field::OUTCOME, "unknown");
+            co_return response;
+        }
+    }
+
+    Asio::awaitable<void> write(Beast::tcp_stream &stream, HttpResponse response, unsigned version, bool keepAlive)
+    {
+        const auto message = toMessage(std::move(response), version, keepAlive);
+        stream.expires_after(m_limits.write);
+        co_await Http::async_write(stream, message, Asio::use_awaitable);
+    }
+
+    struct InProgress {
+        explicit InProgress(std::atomic<std::size_t> &count)
+            : m_count(count)
+        {
+            ++m_count;
+        }
+        ~InProgress() { --m_count; }
+        InProgress(const InProgress &) = delete;
+        InProgress &operator=(const InProgress &) = delete;
+
+    private:
+        std::atomic<std::size_t> &m_count;
+    };
+
+    Asio::io_context &m_io;
+    const HttpLimits m_limits;
+    HttpHandler &m_handler;
+    Tcp::acceptor m_acceptor;
+    Endpoint m_address;
+    std::atomic<bool> m_draining {false};
+    std::atomic<std::size_t> m_inProgress {0};
+    std::mutex m_mutex;
+    std::unordered_map<std::uint64_t, StreamPtr> m_connections;
+    std::uint64_t m_nextId = 1;
+};
+
+std::unique_ptr<HttpServer> HttpServer::listen(Asio::io_context &io, const Endpoint &address, const HttpLimits &limits,
+                                               HttpHandler &handler)
+{
+    auto state = std::make_shared<State>(io, limits, handler);
+    state->open(address);
+    return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
+}
+
+HttpServer::HttpServer(std::shared_ptr<State> state)
+    : m_state(std::move(state))
+{
+}
+
+HttpServer::~HttpServer() { m_state->close(); }
+
+void HttpServer::drain() { m_state->drain(); }
+
+void HttpServer::close() { m_state->close(); }
+
+std::size_t HttpServer::inProgress() const { return m_state->inProgress(); }
+
+Endpoint HttpServer::address() const { return m_state->address(); }
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/process/adminapi.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "connection/httpserver.h"
+#include "process/admissiongate.h"
+#include "process/claimservice.h"
+#include "process/configservice.h"
+#include "process/hostdirectory.h"
+#include "process/journal.h"
+#include "process/minionpool.h"
+#include "process/planner.h"
+#include "process/settings.h"
+
+#include <functional>
+#include <map>
+
+// Routes of the listener for operators.
+
+namespace Papaya
+{
+
+/** What the admin API shows and steers. */
+struct AdminContext {
+    const Settings &settings;
+    ConfigService &config;
+    Journal &journal;
+    ClaimService &claims;
+    HostDirectory &hosts;
+    MinionPool &minions;
+    AdmissionGate &gate;
+    Planner &planner;
+    Metrics &metrics;
+    std::function<bool()> ready;
+    std::function<void()> drain;
+    /** Versions in force at the instances that are known, this one included. */
+    std::function<std::map<InstanceId, ConfigVersion>()> versions;
+};
+
+/** Handler of the operators' listener. */
+class AdminApi : public HttpHandler
+{
+public:
+    explicit AdminApi(AdminContext context);
+    Asio::awaitable<HttpResponse> handle(HttpRequest request) override;
+
+private:
+    [[nodiscard]] bool authorized(const HttpRequest &request) const;
+    HttpResponse probe(bool good) const;
+    HttpResponse showConfig() const;
+    Asio::awaitable<HttpResponse> publishConfig(const HttpRequest &request);
+    HttpResponse showStatus() const;
+    HttpResponse showWorkers() const;
+    Asio::awaitable<HttpResponse> setStanding(std::string worker, Standing standing);
+    HttpResponse explain(const std::string &job) const;
+
+    AdminContext m_context;
+};
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/process/gangrunner.cpp
@@ -0,0 +1,467 @@
+#include "process/gangrunner.h"
+
+#include "process/logging.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include <algorithm>
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr Millis APPEND_LIMIT {5'000};
+constexpr Millis PREPARE_LIMIT {1'000};
+constexpr Millis RUN_LIMIT {800}; // within the short lease that the parts hold at that time
+constexpr Millis STOP_LIMIT {500};
+constexpr Millis STOP_RETRY_PAUSE {300};
+constexpr Millis CHECKPOINT_GRACE {600};
+constexpr Millis WATCH_INTERVAL {200};
+constexpr Millis LEASE_MARGIN {300};      // for a worker whose clock runs slower
+constexpr std::uint32_t MAX_FAILURES = 3; // attempts that may end by a failed part
+
+} // namespace
+
+GangRunner::GangRunner(GangOwner &owner, Journal &journal, TaskBook &book, WorkerClient &client, Metrics &metrics,
+                       GangAttempt attempt, GangState entry)
+    : m_owner(owner)
+    , m_journal(journal)
+    , m_book(book)
+    , m_client(client)
+    , m_metrics(metrics)
+    , m_attempt(std::move(attempt))
+    , m_machine(entry)
+    , m_mayHaveRun(entry == GangState::Starting || entry == GangState::Running)
+{
+    if (m_attempt.cancelRequested) {
+        m_stop = StopCause::Cancelled;
+    }
+    if (entry == GangState::Stopping) {
+        m_broken = ReleaseReason::PrepareFailed;
+    }
+}
+
+TaskId GangRunner::taskOf(std::size_t part) const
+{
+    return {m_attempt.spec.job, PartIndex(static_cast<std::uint32_t>(part))};
+}
+
+void GangRunner::requestStop(StopCause cause)
+{
+    if (!m_stop || cause == StopCause::Cancelled) {
+        m_stop = cause;
+    }
+    m_wake.notifyAll();
+}
+
+void GangRunner::breakOff(ReleaseReason reason, const WorkerId &culprit)
+{
+    if (!m_broken) {
+        m_broken = reason;
+        m_culprit = culprit;
+    }
+}
+
+template<typename Action>
+Asio::awaitable<void> GangRunner::forEachPart(Action action)
+{
+    const auto executor = co_await Asio::this_coro::executor;
+    auto waiter = Waiter::create(executor);
+    std::size_t pending = m_attempt.parts.size();
+    for (std::size_t part = 0; part < m_attempt.parts.size(); ++part) {
+        Asio::co_spawn(executor, action(part), [&pending, waiter](const std::exception_ptr &) {
+            if (--pending == 0) {
+                waiter->notify();
+            }
+        });
+    }
+    co_await waiter->wait(TimePoint::max());
+}
+
+Asio::awaitable<void> GangRunner::run()
+{
+    GangAction action = m_machine.action();
+    while (action != GangAction::Leave) {
+        GangEvent event = GangEvent::Superseded;
+        if (m_owner.inCharge(m_attempt.epoch)) {
+            event = co_await act(action);
+        }
+        const GangState before = m_machine.state();
+        action = m_machine.on(event);
+        if (m_machine.state() != before) {
+            logEvent(LogLevel::Debug, "gang-state",
+                     {{"job", m_attempt.spec.job.value()},
+                      {"attempt", std::uint64_t(m_attempt.attempt)},
+                      {"state", toString(m_machine.state())}});
+        }
+    }
+    for (std::size_t part = 0; part < m_attempt.parts.size(); ++part) {
+        m_book.forget(taskOf(part));
+    }
+}
+
+Asio::awaitable<GangEvent> GangRunner::act(GangAction action)
+{
+    switch (action) {
+    case GangAction::AppendPlaced:
+        return appendPlaced();
+    case GangAction::Prepare:
+        return prepareParts();
+    case GangAction::AppendCommitted:
+        return appendCommitted();
+    case GangAction::Run:
+        return runParts();
+    case GangAction::AppendStarted:
+        return appendStarted();
+    case GangAction::Watch:
+        return watch();
+    case GangAction::StopParts:
+        return stopParts();
+    default:
+        return appendEnd();
+    }
+}
+
+Asio::awaitable<GangEvent> GangRunner::appendPlaced()
+{
+    Placed record;
+    record.epoch = m_attempt.epoch;
+    record.job = m_attempt.spec.job;
+    record.attempt = m_attempt.attempt;
+    record.guaranteed = m_attempt.guaranteed;
+    for (const PartHost &host : m_attempt.parts) {
+        record.workers.push_back(host.worker);
+    }
+    // A placement whose append has no answer may still turn up; the planner then finds a job without a runner.
+    const AppendStatus status = co_await m_journal.append(record, Clock::now() + APPEND_LIMIT);
+    if (status != AppendStatus::Applied) {
+        co_return GangEvent::Superseded;
+    }
+    m_metrics.count(Counter::JobsPlaced);
+    co_return GangEvent::PlacedApplied;
+}
+
+Asio::awaitable<void> GangRunner::preparePart(std::size_t part, std::vector<CommandResult> &results)
+{
+    const PartHost &host = m_attempt.parts[part];
+    TaskSpec spec;
+    spec.id = taskOf(part);
+    spec.lease = SHORT_LEASE;
+    spec.shape = m_attempt.spec.shape;
+    spec.templateName = m_attempt.spec.templateName;
+    spec.parametersJson = m_attempt.spec.parametersJson;
+    if (part < m_attempt.checkpoints.size()) {
+        spec.checkpoint = m_attempt.checkpoints[part];
+    }
+    const TimePoint sent = Clock::now();
+    try {
+        // The worker may take the task even if its answer is lost, so the lease is entered before the call.
+        m_book.hold(spec.id, host.worker, host.address, LeaseMode::Short, sent);
+        results[part] = co_await m_client.prepare(host.address, m_attempt.epoch, spec, sent + PREPARE_LIMIT);
+    } catch (const HttpError &) {
+        results[part] = CommandResult::Refused;
+    }
+}
+
+Asio::awaitable<GangEvent> GangRunner::prepareParts()
+{
+    std::vector<CommandResult> results(m_attempt.parts.size(), CommandResult::Refused);
+    co_await forEachPart([&](std::size_t part) { return preparePart(part, results); });
+    if (std::count(results.begin(), results.end(), CommandResult::StaleEpoch) > 0) {
+        m_owner.superseded();
+        co_return GangEvent::Superseded;
+    }
+    if (m_stop) {
+        co_return GangEvent::StopWanted;
+    }
+    for (std::size_t part = 0; part < results.size(); ++part) {
+        if (results[part] != CommandResult::Done) {
+            m_metrics.count(Counter::GangStartsAborted);
+            breakOff(ReleaseReason::PrepareFailed, m_attempt.parts[part].worker);
+            co_return GangEvent::Broken;
+        }
+    }
+    co_return GangEvent::AllPrepared;
+}
+
+Asio::awaitable<GangEvent> GangRunner::appendCommitted()
+{
+    Committed record;
+    record.epoch = m_attempt.epoch;
+    record.job = m_attempt.spec.job;
+    record.attempt = m_attempt.attempt;
+    const AppendStatus status = co_await m_journal.append(record, Clock::now() + APPEND_LIMIT);
+    if (status == AppendStatus::Void) {
+        co_return GangEvent::Superseded;
+    }
+    if (m_stop) {
+        co_return GangEvent::StopWanted;
+    }
+    if (status != AppendStatus::Applied) {
+        breakOff(ReleaseReason::StartFailed);
+        co_return GangEvent::Broken;
+    }
+    co_return GangEvent::CommitApplied;
+}
+
+Asio::awaitable<void> GangRunner::commandPart(std::size_t part, TaskCommand command, Duration limit,
+                                              std::vector<std::optional<CommandResult>> &results)
+{
+    const PartHost &host = m_attempt.parts[part];
+    try {
+        results[part] =
+            co_await m_client.command(host.address, m_attempt.epoch, taskOf(part), command, Clock::now() + limit);
+    } catch (const HttpError &) {
+        results[part].reset();
+    }
+}
+
+Asio::awaitable<GangEvent> GangRunner::runParts()
+{
+    // From here on the short leases are left to count down, so that a start that is cut ends itself.
+    for (std::size_t part = 0; part < m_attempt.parts.size(); ++part) {
+        m_book.setMode(taskOf(part), LeaseMode::None);
+    }
+    m_mayHaveRun = true;
+    std::vector<std::optional<CommandResult>> results(m_attempt.parts.size());
+    co_await forEachPart([&](std::size_t part) { return commandPart(part, TaskCommand::Run, RUN_LIMIT, results); });
+    if (std::count(results.begin(), results.end(), CommandResult::StaleEpoch) > 0) {
+        m_owner.superseded();
+        co_return GangEvent::Superseded;
+    }
+    for (std::size_t part = 0; part < results.size(); ++part) {
+        if (results[part] != CommandResult::Done) {
+            m_metrics.count(Counter::GangStartsAborted);
+            breakOff(ReleaseReason::StartFailed);
+            co_return GangEvent::Broken;
+        }
+    }
+    for (std::size_t part = 0; part < m_attempt.parts.size(); ++part) {
+        m_book.setMode(taskOf(part), LeaseMode::Long);
+    }
+    m_book.refresh(m_attempt.epoch);
+    co_return GangEvent::AllRunning;
+}
+
+Asio::awaitable<AppendStatus> GangRunner::appendUntilSettled(JournalRecord record)
+{
+    AppendStatus status = AppendStatus::Unknown;
+    while (status != AppendStatus::Applied && status != AppendStatus::Void && m_owner.inCharge(m_attempt.epoch)) {
+        status = co_await m_journal.append(record, Clock::now() + APPEND_LIMIT);
+    }
+    co_return status;
+}
+
+Asio::awaitable<GangEvent> GangRunner::appendStarted()
+{
+    Started record;
+    record.epoch = m_attempt.epoch;
+    record.job = m_attempt.spec.job;
+    record.attempt = m_attempt.attempt;
+    // The gang runs meanwhile; a log outage does not stop it.
+    const AppendStatus status = co_await appendUntilSettled(record);
+    if (status != AppendStatus::Applied) {
+        co_return GangEvent::Superseded;
+    }
+    m_metrics.count(Counter::JobsStarted);
+    logEvent(LogLevel::Info, "job-started",
+             {{"job", m_attempt.spec.job.value()}, {"attempt", std::uint64_t(m_attempt.attempt)}});
+    co_return GangEvent::StartApplied;
+}
+
+std::optional<GangEvent> GangRunner::inspectParts()
+{
+    const TimePoint now = Clock::now();
+    std::size_t succeeded = 0;
+    for (std::size_t part = 0; part < m_attempt.parts.size(); ++part) {
+        const HeldTask *task = m_book.find(taskOf(part));
+        if (task == nullptr) {
+            return GangEvent::Superseded;
+        }
+        const WorkerId &worker = m_attempt.parts[part].worker;
+        if (task->state == TaskState::Failed) {
+            m_owner.partEnded(worker, m_attempt.spec.job, false);
+            breakOff(ReleaseReason::PartFailed, worker);
+            return GangEvent::Broken;
+        }
+        if (task->state == TaskState::Succeeded) {
+            ++succeeded;
+            continue;
+        }
+        if (task->lost || task->state == TaskState::Stopped || m_book.silent(*task, now)) {
+            m_metrics.count(Counter::PartsLost);
+            breakOff(ReleaseReason::PartLost);
+            return GangEvent::Broken;
+        }
+    }
+    if (succeeded == m_attempt.parts.size()) {
+        m_succeeded = true;
+        for (const PartHost &host : m_attempt.parts) {
+            m_owner.partEnded(host.worker, m_attempt.spec.job, true);
+        }
+        return GangEvent::AllSucceeded;
+    }
+    return std::nullopt;
+}
+
+Asio::awaitable<GangEvent> GangRunner::watch()
+{
+    const auto executor = co_await Asio::this_coro::executor;
+    while (true) {
+        auto reported = m_book.changed().subscribe(executor);
+        if (m_book.superseded()) {
+            m_owner.superseded();
+            co_return GangEvent::Superseded;
+        }
+        if (!m_owner.inCharge(m_attempt.epoch)) {
+            co_return GangEvent::Superseded;
+        }
+        if (const auto event = inspectParts()) {
+            co_return *event;
+        }
+        if (m_stop) {
+            co_return GangEvent::StopWanted;
+        }
+        co_await reported->wait(Clock::now() + WATCH_INTERVAL);
+    }
+}
+
+Asio::awaitable<void> GangRunner::takeCheckpoints()
+{
+    std::vector<std::optional<CommandResult>> results(m_attempt.parts.size());
+    const TimePoint until = Clock::now() + CHECKPOINT_GRACE;
+    co_await forEachPart(
+        [&](std::size_t part) { return commandPart(part, TaskCommand::Checkpoint, CHECKPOINT_GRACE, results); });
+    // The checkpoints show up in the workers' reports.
+    const auto hasCheckpoint = [&](std::size_t part) {
+        const HeldTask *task = m_book.find(taskOf(part));
+        return task == nullptr || !task->checkpoint.empty();
+    };
+    while (Clock::now() < until) {
+        std::size_t taken = 0;
+        for (std::size_t part = 0; part < m_attempt.parts.size(); ++part) {
+            taken += hasCheckpoint(part) ? 1U : 0U;
+        }
+        if (taken == m_attempt.parts.size()) {
+            co_return;
+        }
+        const auto executor = co_await Asio::this_coro::executor;
+        co_await m_book.changed().subscribe(executor)->wait(until);
+    }
+}
+
+void GangRunner::keepCheckpoints()
+{
+    std::vector<std::string> checkpoints;
+    for (std::size_t part = 0; part < m_attempt.parts.size(); ++part) {
+        const HeldTask *task = m_book.find(taskOf(part));
+        checkpoints.push_back(task == nullptr ? "" : task->checkpoint);
+    }
+    // A gang restarts from a checkpoint of every part or from none.
+    const bool complete = std::none_of(checkpoints.begin(), checkpoints.end(),
+                                       [](const std::string &checkpoint) { return checkpoint.empty(); });
+    if (complete) {
+        m_attempt.checkpoints = std::move(checkpoints);
+    }
+}
+
+Asio::awaitable<GangEvent> GangRunner::stopParts()
+{
+    const bool orderly = m_stop && m_stop != StopCause::Cancelled && !m_broken;
+    if (orderly && m_attempt.spec.restart == RestartRule::Checkpoint) {
+        co_await takeCheckpoints();
+    }
+    keepCheckpoints();
+    for (std::size_t part = 0; part < m_attempt.parts.size(); ++part) {
+        m_book.setMode(taskOf(part), LeaseMode::None);
+    }
+    std::vector<bool> stopped(m_attempt.parts.size(), false);
+    while (m_owner.inCharge(m_attempt.epoch)) {
+        std::vector<std::optional<CommandResult>> results(m_attempt.parts.size());
+        co_await forEachPart(
+            [&](std::size_t part) { return commandPart(part, TaskCommand::Stop, STOP_LIMIT, results); });
+        if (std::count(results.begin(), results.end(), CommandResult::StaleEpoch) > 0) {
+            m_owner.superseded();
+            co_return GangEvent::Superseded;
+        }
+        bool all = true;
+        for (std::size_t part = 0; part < results.size(); ++part) {
+            // A worker that cannot be reached has stopped the part once its lease must have lapsed.
+            const HeldTask *task = m_book.find(taskOf(part));
+            const bool lapsed = task == nullptr || Clock::now() >= task->leaseUntil + LEASE_MARGIN;
+            stopped[part] = stopped[part] || results[part].has_value() || lapsed;
+            all = all && stopped[part];
+        }
+        if (all) {
+            co_return GangEvent::PartsStopped;
+        }
+        co_await sleepFor(STOP_RETRY_PAUSE);
+    }
+    co_return GangEvent::Superseded;
+}
+
+JournalRecord GangRunner::endRecord() const
+{
+    Finished finished;
+    finished.epoch = m_attempt.epoch;
+    finished.job = m_attempt.spec.job;
+    finished.attempt = m_attempt.attempt;
+    if (m_succeeded) {
+        finished.outcome = JobOutcome::Succeeded;
+        return finished;
+    }
+    if (m_stop == StopCause::Cancelled) {
+        finished.outcome = JobOutcome::Cancelled;
+        finished.reason = "cancelled";
+        return finished;
+    }
+    const ReleaseReason reason =
+        m_broken.value_or(m_stop == StopCause::Moved ? ReleaseReason::Moved : ReleaseReason::Preempted);
+    finished.outcome = JobOutcome::Failed;
+    if (reason == ReleaseReason::PartFailed && m_attempt.earlierFailures + 1 >= MAX_FAILURES) {
+        finished.reason = "parts failed on " + std::to_string(MAX_FAILURES) + " attempts";
+        return finished;
+    }
+    if (m_mayHaveRun && m_attempt.spec.restart == RestartRule::Never) {
+        finished.reason = std::string("ended by ") + toString(reason) + ", and the template forbids a restart";
+        return finished;
+    }
+    Released released;
+    released.epoch = m_attempt.epoch;
+    released.job = m_attempt.spec.job;
+    released.attempt = m_attempt.attempt;
+    released.reason = reason;
+    released.culprit = m_culprit;
+    if (m_attempt.spec.restart == RestartRule::Checkpoint) {
+        released.checkpoints = m_attempt.checkpoints;
+    }
+    return released;
+}
+
+Asio::awaitable<GangEvent> GangRunner::appendEnd()
+{
+    const JournalRecord record = endRecord();
+    const AppendStatus status = co_await appendUntilSettled(record);
+    if (status != AppendStatus::Applied) {
+        co_return GangEvent::Superseded;
+    }
+    if (const auto *finished = std::get_if<Finished>(&record)) {
+        constexpr std::array<Counter, 3> COUNTERS {Counter::JobsSucceeded, Counter::JobsFailed, Counter::JobsCancelled};
+        m_metrics.count(COUNTERS[static_cast<std::size_t>(finished->outcome)]);
+        logEvent(
+            LogLevel::Info, "job-ended",
+            {{"job", finished->job.value()}, {"outcome", toString(finished->outcome)}, {"reason", finished->reason}});
+    } else {
+        const auto &released = std::get<Released>(record);
+        m_metrics.count(Counter::JobsPreempted);
+        logEvent(LogLevel::Info, "job-released",
+                 {{"job", released.job.value()}, {"reason", toString(released.reason)}});
+    }
+    co_return GangEvent::EndApplied;
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/process/instance.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "process/settings.h"
+
+#include <memory>
+
+// One running instance: everything that lives for the process, put together and taken apart in order.
+
+namespace Papaya
+{
+
+/** A running instance. */
+class Instance
+{
+public:
+    /**
+     * Binds the listeners and starts.
+     * @throws boost::system::system_error if an address cannot be bound
+     */
+    static std::unique_ptr<Instance> start(const Settings &settings);
+    ~Instance();
+    Instance(const Instance &) = delete;
+    Instance &operator=(const Instance &) = delete;
+
+    /** Runs until a drain that SIGTERM, SIGINT or the admin API began has ended. */
+    void run();
+
+private:
+    struct Parts;
+    explicit Instance(std::unique_ptr<Parts> parts);
+
+    std::unique_ptr<Parts> m_parts;
+};
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/process/jobservice.cpp
@@ -0,0 +1,288 @@
+#include "process/jobservice.h"
+
+#include "base/codec.h"
+#include "base/digest.h"
+#include "base/objectreader.h"
+#include "process/callerauth.h"
+#include "process/logging.h"
+#include "process/placement.h"
+
+#include <boost/asio/this_coro.hpp>
+
+#include <charconv>
+
+namespace Papaya
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr std::size_t JOB_ID_BYTES = 10;
+constexpr Millis SUBMIT_LIMIT {10'000}; // for callers that name no deadline
+constexpr std::int64_t MAX_DEADLINE_MS = 90LL * 24 * 3'600'000;
+constexpr std::int64_t MAX_WAIT_MS = 60'000;
+constexpr std::size_t PAGE_JOBS = 200;
+constexpr std::size_t MAX_KEY_LENGTH = 128;
+
+std::optional<std::int64_t> toNumber(std::string_view text)
+{
+    std::int64_t number = 0;
+    const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (text.empty() || status != std::errc {} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+Json describe(const Job &job)
+{
+    Json value {{"job", job.spec.job.value()},    {"template", job.spec.templateName.value()},
+                {"state", toString(job.state)},   {"reason", job.reason},
+                {"submittedMs", job.submittedMs}, {"attempt", job.attempt}};
+    value["outcome"] = isFinal(job.state) ? Json(toString(job.state)) : Json();
+    return value;
+}
+
+HttpResponse done(int status, const Json &body)
+{
+    HttpResponse response = jsonResponse(status, toJson(body));
+    response.fields.set(Field::OUTCOME, toString(Outcome::Done));
+    return response;
+}
+
+HttpResponse accepted(const Job &job, bool replayed)
+{
+    HttpResponse response = done(202, {{"job", job.spec.job.value()}, {"state", toString(job.state)}});
+    if (replayed) {
+        response.fields.set(Field::REPLAYED, "1");
+    }
+    return response;
+}
+
+} // namespace
+
+JobService::JobService(ConfigService &config, Journal &journal, HostDirectory &hosts, Metrics &metrics)
+    : m_config(config)
+    , m_journal(journal)
+    , m_hosts(hosts)
+    , m_metrics(metrics)
+{
+}
+
+HttpResponse JobService::refuse(Refusal refusal, const std::string &detail, const std::string &path)
+{
+    m_metrics.count(refusal);
+    return refusalResponse(refusal, detail, path);
+}
+
+bool JobService::everFits(const Shape &shape) const
+{
+    const auto hosts = m_hosts.hosts();
+    FleetModel fleet;
+    for (std::size_t i = 0; hosts && i < hosts->hosts.size(); ++i) {
+        const Host &host = hosts->hosts[i];
+        if (host.kind == HostKind::Worker) {
+            fleet.add(WorkerId(host.id), host.place, host.rack, host.resources);
+        }
+    }
+    // Without a list of workers nothing can be said against the job.
+    return fleet.workers().empty() || fitsEmptyFleet(fleet, shape);
+}
+
+Result<JobSubmitted> JobService::parseSubmission(const HttpRequest &request, const FleetConfig &config,
+                                                 Refusal &refusal)
+{
+    const CallerIdentity identity = identifyCaller(request, config);
+    if (identity.refusal) {
+        refusal = *identity.refusal;
+        return Error {};
+    }
+    refusal = Refusal::BadBody;
+    const auto document = parseJson(request.body);
+    if (!document) {
+        return document.errors();
+    }
+    Errors errors;
+    ObjectReader reader(*document, "", errors);
+    JobSubmitted job;
+    job.job = JobId("j-" + randomHex(JOB_ID_BYTES));
+    job.team = identity.team;
+    job.caller = identity.caller;
+    job.templateName = TemplateName(reader.text("template", Presence::Required).value_or(""));
+    const Json *parameters = reader.object("parameters");
+    job.deadline = Millis(reader.integer("deadlineMs", 1, MAX_DEADLINE_MS).value_or(0));
+    reader.refuseUnknownKeys();
+    if (!errors.empty()) {
+        return errors;
+    }
+    const Template *work = config.templateNamed(job.templateName);
+    if (work == nullptr || work->team != job.team) {
+        refusal = Refusal::UnknownTemplate;
+        return Error {"", "", "template"};
+    }
+    if (work->kind != WorkKind::Job) {
+        refusal = Refusal::WrongKind;
+        return Error {"", "", "template"};
+    }
+    static const Json NO_PARAMETERS = Json::object();
+    const Json &values = parameters == nullptr ? NO_PARAMETERS : *parameters;
+    const Errors wrong = work->checkParameters(values);
+    if (!wrong.empty()) {
+        refusal = Refusal::BadParameters;
+        return wrong;
+    }
+    job.parametersJson = toJson(values);
+    job.urgency = work->urgency;
+    job.restart = work->restart;
+    job.shape = work->shape;
+    job.run = work->run;
+    job.key = request.fields.get(Field::IDEMPOTENCY_KEY);
+    if (job.key.size() > MAX_KEY_LENGTH) {
+        refusal = Refusal::KeyNotAllowed;
+        return Error {};
+    }
+    job.bodyDigest = sha256Hex(toJson(*document));
+    return job;
+}
+
+Asio::awaitable<HttpResponse> JobService::submit(const HttpRequest &request)
+{
+    const FleetConfigPtr config = m_config.config();
+    if (config == nullptr || !m_journal.tail().caughtUp()) {
+        co_return refuse(Refusal::NotReady);
+    }
+    Refusal refusal = Refusal::BadBody;
+    const Result<JobSubmitted> parsed = parseSubmission(request, *config, refusal);
+    if (!parsed) {
+        const Error &first = parsed.errors().front();
+        co_return refuse(refusal, first.message, first.path);
+    }
+    const JobSubmitted &job = *parsed;
+    // 1. A key that is known answers with its job, however often it is sent.
+    const auto byKey = [&](const Ledger &ledger) -> std::optional<Job> {
+        const Job *known = job.key.empty() ? nullptr : ledger.jobByKey(job.team, job.key);
+        return known == nullptr ? std::nullopt : std::optional<Job>(*known);
+    };
+    std::optional<Job> known = m_journal.read(byKey);
+    AppendStatus status = AppendStatus::Void;
+    if (!known) {
+        const std::size_t waiting = m_journal.read([&](const Ledger &ledger) { return ledger.waitingJobs(job.team); });
+        if (waiting >= config->team(job.team)->limits.queuedJobs) {
+            co_return refuse(Refusal::TooManyJobs);
+        }
+        if (!everFits(job.shape)) {
+            co_return refuse(Refusal::NeverFits);
+        }
+        // 2. The job exists once its record has been read back.
+        const std::int64_t limit = toNumber(request.fields.get(Field::DEADLINE_MS)).value_or(SUBMIT_LIMIT.count());
+        status = co_await m_journal.append(job, Clock::now() + Millis(std::clamp<std::int64_t>(limit, 1, MAX_WAIT_MS)));
+        known = m_journal.read(byKey);
+    }
+    if (status == AppendStatus::Applied) {
+        logEvent(LogLevel::Info, "job-submitted",
+                 {{"job", job.job.value()}, {"team", job.team.value()}, {"template", job.templateName.value()}});
+        const auto own = m_journal.read([&](const Ledger &ledger) { return *ledger.job(job.job); });
+        co_return accepted(own, false);
+    }
+    if (status == AppendStatus::Void && known) {
+        co_return known->spec.bodyDigest == job.bodyDigest ? accepted(*known, true) : refuse(Refusal::KeyReused);
+    }
+    co_return refuse(status == AppendStatus::Unknown ? Refusal::AppendUnknown : Refusal::LogOut);
+}
+
+Asio::awaitable<HttpResponse> JobService::status(const HttpRequest &request, const std::string &id)
+{
+    const FleetConfigPtr config = m_config.config();
+    if (config == nullptr || !m_journal.tail().caughtUp()) {
+        co_return refuse(Refusal::NotReady);
+    }
+    const CallerIdentity identity = identifyCaller(request, *config);
+    if (identity.refusal) {
+        co_return refuse(*identity.refusal);
+    }
+    const std::int64_t waitMs = std::clamp<std::int64_t>(toNumber(request.query("waitMs")).value_or(0), 0, MAX_WAIT_MS);
+    const TimePoint until = Clock::now() + Millis(waitMs);
+    const auto executor = co_await Asio::this_coro::executor;
+    std::optional<JobState> first;
+    while (true) {
+        auto waiter = m_journal.progress().subscribe(executor);
+        const auto job = m_journal.read([&](const Ledger &ledger) -> std::optional<Job> {
+            const Job *found = ledger.job(JobId(id));
+            const bool own = found != nullptr && found->spec.team == identity.team;
+            return own ? std::optional<Job>(*found) : std::nullopt;
+        });
+        if (!job) {
+            co_return refuse(Refusal::NoSuchJob);
+        }
+        const bool changed = first && *first != job->state;
+        first = job->state;
+        if (changed || isFinal(job->state) || Clock::now() >= until) {
+            co_return done(200, describe(*job));
+        }
+        co_await waiter->wait(until);
+    }
+}
+
+HttpResponse JobService::list(const HttpRequest &request)
+{
+    const FleetConfigPtr config = m_config.config();
+    if (config == nullptr || !m_journal.tail().caughtUp()) {
+        return refuse(Refusal::NotReady);
+    }
+    const CallerIdentity identity = identifyCaller(request, *config);
+    if (identity.refusal) {
+        return refuse(*identity.refusal);
+    }
+    const JobId after {std::string(request.query("after"))};
+    Json jobs = Json::array();
+    Json next;
+    m_journal.read([&](const Ledger &ledger) {
+        for (auto entry = ledger.jobs().upper_bound(after); entry != ledger.jobs().end(); ++entry) {
+            if (entry->second.spec.team != identity.team) {
+                continue;
+            }
+            if (jobs.size() == PAGE_JOBS) {
+                next = jobs.back()["job"];
+                return;
+            }
+            jobs.push_back(describe(entry->second));
+        }
+    });
+    return done(200, {{"jobs", std::move(jobs)}, {"next", std::move(next)}});
+}
+
+Asio::awaitable<HttpResponse> JobService::cancel(const HttpRequest &request, const std::string &id)
+{
+    const FleetConfigPtr config = m_config.config();
+    if (config == nullptr || !m_journal.tail().caughtUp()) {
+        co_return refuse(Refusal::NotReady);
+    }
+    const CallerIdentity identity = identifyCaller(request, *config);
+    if (identity.refusal) {
+        co_return refuse(*identity.refusal);
+    }
+    const auto find = [&](const Ledger &ledger) -> std::optional<Job> {
+        const Job *found = ledger.job(JobId(id));
+        const bool own = found != nullptr && found->spec.team == identity.team;
+        return own ? std::optional<Job>(*found) : std::nullopt;
+    };
+    const auto job = m_journal.read(find);
+    if (!job) {
+        co_return refuse(Refusal::NoSuchJob);
+    }
+    // A job that has ended, or whose end has been asked for, needs no record.
+    if (!isFinal(job->state) && !job->cancelRequested) {
+        CancelRequested record;
+        record.job = JobId(id);
+        const AppendStatus status = co_await m_journal.append(std::move(record), Clock::now() + SUBMIT_LIMIT);
+        if (status == AppendStatus::NotTaken || status == AppendStatus::Unknown) {
+            co_return refuse(status == AppendStatus::Unknown ? Refusal::AppendUnknown : Refusal::LogOut);
+        }
+    }
+    const auto after = m_journal.read(find);
+    co_return done(202, describe(after ? *after : *job));
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/process/logging.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "process/settings.h"
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+// Structured logs: one line of key=value pairs for each event, on standard error.
+
+namespace Papaya
+{
+
+/** One key=value pair of a log line. */
+struct LogField {
+    LogField(std::string_view key, std::string_view value);
+    LogField(std::string_view key, const char *value);
+    LogField(std::string_view key, const std::string &value);
+    LogField(std::string_view key, std::int64_t value);
+    LogField(std::string_view key, std::uint64_t value);
+
+    std::string_view key;
+    std::string value;
+};
+
+/** Sets up the log; lines below @p level are dropped. Each line names @p instance. */
+void startLogging(LogLevel level, const InstanceId &instance);
+
+/** Writes one line for @p event. */
+void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/process/minionpool.cpp
@@ -0,0 +1,124 @@
+#include "process/minionpool.h"
+
+#include "process/logging.h"
+
+namespace Papaya
+{
+
+namespace
+{
+
+// The host list lags, so a minion's own word holds until the list must have caught up.
+constexpr Millis LEAVING_WORD_LIFE {30'000};
+constexpr int FIRST_FAILURE_STATUS = 500;
+
+RunVerdict verdictOf(const RunResult &result)
+{
+    if (result.outcome == RunOutcome::Answered) {
+        return result.status >= FIRST_FAILURE_STATUS ? RunVerdict::Bad : RunVerdict::Good;
+    }
+    return result.failure == RunFailure::Busy ? RunVerdict::Neutral : RunVerdict::Bad;
+}
+
+} // namespace
+
+MinionPool::MinionPool(InstanceId self, std::unique_ptr<MinionPolicy> policy, std::uint64_t seed, Metrics &metrics)
+    : m_self(std::move(self))
+    , m_metrics(metrics)
+    , m_set(std::move(policy), seed)
+{
+}
+
+void MinionPool::update(const HostSnapshot &hosts)
+{
+    std::vector<MinionInfo> minions;
+    std::vector<InstanceId> entries;
+    const std::lock_guard lock(m_mutex);
+    const TimePoint now = Clock::now();
+    m_addresses.clear();
+    for (const Host &host : hosts.hosts) {
+        if (host.state != HostState::Live) {
+            continue;
+        }
+        if (host.kind == HostKind::Minion) {
+            minions.push_back({MinionId(host.id), host.slots, host.connections});
+            m_addresses[MinionId(host.id)] = host.address;
+        } else if (host.kind == HostKind::Entry) {
+            entries.emplace_back(host.id);
+        }
+    }
+    m_entries = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(entries.size()));
+    m_set.update(minions, entries, m_self);
+    std::erase_if(m_leaving, [&](const auto &entry) { return entry.second <= now; });
+    for (const auto &[id, until] : m_leaving) {
+        m_set.markLeaving(id, until);
+    }
+}
+
+void MinionPool::markLeaving(const MinionId &id)
+{
+    const std::lock_guard lock(m_mutex);
+    const TimePoint until = Clock::now() + LEAVING_WORD_LIFE;
+    if (m_leaving.emplace(id, until).second) {
+        logEvent(LogLevel::Info, "minion-leaving", {{"minion", id.value()}});
+        m_set.markLeaving(id, until);
+    }
+}
+
+std::set<MinionId> MinionPool::leavingByOwnWord() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::set<MinionId> ids;
+    for (const auto &[id, until] : m_leaving) {
+        ids.insert(id);
+    }
+    return ids;
+}
+
+std::optional<ChosenMinion> MinionPool::begin(const std::set<MinionId> &tried)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto id = m_set.begin(tried, Clock::now());
+    if (!id) {
+        return std::nullopt;
+    }
+    return ChosenMinion {*id, m_addresses.at(*id)};
+}
+
+void MinionPool::finish(const MinionId &id, const RunResult &result)
+{
+    if (result.leaving) {
+        markLeaving(id);
+    }
+    const std::lock_guard lock(m_mutex);
+    if (m_set.end(id, verdictOf(result), result.slotsBusy, Clock::now())) {
+        m_metrics.count(Counter::MinionsEjected);
+        logEvent(LogLevel::Warning, "minion-ejected", {{"minion", id.value()}});
+    }
+}
+
+SlotCount MinionPool::slots() const
+{
+    const std::lock_guard lock(m_mutex);
+    SlotCount count;
+    count.total = m_set.slots();
+    count.entries = m_entries;
+    const std::uint32_t others = std::min(m_set.slotsOfOthers(Clock::now()), count.total);
+    const std::uint32_t fair = (count.total + m_entries - 1) / m_entries;
+    count.own = std::max(fair, count.total - others);
+    return count;
+}
+
+std::size_t MinionPool::size() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_set.size();
+}
+
+std::size_t MinionPool::ejected() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_set.ejected(Clock::now());
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/process/minionpool.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "connection/hostlist.h"
+#include "connection/minionclient.h"
+#include "process/metrics.h"
+#include "request/minionchoice.h"
+
+#include <mutex>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+// The minions as this instance sees them, shared by all requests.
+
+namespace Papaya
+{
+
+/** A minion chosen for one run. */
+struct ChosenMinion {
+    MinionId id;
+    Endpoint address;
+};
+
+/** Slots that this instance may count on. */
+struct SlotCount {
+    std::uint32_t total = 0;   ///< of all live minions
+    std::uint32_t own = 0;     ///< that this instance may use now
+    std::uint32_t entries = 1; ///< live entry hosts
+};
+
+/** Choice of minions and bookkeeping of runs. */
+class MinionPool
+{
+public:
+    MinionPool(InstanceId self, std::unique_ptr<MinionPolicy> policy, std::uint64_t seed, Metrics &metrics);
+
+    /** Takes a new host list. */
+    void update(const HostSnapshot &hosts);
+
+    /** Keeps new work from a minion that is leaving. */
+    void markLeaving(const MinionId &id);
+
+    /** @return leaving minions that were not heard of from the host list, for peers. */
+    [[nodiscard]] std::set<MinionId> leavingByOwnWord() const;
+
+    /** Chooses a minion; finish() must follow. */
+    std::optional<ChosenMinion> begin(const std::set<MinionId> &tried);
+
+    /** Counts the end of a run. */
+    void finish(const MinionId &id, const RunResult &result);
+
+    [[nodiscard]] SlotCount slots() const;
+    [[nodiscard]] std::size_t size() const;
+    [[nodiscard]] std::size_t ejected() const;
+
+private:
+    const InstanceId m_self;
+    Metrics &m_metrics;
+    mutable std::mutex m_mutex;
+    MinionSet m_set;
+    std::unordered_map<MinionId, Endpoint> m_addresses;
+    std::unordered_map<MinionId, TimePoint> m_leaving; ///< until when their own word holds
+    std::uint32_t m_entries = 1;
+};
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/process/planner.cpp
@@ -0,0 +1,482 @@
+#include "process/planner.h"
+
+#include "base/digest.h"
+#include "process/logging.h"
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr Millis TICK {100};
+constexpr Millis PAUSE_NOTICED {600}; // a longer gap between two ticks means that this process stood still
+constexpr Millis BEAT_INTERVAL {300};
+constexpr Millis BEAT_LIMIT {2'000};
+constexpr Millis SUSPICION {1'000}; // silence of the planner before another instance claims the role
+constexpr int SUSPICION_APPEND_FACTOR = 3;
+constexpr Millis RANK_DELAY {250}; // between the claims of two candidates
+constexpr Millis READ_FRESH {700}; // a candidate must have read the journal to its end this recently
+constexpr Millis CLAIM_LIMIT {3'000};
+constexpr Millis RAISE_LIMIT {400};
+constexpr Millis RAISE_RETRY {1'000};
+constexpr Millis UPKEEP_INTERVAL {1'000};
+constexpr Millis ISOLATED_RENEWALS {30'000}; // an old planner that is cut off may renew leases this long
+constexpr Millis STRAY_LIMIT {500};
+
+Asio::awaitable<void> stopStray(WorkerClient &client, Endpoint address, Epoch epoch, TaskId task)
+{
+    try {
+        co_await client.command(address, epoch, task, TaskCommand::Stop, Clock::now() + STRAY_LIMIT);
+    } catch (const HttpError &) {
+        // Nobody renews a stray's lease, so it ends by itself.
+    }
+}
+
+const Host *findWorker(const HostSnapshot &hosts, const WorkerId &id)
+{
+    for (const Host &host : hosts.hosts) {
+        if (host.kind == HostKind::Worker && host.id == id.value()) {
+            return &host;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+Planner::Planner(Asio::io_context &io, Journal &journal, ConfigService &config, HostDirectory &hosts,
+                 WorkerClient &client, std::string peerAddress, Millis retention, Metrics &metrics)
+    : m_journal(journal)
+    , m_config(config)
+    , m_hosts(hosts)
+    , m_client(client)
+    , m_peerAddress(std::move(peerAddress))
+    , m_retention(retention)
+    , m_metrics(metrics)
+    , m_strand(Asio::make_strand(io))
+    , m_book(m_strand, client, metrics)
+    , m_scheduler(std::make_unique<BestFit>())
+{
+}
+
+void Planner::start() { Asio::co_spawn(m_strand, loop(*this), Asio::detached); }
+
+void Planner::stop()
+{
+    Asio::post(m_strand, [this] { m_stopped = true; });
+}
+
+Asio::awaitable<void> Planner::loop(Planner &self)
+{
+    const auto executor = co_await Asio::this_coro::executor;
+    self.m_lastTick = Clock::now();
+    while (!self.m_stopped) {
+        auto progress = self.m_journal.progress().subscribe(executor);
+        co_await self.tick();
+        self.updateStatus();
+        co_await progress->wait(Clock::now() + TICK);
+    }
+    self.leaveRole();
+}
+
+bool Planner::holdsRole() const
+{
+    const PlannerRole role = m_journal.read([](const Ledger &ledger) { return ledger.planner(); });
+    return role.holder == m_journal.instance() && role.incarnation == m_journal.incarnation() && !role.resigned;
+}
+
+bool Planner::inCharge(Epoch epoch) const { return m_active && !m_stopped && epoch == m_epoch; }
+
+void Planner::superseded()
+{
+    // A worker has seen a higher epoch; the journal will tell whose it is.
+    m_mustVerifySince = Clock::now();
+}
+
+void Planner::partEnded(const WorkerId & /*worker*/, const JobId & /*job*/, bool /*succeeded*/) {}
+
+Asio::awaitable<void> Planner::tick()
+{
+    // 1. After a pause nothing is done before the journal has been read again.
+    const TimePoint now = Clock::now();
+    if (now - m_lastTick > PAUSE_NOTICED) {
+        m_mustVerifySince = now;
+    }
+    m_lastTick = now;
+    if (!m_journal.tail().caughtUp()) {
+        co_return;
+    }
+    // 2. Follows the journal in whether the role is held.
+    const bool holds = holdsRole();
+    if (m_active && !holds) {
+        leaveRole();
+    }
+    if (!holds) {
+        if (!m_resigning) {
+            co_await claimIfSuspect();
+        }
+        co_return;
+    }
+    if (!m_journal.tail().verifiedSince(m_mustVerifySince)) {
+        co_return;
+    }
+    if (!m_active) {
+        co_await takeOver();
+    }
+    // 3. Plans.
+    beat();
+    co_await raiseWorkers();
+    m_book.refresh(m_epoch);
+    stopCancelled();
+    plan();
+    m_lastTick = Clock::now();
+}
+
+Duration Planner::suspicionLimit(const PlannerRole &role) const
+{
+    // Candidates are ranked by a hash that changes with the epoch, so that they do not all claim at once.
+    std::size_t rank = 0;
+    const std::uint64_t own = stableHash(m_journal.instance().value(), role.epoch.value());
+    if (const auto hosts = m_hosts.hosts()) {
+        for (const Host &host : hosts->hosts) {
+            const bool candidate =
+                host.kind == HostKind::Entry && host.state == HostState::Live && host.id != role.holder.value();
+            rank += candidate && stableHash(host.id, role.epoch.value()) > own ? 1U : 0U;
+        }
+    }
+    const bool vacant = role.resigned || role.epoch == Epoch(0);
+    const Duration silence =
+        vacant ? Duration::zero() : SUSPICION + m_journal.lastAppendTime() * SUSPICION_APPEND_FACTOR;
+    return silence + RANK_DELAY * static_cast<int>(rank);
+}
+
+Asio::awaitable<void> Planner::claimIfSuspect()
+{
+    const TimePoint now = Clock::now();
+    const PlannerRole role = m_journal.read([](const Ledger &ledger) { return ledger.planner(); });
+    const bool canRead = m_journal.tail().verifiedSince(now - READ_FRESH);
+    if (!canRead || m_config.config() == nullptr || now - m_journal.plannerHeard() < suspicionLimit(role)) {
+        co_return;
+    }
+    PlannerClaim claim;
+    claim.epoch = Epoch(role.epoch.value() + 1);
+    claim.address = m_peerAddress;
+    m_metrics.count(Counter::PlannerClaims);
+    const AppendStatus status = co_await m_journal.append(claim, now + CLAIM_LIMIT, AppendPriority::High);
+    logEvent(LogLevel::Info, "planner-claim",
+             {{"epoch", claim.epoch.value()}, {"won", status == AppendStatus::Applied ? "yes" : "no"}});
+}
+
+Asio::awaitable<void> Planner::takeOver()
+{
+    const PlannerRole role = m_journal.read([](const Ledger &ledger) { return ledger.planner(); });
+    m_epoch = role.epoch;
+    m_raised.clear();
+    m_book.clear();
+    m_active = true;
+    beat();
+    m_lastRaise = {};
+    adoptGangs();
+    co_await raiseWorkers();
+    logEvent(LogLevel::Info, "planner-active",
+             {{"epoch", m_epoch.value()},
+              {"gangs", std::uint64_t(m_runners.size())},
+              {"workers", std::uint64_t(m_raised.size())}});
+}
+
+Asio::awaitable<void> Planner::raiseWorkers()
+{
+    const auto hosts = m_hosts.hosts();
+    if (!hosts || Clock::now() - m_lastRaise < RAISE_RETRY) {
+        co_return;
+    }
+    m_lastRaise = Clock::now();
+    const auto executor = co_await Asio::this_coro::executor;
+    auto waiter = Waiter::create(executor);
+    auto pending = std::make_shared<std::size_t>(0);
+    for (const Host &host : hosts->hosts) {
+        if (host.kind != HostKind::Worker || m_raised.contains(WorkerId(host.id))) {
+            continue;
+        }
+        ++*pending;
+        Asio::co_spawn(executor, raiseWorker(host, m_epoch), [pending, waiter](const std::exception_ptr &) {
+            if (--*pending == 0) {
+                waiter->notify();
+            }
+        });
+    }
+    if (*pending > 0) {
+        co_await waiter->wait(Clock::now() + RAISE_LIMIT);
+    }
+}
+
+Asio::awaitable<void> Planner::raiseWorker(Host worker, Epoch epoch)
+{
+    try {
+        const auto report = co_await m_client.raiseEpoch(worker.address, epoch, Clock::now() + RAISE_LIMIT);
+        if (!inCharge(epoch)) {
+            co_return;
+        }
+        if (!report) {
+            superseded();
+            co_return;
+        }
+        m_raised.insert(WorkerId(worker.id));
+        stopStrays(worker, *report);
+        for (const TaskReport &task : report->tasks) {
+            m_book.note(task);
+        }
+    } catch (const HttpError &error) {
+        logEvent(LogLevel::Debug, "epoch-not-raised", {{"worker", worker.id}, {"error", error.what()}});
+    }
+}
+
+void Planner::stopStrays(const Host &worker, const WorkerReport &report)
+{
+    for (const TaskReport &task : report.tasks) {
+        const bool ended =
+            task.state == TaskState::Succeeded || task.state == TaskState::Failed || task.state == TaskState::Stopped;
+        const bool placed = m_journal.read([&](const Ledger &ledger) {
+            const Job *job = ledger.job(task.id.job);
+            const std::size_t part = task.id.part.value();
+            return job != nullptr && part < job->workers.size() && job->workers[part].value() == worker.id;
+        });
+        if (!ended && !placed) {
+            m_metrics.count(Counter::StrayTasksStopped);
+            Asio::co_spawn(m_strand, stopStray(m_client, worker.address, m_epoch, task.id), Asio::detached);
+        }
+    }
+}
+
+void Planner::adoptGangs()
+{
+    const auto hosts = m_hosts.hosts();
+    const std::vector<Job> placed = m_journal.read([](const Ledger &ledger) {
+        std::vector<Job> jobs;
+        for (const auto &[order, id] : ledger.active()) {
+            if (ledger.job(id)->placed()) {
+                jobs.push_back(*ledger.job(id));
+            }
+        }
+        return jobs;
+    });
+    static const HostSnapshot NO_HOSTS;
+    for (const Job &job : placed) {
+        if (!m_runners.contains(job.spec.job)) {
+            adopt(job, hosts ? *hosts : NO_HOSTS);
+        }
+    }
+}
+
+void Planner::adopt(const Job &job, const HostSnapshot &hosts)
+{
+    GangAttempt attempt;
+    attempt.spec = job.spec;
+    attempt.attempt = job.attempt;
+    attempt.epoch = m_epoch;
+    attempt.guaranteed = job.guaranteed;
+    attempt.checkpoints = job.checkpoints;
+    attempt.earlierFailures = job.failures;
+    attempt.cancelRequested = job.cancelRequested;
+    const bool running = job.state == JobState::Running;
+    const TimePoint now = Clock::now();
+    for (std::size_t part = 0; part < job.workers.size(); ++part) {
+        const Host *host = findWorker(hosts, job.workers[part]);
+        attempt.parts.push_back({job.workers[part], host == nullptr ? Endpoint {} : host->address});
+        // The last planner may have renewed this lease until now, and an isolated one may go on for a while.
+        m_book.hold({job.spec.job, PartIndex(static_cast<std::uint32_t>(part))}, job.workers[part],
+                    attempt.parts.back().address, running ? LeaseMode::Long : LeaseMode::Short,
+                    now + ISOLATED_RENEWALS);
+    }
+    const GangState committed = running ? GangState::Running : GangState::Starting;
+    launch(std::move(attempt), job.committed ? committed : GangState::Stopping);
+}
+
+void Planner::leaveRole()
+{
+    if (m_active) {
+        logEvent(LogLevel::Info, "planner-inactive", {{"epoch", m_epoch.value()}});
+    }
+    m_active = false;
+    m_raised.clear();
+    m_book.clear();
+}
+
+void Planner::beat()
+{
+    const TimePoint now = Clock::now();
+    if (m_beatPending || now - m_lastBeat < BEAT_INTERVAL) {
+        return;
+    }
+    m_beatPending = true;
+    m_lastBeat = now;
+    auto append = [](Planner &self, Epoch epoch) -> Asio::awaitable<void> {
+        const PlannerBeat record {epoch};
+        co_await self.m_journal.append(record, Clock::now() + BEAT_LIMIT, AppendPriority::High);
+        self.m_beatPending = false;
+    };
+    Asio::co_spawn(m_strand, append(*this, m_epoch), Asio::detached);
+    if (m_upkeepPending || now - m_lastUpkeep < UPKEEP_INTERVAL) {
+        return;
+    }
+    m_upkeepPending = true;
+    m_lastUpkeep = now;
+    auto upkeep = [](Planner &self) -> Asio::awaitable<void> {
+        co_await self.m_config.renewIfDue(Clock::now() + BEAT_LIMIT);
+        co_await self.m_journal.snapshotIfDue(self.m_retention);
+        self.m_upkeepPending = false;
+    };
+    Asio::co_spawn(m_strand, upkeep(*this), Asio::detached);
+}
+
+FleetModel Planner::fleet() const
+{
+    FleetModel model;
+    const auto hosts = m_hosts.hosts();
+    if (!hosts) {
+        return model;
+    }
+    const auto standings = m_journal.read([](const Ledger &ledger) { return ledger.standings(); });
+    for (const Host &host : hosts->hosts) {
+        if (host.kind != HostKind::Worker) {
+            continue;
+        }
+        const WorkerIndex index = model.add(WorkerId(host.id), host.place, host.rack, host.resources);
+        const bool good = !standings.contains(WorkerId(host.id));
+        model.setUsable(index, good && host.state == HostState::Live && m_raised.contains(WorkerId(host.id)));
+    }
+    return model;
+}
+
+void Planner::plan()
+{
+    const auto hosts = m_hosts.hosts();
+    if (!hosts) {
+        return;
+    }
+    FleetModel model = fleet();
+    // Placements under way are not in the ledger yet; their workers are taken all the same.
+    std::set<JobId> starting;
+    for (const auto &[id, runner] : m_runners) {
+        starting.insert(id);
+        if (runner->state() != GangState::Placing) {
+            continue;
+        }
+        for (const PartHost &host : runner->attempt().parts) {
+            if (const auto index = model.find(host.worker)) {
+                model.take(*index, runner->attempt().spec.shape.part);
+            }
+        }
+    }
+    const ScheduleDecision decision =
+        m_journal.read([&](const Ledger &ledger) { return m_scheduler.plan(ledger, model); });
+    for (const PlaceDecision &placement : decision.placements) {
+        if (!starting.contains(placement.job)) {
+            startGang(placement, *hosts);
+        }
+    }
+    for (const FitnessDecision &fitness : decision.fitness) {
+        auto append = [](Planner &self, Fitness record) -> Asio::awaitable<void> {
+            co_await self.m_journal.append(record, Clock::now() + BEAT_LIMIT);
+        };
+        Asio::co_spawn(m_strand, append(*this, Fitness {m_epoch, fitness.job, fitness.fits, fitness.reason}),
+                       Asio::detached);
+    }
+    // A placement whose append had no answer may have turned up since.
+    adoptGangs();
+}
+
+void Planner::startGang(const PlaceDecision &decision, const HostSnapshot &hosts)
+{
+    const auto job = m_journal.read([&](const Ledger &ledger) -> std::optional<Job> {
+        const Job *found = ledger.job(decision.job);
+        return found == nullptr || found->placed() || isFinal(found->state) ? std::nullopt : std::optional<Job>(*found);
+    });
+    if (!job) {
+        return;
+    }
+    GangAttempt attempt;
+    attempt.spec = job->spec;
+    attempt.attempt = job->attempt + 1;
+    attempt.epoch = m_epoch;
+    attempt.guaranteed = decision.guaranteed;
+    attempt.checkpoints = job->checkpoints;
+    attempt.earlierFailures = job->failures;
+    for (const WorkerId &worker : decision.workers) {
+        const Host *host = findWorker(hosts, worker);
+        if (host == nullptr) {
+            return;
+        }
+        attempt.parts.push_back({worker, host->address});
+    }
+    launch(std::move(attempt), GangState::Placing);
+}
+
+void Planner::launch(GangAttempt attempt, GangState entry)
+{
+    const JobId id = attempt.spec.job;
+    auto runner =
+        std::make_unique<GangRunner>(*this, m_journal, m_book, m_client, m_metrics, std::move(attempt), entry);
+    GangRunner &running = *runner;
+    m_runners[id] = std::move(runner);
+    Asio::co_spawn(m_strand, running.run(), [this, id](const std::exception_ptr &) { m_runners.erase(id); });
+}
+
+void Planner::stopCancelled()
+{
+    m_journal.read([&](const Ledger &ledger) {
+        for (const auto &entry : m_runners) {
+            const Job *job = ledger.job(entry.first);
+            const bool cancelled = job != nullptr && job->cancelRequested && !isFinal(job->state);
+            if (cancelled && !entry.second->stopping()) {
+                entry.second->requestStop(StopCause::Cancelled);
+            }
+        }
+    });
+}
+
+Asio::awaitable<void> Planner::resign(TimePoint deadline)
+{
+    co_await Asio::dispatch(Asio::bind_executor(m_strand, Asio::use_awaitable));
+    m_resigning = true;
+    if (m_active && holdsRole()) {
+        const PlannerResigned record {m_epoch};
+        co_await m_journal.append(record, deadline, AppendPriority::High);
+    }
+}
+
+void Planner::updateStatus()
+{
+    const PlannerRole role = m_journal.read([](const Ledger &ledger) { return ledger.planner(); });
+    const std::lock_guard lock(m_statusMutex);
+    m_status = {m_active, role.epoch, role.holder, m_runners.size(), m_book.size(), m_raised.size()};
+}
+
+PlannerStatus Planner::status() const
+{
+    const std::lock_guard lock(m_statusMutex);
+    return m_status;
+}
+
+std::string Planner::explain(const JobId &id) const
+{
+    return m_journal.read([&](const Ledger &ledger) -> std::string {
+        const Job *job = ledger.job(id);
+        if (job == nullptr) {
+            return "no such job";
+        }
+        return std::string(toString(job->state)) + (job->reason.empty() ? "" : ": " + job->reason);
+    });
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/process/planner.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "process/configservice.h"
+#include "process/gangrunner.h"
+#include "process/hostdirectory.h"
+#include "process/journal.h"
+#include "process/scheduler.h"
+#include "process/taskbook.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+
+// The planner's role: claims it when the planner is gone, plans while it is held, and gives it up. Of all instances at
+// most one has its decisions counted, by the order of claims in the journal.
+
+namespace Papaya
+{
+
+/** What operators see of the planner at this instance. */
+struct PlannerStatus {
+    bool active = false; ///< this instance plans
+    Epoch epoch;
+    InstanceId holder;
+    std::size_t gangs = 0;
+    std::size_t tasks = 0;
+    std::size_t workersRaised = 0;
+};
+
+/** The planner of one instance. */
+class Planner : public GangOwner
+{
+public:
+    Planner(Asio::io_context &io, Journal &journal, ConfigService &config, HostDirectory &hosts, WorkerClient &client,
+            std::string peerAddress, Millis retention, Metrics &metrics);
+
+    void start();
+    /** Hands the role over and stops planning; gangs run on. */
+    Asio::awaitable<void> resign(TimePoint deadline);
+    void stop();
+
+    [[nodiscard]] PlannerStatus status() const;
+    /** @return why @p job waits or what it does, in words for an operator. */
+    [[nodiscard]] std::string explain(const JobId &job) const;
+
+private:
+    using Strand = Asio::strand<Asio::io_context::executor_type>;
+
+    static Asio::awaitable<void> loop(Planner &self);
+    Asio::awaitable<void> tick();
+    Asio::awaitable<void> claimIfSuspect();
+    Asio::awaitable<void> takeOver();
+    Asio::awaitable<void> raiseWorkers();
+    Asio::awaitable<void> raiseWorker(Host worker, Epoch epoch);
+    void stopStrays(const Host &worker, const WorkerReport &report);
+    void adoptGangs();
+    void adopt(const Job &job, const HostSnapshot &hosts);
+    void leaveRole();
+    void beat();
+    void plan();
+    void startGang(const PlaceDecision &decision, const HostSnapshot &hosts);
+    void launch(GangAttempt attempt, GangState entry);
+    void stopCancelled();
+    void updateStatus();
+    [[nodiscard]] FleetModel fleet() const;
+    [[nodiscard]] Duration suspicionLimit(const PlannerRole &role) const;
+    [[nodiscard]] bool holdsRole() const;
+
+    [[nodiscard]] bool inCharge(Epoch epoch) const override;
+    void superseded() override;
+    void partEnded(const WorkerId &worker, const JobId &job, bool succeeded) override;
+
+    Journal &m_journal;
+    ConfigService &m_config;
+    HostDirectory &m_hosts;
+    WorkerClient &m_client;
+    const std::string m_peerAddress;
+    const Millis m_retention;
+    Metrics &m_metrics;
+    Strand m_strand;
+    TaskBook m_book;
+    Scheduler m_scheduler;
+
+    bool m_stopped = false;
+    bool m_resigning = false;
+    bool m_active = false;
+    Epoch m_epoch;
+    TimePoint m_lastTick;
+    TimePoint m_mustVerifySince; ///< decisions wait for a read of the journal that began after this
+    TimePoint m_lastBeat;
+    TimePoint m_lastRaise;
+    TimePoint m_lastUpkeep;
+    bool m_beatPending = false;
+    bool m_upkeepPending = false;
+    std::set<WorkerId> m_raised; ///< workers that know this epoch
+    std::map<JobId, std::unique_ptr<GangRunner>> m_runners;
+
+    mutable std::mutex m_statusMutex;
+    PlannerStatus m_status;
+};
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/process/requestservice.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "connection/http.h"
+#include "process/admissiongate.h"
+#include "process/claimservice.h"
+#include "process/configservice.h"
+#include "process/minionpool.h"
+#include "request/latencyestimate.h"
+#include "request/retrybudget.h"
+
+#include <map>
+#include <mutex>
+#include <string>
+
+// Serves requests: admission, choice of a minion, the run, retries and hedges, and the truth about what happened.
+
+namespace Papaya
+{
+
+/** The request path of one instance. */
+class RequestService
+{
+public:
+    RequestService(Asio::io_context &io, ConfigService &config, ClaimService &claims, AdmissionGate &gate,
+                   MinionPool &minions, MinionClient &client, Metrics &metrics);
+
+    /** Answers POST /v1/requests/{template}. */
+    Asio::awaitable<HttpResponse> handle(const HttpRequest &request, const std::string &templateName);
+
+private:
+    /** What lives for a request. */
+    struct Context {
+        RequestId id;
+        FleetConfigPtr config; ///< the version that the request is judged by
+        const Template *work = nullptr;
+        TemplateName templateName;
+        TeamName team;
+        CallerName caller;
+        IdempotencyKey key;
+        std::string contentType;
+        std::string body;
+        TimePoint arrival;
+        TimePoint deadline;
+    };
+
+    /** How the request ended: an answer, or a refusal. */
+    struct Ending {
+        std::optional<Refusal> refusal;
+        KeptAnswer answer;
+        bool replayed = false;
+    };
+
+    /** Learned state of one template. */
+    struct TemplateState {
+        LatencyEstimate latency;
+        RetryBudget retries;
+        RetryBudget hedges;
+        TemplateState();
+    };
+
+    /** The runs of one request; touched only on the request's strand. */
+    struct Race;
+
+    std::optional<Refusal> prepare(const HttpRequest &request, const std::string &templateName, Context &context);
+    Asio::awaitable<Ending> serveKeyed(Context &context);
+    Asio::awaitable<Ending> followOwner(Context &context, ClaimKey key, std::string digest, bool &released);
+    Asio::awaitable<Ending> serve(Context &context);
+    Asio::awaitable<Ending> runWithRetries(Context &context);
+    static Asio::awaitable<void> runOnce(RequestService &self, std::shared_ptr<Race> race, ChosenMinion minion,
+                                         RunRequest run, TimePoint deadline);
+    bool launch(const Context &context, const std::shared_ptr<Race> &race, TimePoint deadline);
+    bool mayRetry(const Context &context, const RunResult &result, TimePoint now);
+    TimePoint attemptDeadline(const Context &context, TimePoint now);
+    std::optional<TimePoint> hedgeTime(const Context &context, TimePoint now);
+    Duration expectedTime(const Context &context);
+    void learn(const Context &context, Duration runTime);
+    HttpResponse respond(const Context &context, Ending ending);
+
+    Asio::io_context &m_io;
+    ConfigService &m_config;
+    ClaimService &m_claims;
+    AdmissionGate &m_gate;
+    MinionPool &m_minions;
+    MinionClient &m_client;
+    Metrics &m_metrics;
+
+    std::mutex m_mutex;
+    std::map<TemplateName, TemplateState> m_templates;
+};
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/process/streamwriter.cpp
@@ -0,0 +1,210 @@
+#include "process/streamwriter.h"
+
+#include "process/logging.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include <algorithm>
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr Millis MIN_ATTEMPT {1'000}; // of one append; a silent connection is dropped after it
+constexpr Millis MAX_ATTEMPT {8'000};
+constexpr Millis RETRY_PAUSE {100};
+constexpr Millis IDLE_WAIT {1'000};
+
+} // namespace
+
+std::shared_ptr<StreamWriter> StreamWriter::create(Asio::io_context &io, LogService &log, std::string stream,
+                                                   InstanceId instance, Incarnation incarnation, Limits limits,
+                                                   Metrics &metrics)
+{
+    return std::shared_ptr<StreamWriter>(
+        new StreamWriter(io, log, std::move(stream), std::move(instance), incarnation, limits, metrics));
+}
+
+StreamWriter::StreamWriter(Asio::io_context &io, LogService &log, std::string stream, InstanceId instance,
+                           Incarnation incarnation, Limits limits, Metrics &metrics)
+    : m_log(log)
+    , m_stream(std::move(stream))
+    , m_instance(std::move(instance))
+    , m_incarnation(incarnation)
+    , m_limits(limits)
+    , m_metrics(metrics)
+    , m_strand(Asio::make_strand(io))
+    , m_attemptLimit(MIN_ATTEMPT)
+{
+}
+
+void StreamWriter::start() { Asio::co_spawn(m_strand, run(shared_from_this()), Asio::detached); }
+
+void StreamWriter::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopped = true;
+    }
+    m_wake.notifyAll();
+}
+
+Asio::awaitable<AppendStatus> StreamWriter::append(nlohmann::json payload, TimePoint deadline, AppendPriority priority)
+{
+    auto entry = std::make_shared<Entry>();
+    entry->payload = std::move(payload);
+    entry->deadline = deadline;
+    entry->waiter = Waiter::create(co_await Asio::this_coro::executor);
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_stopped || m_queue.size() >= m_limits.waiting) {
+            co_return AppendStatus::NotTaken;
+        }
+        if (priority == AppendPriority::High) {
+            m_queue.push_front(entry);
+        } else {
+            m_queue.push_back(entry);
+        }
+    }
+    m_wake.notifyAll();
+    const bool settled = co_await entry->waiter->wait(deadline);
+    const std::lock_guard lock(m_mutex);
+    if (settled) {
+        co_return entry->status;
+    }
+    // The deadline came first. An entry that was never sent is withdrawn; one that may be in the stream stays unknown.
+    std::erase(m_queue, entry);
+    m_unsettled.erase(entry->sequence);
+    co_return entry->inFlight || entry->uncertain ? AppendStatus::Unknown : AppendStatus::NotTaken;
+}
+
+void StreamWriter::settle(Entry &entry, AppendStatus status)
+{
+    entry.status = status;
+    entry.waiter->notify();
+}
+
+void StreamWriter::seen(std::uint64_t sequence, bool counts)
+{
+    const std::lock_guard lock(m_mutex);
+    // Sequences only rise in the stream, so an earlier one that was not seen by now will be dropped as a duplicate.
+    while (!m_unsettled.empty() && m_unsettled.begin()->first <= sequence) {
+        const auto first = m_unsettled.begin();
+        const AppendStatus read = counts ? AppendStatus::Applied : AppendStatus::Void;
+        std::erase(m_queue, first->second);
+        settle(*first->second, first->first == sequence ? read : AppendStatus::NotTaken);
+        m_unsettled.erase(first);
+    }
+}
+
+Duration StreamWriter::lastAppendTime() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_lastAppendTime;
+}
+
+std::size_t StreamWriter::waiting() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_queue.size() + m_unsettled.size();
+}
+
+std::vector<StreamWriter::EntryPtr> StreamWriter::takeBatch()
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<EntryPtr> batch;
+    // Entries that were sent before keep their sequences and go first, so that sequences rise in the stream.
+    std::stable_partition(m_queue.begin(), m_queue.end(), [](const EntryPtr &entry) { return entry->sequence != 0; });
+    while (!m_queue.empty() && batch.size() < m_limits.batchItems) {
+        EntryPtr entry = m_queue.front();
+        m_queue.pop_front();
+        if (entry->sequence == 0) {
+            entry->sequence = m_nextSequence++;
+            m_unsettled.emplace(entry->sequence, entry);
+        }
+        // From here on the record may reach the service at any moment, so a deadline can no longer withdraw it.
+        entry->inFlight = true;
+        batch.push_back(std::move(entry));
+    }
+    std::sort(batch.begin(), batch.end(),
+              [](const EntryPtr &a, const EntryPtr &b) { return a->sequence < b->sequence; });
+    return batch;
+}
+
+void StreamWriter::requeue(const std::vector<EntryPtr> &batch, AppendFailure failure)
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto entry = batch.rbegin(); entry != batch.rend(); ++entry) {
+        if (!m_unsettled.contains((*entry)->sequence)) {
+            continue; // settled or given up while the append was under way
+        }
+        (*entry)->inFlight = false;
+        (*entry)->uncertain |= failure == AppendFailure::Unknown;
+        m_queue.push_front(*entry);
+    }
+}
+
+Asio::awaitable<void> StreamWriter::send(const std::vector<EntryPtr> &batch)
+{
+    StreamBatch wire;
+    wire.writer = m_instance;
+    wire.incarnation = m_incarnation;
+    for (const EntryPtr &entry : batch) {
+        wire.items.push_back({entry->sequence, entry->payload});
+    }
+    std::vector<std::string> records;
+    records.push_back(wire.toText());
+    const TimePoint begin = Clock::now();
+    m_metrics.count(Counter::AppendsSent);
+    bool failed = false;
+    AppendFailure failure = AppendFailure::Unknown;
+    try {
+        co_await m_log.append(m_stream, std::move(records), begin + m_attemptLimit);
+    } catch (const AppendError &error) {
+        failed = true;
+        failure = error.failure();
+        m_metrics.count(failure == AppendFailure::Unknown ? Counter::AppendsUnknown : Counter::AppendsFailed);
+        logEvent(LogLevel::Warning, "append-failed", {{"stream", m_stream}, {"error", error.what()}});
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        m_lastAppendTime = Clock::now() - begin;
+        const bool timedOut = failed && m_lastAppendTime >= m_attemptLimit;
+        const Duration next = timedOut ? m_attemptLimit * 2 : std::max<Duration>(MIN_ATTEMPT, m_lastAppendTime * 3);
+        m_attemptLimit = std::min<Duration>(next, MAX_ATTEMPT);
+    }
+    if (failed) {
+        requeue(batch, failure);
+        co_await sleepFor(RETRY_PAUSE);
+    }
+}
+
+Asio::awaitable<void> StreamWriter::run(std::shared_ptr<StreamWriter> self)
+{
+    while (true) {
+        auto wake = self->m_wake.subscribe(self->m_strand);
+        {
+            const std::lock_guard lock(self->m_mutex);
+            if (self->m_stopped) {
+                co_return;
+            }
+        }
+        const TimePoint begin = Clock::now();
+        const std::vector<EntryPtr> batch = self->takeBatch();
+        if (batch.empty()) {
+            co_await wake->wait(begin + IDLE_WAIT);
+            continue;
+        }
+        co_await self->send(batch);
+        const Duration rest = begin + self->m_limits.gap - Clock::now();
+        if (rest > Duration::zero()) {
+            co_await sleepFor(rest);
+        }
+    }
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/process/taskbook.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "connection/waiter.h"
+#include "connection/workerclient.h"
+#include "process/metrics.h"
+
+#include <map>
+#include <memory>
+#include <set>
+
+// The tasks that the planner holds on workers: their leases, and what the workers report of them. Everything here runs
+// on the planner's strand.
+
+namespace Papaya
+{
+
+/** How a task's lease is renewed. */
+enum class LeaseMode {
+    None,  ///< left to lapse
+    Short, ///< while the gang is not known to run as a whole
+    Long,  ///< while it runs
+};
+
+/** First and short leases; a start that is cut in the middle ends itself within this. */
+constexpr Millis SHORT_LEASE {1'500};
+/** Leases of running gangs; they outlive a change of planners. */
+constexpr Millis LONG_LEASE {12'000};
+
+/** A task held on a worker. */
+struct HeldTask {
+    WorkerId worker;
+    Endpoint address;
+    LeaseMode mode = LeaseMode::None;
+    TimePoint leaseUntil;  ///< counted from when the last renewal was sent
+    TimePoint lastContact; ///< last successful exchange about this task
+    bool lost = false;     ///< the worker no longer has it
+    TaskState state = TaskState::Prepared;
+    std::string checkpoint;
+};
+
+/** Book of the tasks of all gangs. */
+class TaskBook
+{
+public:
+    TaskBook(Asio::any_io_executor strand, WorkerClient &client, Metrics &metrics);
+
+    /** Enters a task under a lease that was sent at @p sent. */
+    void hold(const TaskId &id, const WorkerId &worker, const Endpoint &address, LeaseMode mode, TimePoint sent);
+    /** Changes how the lease is renewed. */
+    void setMode(const TaskId &id, LeaseMode mode);
+    void forget(const TaskId &id);
+    void clear();
+
+    [[nodiscard]] const HeldTask *find(const TaskId &id) const;
+    [[nodiscard]] std::size_t size() const { return m_tasks.size(); }
+
+    /** Notes what a worker said of a task. */
+    void note(const TaskReport &report);
+
+    /** Renews the leases that are due and reads the reports that are due, without waiting for the workers. */
+    void refresh(Epoch epoch);
+
+    /** @return true if the worker of @p task has not been heard from for longer than a healthy one ever is. */
+    [[nodiscard]] bool silent(const HeldTask &task, TimePoint now) const;
+
+    /** @return true if a worker has seen a higher epoch than the one it was sent. */
+    [[nodiscard]] bool superseded() const { return m_superseded; }
+
+    /** @return the broadcast that is notified when a task's state has changed. */
+    Broadcast &changed() { return m_changed; }
+
+private:
+    struct WorkerState {
+        Endpoint address;
+        std::set<TaskId> tasks;
+        TimePoint shortRenewedAt;
+        TimePoint longRenewedAt;
+        TimePoint reportReadAt;
+        bool busy = false; ///< an exchange is under way
+    };
+
+    static Asio::awaitable<void> refreshWorker(TaskBook &book, WorkerId worker, Epoch epoch);
+    Asio::awaitable<void> renew(WorkerId worker, Endpoint address, Epoch epoch, LeaseMode mode);
+    Asio::awaitable<void> readReport(WorkerId worker, Endpoint address);
+    [[nodiscard]] std::vector<TaskId> tasksIn(const WorkerId &worker, LeaseMode mode) const;
+    [[nodiscard]] Duration reportInterval() const;
+    void heardFrom(const WorkerId &worker, TimePoint when);
+
+    Asio::any_io_executor m_strand;
+    WorkerClient &m_client;
+    Metrics &m_metrics;
+    std::map<TaskId, HeldTask> m_tasks;
+    std::map<WorkerId, WorkerState> m_workers;
+    bool m_superseded = false;
+    Broadcast m_changed;
+};
+
+} // namespace Papaya
--- /dev/null
+++ b/tests/integration/wholepath.cpp
@@ -0,0 +1,70 @@
+#include "cluster.h"
+
+#include <gtest/gtest.h>
+
+// The whole path, thin: a request, a job and a configuration through real processes.
+
+namespace Papaya::Testing
+{
+
+namespace
+{
+
+TEST(WholePath, ServesARequestWithItsTruthHeaders)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    const Answer answer = cluster.request(0, "phone-check", "is table 7 free?");
+    EXPECT_EQ(200, answer.status);
+    EXPECT_EQ("done", answer.outcome());
+    EXPECT_EQ("is table 7 free?", answer.json()["echo"]);
+    EXPECT_EQ(answer.fields.get(Field::REQUEST), answer.json()["request"]);
+    EXPECT_EQ(1U, cluster.runsOfBody("is table 7 free?"));
+}
+
+TEST(WholePath, RunsATwoPartJobOnBothWorkers)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    const Answer submitted = cluster.submitJob(0, "route-plan", {{"depot", "bergen"}});
+    ASSERT_EQ(202, submitted.status) << submitted.body;
+    const std::string job = submitted.json()["job"];
+    // The other instance tells the same.
+    EXPECT_EQ("succeeded", cluster.endOfJob(1, job));
+    for (const auto &worker : cluster.workers) {
+        const auto spans = worker->spans();
+        ASSERT_EQ(1U, spans.size());
+        EXPECT_EQ(job, spans[0].job);
+        EXPECT_EQ("succeeded", spans[0].ending);
+    }
+}
+
+TEST(WholePath, PutsAConfigurationInForceAtTheOtherInstance)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    Json config = sampleConfig();
+    config["templates"]["late-check"] = config["templates"]["phone-check"];
+    EXPECT_EQ(404, cluster.request(1, "late-check", "x").status);
+    const Answer put = cluster.putConfig(0, config, 1);
+    ASSERT_EQ(200, put.status) << put.body;
+    EXPECT_EQ(2, put.json()["version"]);
+    EXPECT_TRUE(
+        Cluster::eventually([&] { return cluster.request(1, "late-check", "x").status == 200; }, Millis(4'000)));
+}
+
+TEST(WholePath, EndsCleanlyOnSigterm)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    for (const auto &instance : cluster.instances) {
+        instance->signal(SIGTERM);
+    }
+    for (const auto &instance : cluster.instances) {
+        EXPECT_EQ(0, instance->waitForEnd(Millis(8'000)));
+    }
+}
+
+} // namespace
+
+} // namespace Papaya::Testing
--- /dev/null
+++ b/tests/standins/logstandin.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "standins/standinserver.h"
+
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace Papaya::Standins
+{
+
+/** Faults and limits of the log stand-in, switchable while it runs. */
+struct LogFaults {
+    bool outage = false;          ///< every call is answered with 503
+    bool silent = false;          ///< no call is answered
+    std::int64_t delayMs = 0;     ///< before each answer
+    std::int64_t loseAnswers = 0; ///< appends that take effect without an answer
+    std::int64_t retentionMs = 24LL * 3'600'000;
+};
+
+/** Append-only streams in memory. */
+class LogStandin : public StandinServer
+{
+public:
+    void setFaults(const LogFaults &faults);
+    [[nodiscard]] LogFaults faults() const;
+    /** @return the data of every record that is kept. */
+    [[nodiscard]] std::vector<std::string> records(const std::string &stream) const;
+    /** Appends directly, as an operator may. */
+    void append(const std::string &stream, const std::string &data);
+    /** @return appends since the start. */
+    [[nodiscard]] std::uint64_t appends() const;
+
+protected:
+    Asio::awaitable<HttpResponse> serve(HttpRequest request) override;
+    HttpResponse control(const HttpRequest &request) override;
+
+private:
+    struct Record {
+        std::int64_t timeMs = 0;
+        std::string data;
+    };
+    struct Stream {
+        std::uint64_t start = 0;
+        std::deque<Record> records;
+        [[nodiscard]] std::uint64_t end() const { return start + records.size(); }
+    };
+
+    void expire(Stream &stream) const;
+    Asio::awaitable<HttpResponse> append(const std::string &name, const HttpRequest &request);
+    Asio::awaitable<HttpResponse> read(const std::string &name, const HttpRequest &request);
+
+    mutable std::mutex m_mutex;
+    LogFaults m_faults;
+    std::map<std::string, Stream> m_streams;
+    std::uint64_t m_appends = 0;
+    Broadcast m_appended;
+};
+
+} // namespace Papaya::Standins
--- /dev/null
+++ b/tests/standins/workerstandin.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "base/units.h"
+#include "standins/standinserver.h"
+
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace Papaya::Standins
+{
+
+/** Behaviour of a worker, switchable while it runs. */
+struct WorkerFaults {
+    std::int64_t runMs = 200; ///< running time of a task
+    std::int64_t reportLagMs = 100;
+    bool failing = false; ///< every task fails soon after it starts
+    bool neverFinish = false;
+    bool refuseRun = false; ///< refuses to run what it has prepared
+};
+
+/** A stretch of time during which a part ran. */
+struct WorkerSpan {
+    std::string job;
+    std::uint32_t part = 0;
+    std::uint64_t epoch = 0;
+    TimePoint begin;
+    TimePoint end;      ///< max() while it runs
+    std::string ending; ///< how it ended
+};
+
+/** A worker that runs tasks under leases and records when each ran. */
+class WorkerStandin : public StandinServer
+{
+public:
+    WorkerStandin(std::string id, Resources capacity);
+
+    void setFaults(const WorkerFaults &faults);
+    [[nodiscard]] WorkerFaults faults() const;
+    [[nodiscard]] std::vector<WorkerSpan> spans();
+    [[nodiscard]] std::uint64_t epoch() const;
+    /** @return commands that were refused because of an older epoch. */
+    [[nodiscard]] std::uint64_t staleCommands() const;
+    [[nodiscard]] const std::string &id() const { return m_id; }
+    [[nodiscard]] const Resources &capacity() const { return m_capacity; }
+    /** Ends every task, as the host's death does. */
+    void loseTasks();
+
+protected:
+    Asio::awaitable<HttpResponse> serve(HttpRequest request) override;
+    HttpResponse control(const HttpRequest &request) override;
+
+private:
+    struct Task {
+        std::string state = "prepared";
+        Resources need;
+        TimePoint leaseUntil;
+        TimePoint startedAt;
+        std::int64_t doneMs = 0; ///< progress before this start
+        std::string checkpoint;
+        std::size_t span = 0;
+    };
+    using TaskKey = std::pair<std::string, std::uint32_t>;
+
+    void advance();
+    void endTask(const TaskKey &key, Task &task, const std::string &state, TimePoint when);
+    [[nodiscard]] std::int64_t progressOf(const Task &task, TimePoint now) const;
+    [[nodiscard]] Json describeTasks();
+    [[nodiscard]] Resources used() const;
+    HttpResponse dispatch(const HttpRequest &request);
+    HttpResponse raiseEpoch(const Json &body);
+    HttpResponse prepare(const Json &body);
+    HttpResponse command(const std::string &path, const Json &body);
+    HttpResponse renew(const Json &body);
+    HttpResponse report();
+    [[nodiscard]] bool stale(const Json &body);
+
+    const std::string m_id;
+    const Resources m_capacity;
+    mutable std::mutex m_mutex;
+    WorkerFaults m_faults;
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_stale = 0;
+    std::map<TaskKey, Task> m_tasks;
+    std::vector<WorkerSpan> m_spans;
+    std::deque<std::pair<TimePoint, Json>> m_reports; ///< states by time, for the lag
+};
+
+} // namespace Papaya::Standins
