--- a/apps/papayactl/httpcaller.h
+++ b/apps/papayactl/httpcaller.h
@@ -39,8 +39,14 @@
     std::string body;
     std::string failure;
 
-    [[nodiscard]] bool reached() const { return status != 0; }
-    [[nodiscard]] bool good() const { return status >= 200 && status < 300; }
+    [[nodiscard]] bool reached() const
+    {
+        return status != 0;
+    }
+    [[nodiscard]] bool good() const
+    {
+        return status >= 200 && status < 300;
+    }
     /** @return the body as JSON; null if it is none. */
     [[nodiscard]] nlohmann::json json() const;
 };
--- a/apps/papayactl/operatorcommands.cpp
+++ b/apps/papayactl/operatorcommands.cpp
@@ -44,7 +44,10 @@
     return ExitCode::Usage;
 }
 
-std::string plainText(const Json &value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
+std::string plainText(const Json &value)
+{
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
 
 void printTable(const std::vector<std::vector<std::string>> &rows)
 {
--- a/apps/papayactl/workcommands.cpp
+++ b/apps/papayactl/workcommands.cpp
@@ -12,7 +12,10 @@
 
 constexpr int WAIT_MS = 2'000; // of one long poll
 
-bool isFinal(const std::string &state) { return state == "succeeded" || state == "failed" || state == "cancelled"; }
+bool isFinal(const std::string &state)
+{
+    return state == "succeeded" || state == "failed" || state == "cancelled";
+}
 
 /** @return the parameters of the command line; numbers, true and false keep their types. */
 Json parametersOf(const Options &options)
--- a/packages/base/codec.cpp
+++ b/packages/base/codec.cpp
@@ -15,21 +15,51 @@
 class NestingGuard : public nlohmann::json_sax<Json>
 {
 public:
-    bool null() override { return true; }
-    bool boolean(bool /*value*/) override { return true; }
-    bool number_integer(number_integer_t /*value*/) override { return true; }
-    bool number_unsigned(number_unsigned_t /*value*/) override { return true; }
-    bool number_float(number_float_t /*value*/, const string_t & /*text*/) override { return true; }
-    bool string(string_t & /*value*/) override { return true; }
-    bool binary(binary_t & /*value*/) override { return true; }
-    bool start_object(std::size_t /*elements*/) override { return ++m_depth <= MAX_NESTING; }
-    bool key(string_t & /*value*/) override { return true; }
+    bool null() override
+    {
+        return true;
+    }
+    bool boolean(bool /*value*/) override
+    {
+        return true;
+    }
+    bool number_integer(number_integer_t /*value*/) override
+    {
+        return true;
+    }
+    bool number_unsigned(number_unsigned_t /*value*/) override
+    {
+        return true;
+    }
+    bool number_float(number_float_t /*value*/, const string_t & /*text*/) override
+    {
+        return true;
+    }
+    bool string(string_t & /*value*/) override
+    {
+        return true;
+    }
+    bool binary(binary_t & /*value*/) override
+    {
+        return true;
+    }
+    bool start_object(std::size_t /*elements*/) override
+    {
+        return ++m_depth <= MAX_NESTING;
+    }
+    bool key(string_t & /*value*/) override
+    {
+        return true;
+    }
     bool end_object() override
     {
         --m_depth;
         return true;
     }
-    bool start_array(std::size_t /*elements*/) override { return ++m_depth <= MAX_NESTING; }
+    bool start_array(std::size_t /*elements*/) override
+    {
+        return ++m_depth <= MAX_NESTING;
+    }
     bool end_array() override
     {
         --m_depth;
@@ -41,7 +71,10 @@
         return false;
     }
 
-    [[nodiscard]] std::string message() const { return m_message.empty() ? "nested too deeply" : m_message; }
+    [[nodiscard]] std::string message() const
+    {
+        return m_message.empty() ? "nested too deeply" : m_message;
+    }
 
 private:
     int m_depth = 0;
@@ -68,7 +101,10 @@
     return parse(text, Json::input_format_t::json, comments);
 }
 
-Result<Json> parseCbor(std::string_view bytes) { return parse(bytes, Json::input_format_t::cbor, Comments::Refused); }
+Result<Json> parseCbor(std::string_view bytes)
+{
+    return parse(bytes, Json::input_format_t::cbor, Comments::Refused);
+}
 
 std::string toCbor(const Json &value)
 {
@@ -77,7 +113,10 @@
     return bytes;
 }
 
-std::string toJson(const Json &value) { return value.dump(-1, ' ', false, Json::error_handler_t::replace); }
+std::string toJson(const Json &value)
+{
+    return value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
 
 namespace Base64 = boost::beast::detail::base64;
 
--- a/packages/base/endpoint.cpp
+++ b/packages/base/endpoint.cpp
@@ -28,8 +28,14 @@
     return endpoint;
 }
 
-std::string Endpoint::toString() const { return ip + ":" + std::to_string(port); }
+std::string Endpoint::toString() const
+{
+    return ip + ":" + std::to_string(port);
+}
 
-bool Endpoint::isLoopback() const { return ip.starts_with("127."); }
+bool Endpoint::isLoopback() const
+{
+    return ip.starts_with("127.");
+}
 
 } // namespace Papaya
--- a/packages/base/result.h
+++ b/packages/base/result.h
@@ -41,8 +41,14 @@
         assert(!std::get<Errors>(m_state).empty());
     }
 
-    [[nodiscard]] bool ok() const { return std::holds_alternative<T>(m_state); }
-    explicit operator bool() const { return ok(); }
+    [[nodiscard]] bool ok() const
+    {
+        return std::holds_alternative<T>(m_state);
+    }
+    explicit operator bool() const
+    {
+        return ok();
+    }
 
     /** @return the value; must only be called if ok(). */
     T &value()
@@ -55,10 +61,22 @@
         assert(ok());
         return std::get<T>(m_state);
     }
-    T *operator->() { return &value(); }
-    const T *operator->() const { return &value(); }
-    T &operator*() { return value(); }
-    const T &operator*() const { return value(); }
+    T *operator->()
+    {
+        return &value();
+    }
+    const T *operator->() const
+    {
+        return &value();
+    }
+    T &operator*()
+    {
+        return value();
+    }
+    const T &operator*() const
+    {
+        return value();
+    }
 
     /** @return what went wrong; must only be called if not ok(). */
     [[nodiscard]] const Errors &errors() const
--- a/packages/base/strong.h
+++ b/packages/base/strong.h
@@ -24,7 +24,10 @@
     }
 
     /** @return the plain value. */
-    [[nodiscard]] const Rep &value() const { return m_value; }
+    [[nodiscard]] const Rep &value() const
+    {
+        return m_value;
+    }
 
     auto operator<=>(const Strong &) const = default;
 
@@ -59,5 +62,8 @@
 
 template<typename Tag, typename Rep>
 struct std::hash<Papaya::Strong<Tag, Rep>> {
-    std::size_t operator()(const Papaya::Strong<Tag, Rep> &strong) const { return std::hash<Rep> {}(strong.value()); }
+    std::size_t operator()(const Papaya::Strong<Tag, Rep> &strong) const
+    {
+        return std::hash<Rep> {}(strong.value());
+    }
 };
--- a/packages/base/units.h
+++ b/packages/base/units.h
@@ -14,7 +14,10 @@
 using Millis = std::chrono::milliseconds;
 
 /** @return @p duration in whole milliseconds, rounded down. */
-constexpr std::int64_t toMillis(Duration duration) { return std::chrono::duration_cast<Millis>(duration).count(); }
+constexpr std::int64_t toMillis(Duration duration)
+{
+    return std::chrono::duration_cast<Millis>(duration).count();
+}
 
 /** Processors, memory and accelerators of a worker, or the share of them that a task takes. */
 struct Resources {
--- a/packages/connection/http.cpp
+++ b/packages/connection/http.cpp
@@ -51,7 +51,10 @@
     return std::any_of(m_fields.begin(), m_fields.end(), matches);
 }
 
-std::string_view HttpRequest::path() const { return std::string_view(target).substr(0, target.find('?')); }
+std::string_view HttpRequest::path() const
+{
+    return std::string_view(target).substr(0, target.find('?'));
+}
 
 std::string_view HttpRequest::query(std::string_view name) const
 {
--- a/packages/connection/http.h
+++ b/packages/connection/http.h
@@ -26,7 +26,10 @@
     /** @return the value of @p name, or an empty text. */
     [[nodiscard]] const std::string &get(std::string_view name) const;
     [[nodiscard]] bool has(std::string_view name) const;
-    [[nodiscard]] const std::vector<HttpField> &all() const { return m_fields; }
+    [[nodiscard]] const std::vector<HttpField> &all() const
+    {
+        return m_fields;
+    }
 
 private:
     std::vector<HttpField> m_fields;
--- a/packages/connection/httpclient.cpp
+++ b/packages/connection/httpclient.cpp
@@ -86,12 +86,23 @@
         auto [response, keepAlive] = co_await Asio::co_spawn(
             m_stream->get_executor(), exchangeOnStrand(m_stream, toMessage(request), deadline), Asio::use_awaitable);
         m_reusable = keepAlive;
+        m_kept = true;
         m_lastHeard = Clock::now();
         co_return std::move(response);
     }
 
-    [[nodiscard]] bool reusable() const override { return m_reusable; }
-    [[nodiscard]] TimePoint lastHeard() const override { return m_lastHeard; }
+    [[nodiscard]] bool reusable() const override
+    {
+        return m_reusable;
+    }
+    [[nodiscard]] bool kept() const override
+    {
+        return m_kept;
+    }
+    [[nodiscard]] TimePoint lastHeard() const override
+    {
+        return m_lastHeard;
+    }
 
 private:
     using StreamPtr = std::shared_ptr<Beast::tcp_stream>;
@@ -146,6 +157,7 @@
 
     StreamPtr m_stream;
     bool m_reusable = true;
+    bool m_kept = false;
     TimePoint m_lastHeard;
 };
 
--- a/packages/connection/httpclient.h
+++ b/packages/connection/httpclient.h
@@ -41,8 +41,14 @@
         , m_kind(kind)
     {
     }
-    [[nodiscard]] FailureStage stage() const { return m_stage; }
-    [[nodiscard]] FailureKind kind() const { return m_kind; }
+    [[nodiscard]] FailureStage stage() const
+    {
+        return m_stage;
+    }
+    [[nodiscard]] FailureKind kind() const
+    {
+        return m_kind;
+    }
 
 private:
     FailureStage m_stage;
@@ -64,6 +70,8 @@
 
     /** @return true if another exchange may follow. */
     [[nodiscard]] virtual bool reusable() const = 0;
+    /** @return true if an exchange has been carried before. */
+    [[nodiscard]] virtual bool kept() const = 0;
     /** @return when the last answer came, or when the connection was opened. */
     [[nodiscard]] virtual TimePoint lastHeard() const = 0;
 };
--- a/packages/connection/httpserver.cpp
+++ b/packages/connection/httpserver.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <array>
 #include <atomic>
 #include <mutex>
 #include <unordered_map>
@@ -26,6 +27,8 @@
 namespace
 {
 
+constexpr Millis DISCARD_LIMIT {2'000};
+constexpr std::size_t DISCARD_BYTES = 16UL * 1024 * 1024;
 constexpr Millis ACCEPT_PAUSE {50}; // gives descriptors time to come free when accept() fails
 
 using Parser = Http::request_parser<Http::string_body>;
@@ -128,8 +131,14 @@
         }
     }
 
-    [[nodiscard]] std::size_t inProgress() const { return m_inProgress; }
-    [[nodiscard]] const Endpoint &address() const { return m_address; }
+    [[nodiscard]] std::size_t inProgress() const
+    {
+        return m_inProgress;
+    }
+    [[nodiscard]] const Endpoint &address() const
+    {
+        return m_address;
+    }
 
 private:
     using StreamPtr = std::shared_ptr<Beast::tcp_stream>;
@@ -204,7 +213,9 @@
         }
         if (error) {
             if (isParseError(error)) {
-                co_await write(stream, parseErrorResponse(error), 11, false);
+                const HttpResponse refusal = parseErrorResponse(error);
+                co_await write(stream, refusal, 11, false);
+                co_await discardInput(stream);
             }
             co_return false;
         }
@@ -222,6 +233,20 @@
         co_return keepOpen;
     }
 
+    /** Reads on for a while after a refusal; closing on unread input would reset the connection and lose the answer. */
+    static Asio::awaitable<void> discardInput(Beast::tcp_stream &stream)
+    {
+        error_code error;
+        stream.socket().shutdown(Tcp::socket::shutdown_send, error);
+        stream.expires_after(DISCARD_LIMIT);
+        std::array<char, 16384> buffer {};
+        std::size_t discarded = 0;
+        while (!error && discarded < DISCARD_BYTES) {
+            discarded +=
+                co_await stream.async_read_some(Asio::buffer(buffer), Asio::redirect_error(Asio::use_awaitable, error));
+        }
+    }
+
     Asio::awaitable<HttpResponse> answer(HttpRequest request)
     {
         try {
@@ -246,7 +271,10 @@
         {
             ++m_count;
         }
-        ~InProgress() { --m_count; }
+        ~InProgress()
+        {
+            --m_count;
+        }
         InProgress(const InProgress &) = delete;
         InProgress &operator=(const InProgress &) = delete;
 
@@ -279,14 +307,29 @@
 {
 }
 
-HttpServer::~HttpServer() { m_state->close(); }
+HttpServer::~HttpServer()
+{
+    m_state->close();
+}
 
-void HttpServer::drain() { m_state->drain(); }
+void HttpServer::drain()
+{
+    m_state->drain();
+}
 
-void HttpServer::close() { m_state->close(); }
+void HttpServer::close()
+{
+    m_state->close();
+}
 
-std::size_t HttpServer::inProgress() const { return m_state->inProgress(); }
+std::size_t HttpServer::inProgress() const
+{
+    return m_state->inProgress();
+}
 
-Endpoint HttpServer::address() const { return m_state->address(); }
+Endpoint HttpServer::address() const
+{
+    return m_state->address();
+}
 
 } // namespace Papaya
--- a/packages/connection/logservice.cpp
+++ b/packages/connection/logservice.cpp
@@ -15,7 +15,10 @@
 constexpr int STATUS_GONE = 410;
 constexpr int FIRST_ERROR_STATUS = 400;
 
-Offset toOffset(std::optional<std::int64_t> number) { return Offset(static_cast<std::uint64_t>(number.value_or(0))); }
+Offset toOffset(std::optional<std::int64_t> number)
+{
+    return Offset(static_cast<std::uint64_t>(number.value_or(0)));
+}
 
 Result<LogPage> parsePage(const std::string &body)
 {
@@ -43,7 +46,10 @@
     return page;
 }
 
-std::string appendBody(const std::vector<std::string> &records) { return toJson({{"records", records}}); }
+std::string appendBody(const std::vector<std::string> &records)
+{
+    return toJson({{"records", records}});
+}
 
 class HttpLogService : public LogService
 {
--- a/packages/connection/logservice.h
+++ b/packages/connection/logservice.h
@@ -43,7 +43,10 @@
         , m_failure(failure)
     {
     }
-    [[nodiscard]] AppendFailure failure() const { return m_failure; }
+    [[nodiscard]] AppendFailure failure() const
+    {
+        return m_failure;
+    }
 
 private:
     AppendFailure m_failure;
@@ -65,7 +68,10 @@
     {
     }
     /** @return the oldest offset that is still kept. */
-    [[nodiscard]] Offset start() const { return m_start; }
+    [[nodiscard]] Offset start() const
+    {
+        return m_start;
+    }
 
 private:
     Offset m_start;
--- a/packages/connection/minionclient.cpp
+++ b/packages/connection/minionclient.cpp
@@ -57,9 +57,12 @@
     Asio::awaitable<RunResult> run(Endpoint minion, RunRequest run, TimePoint deadline) override
     {
         RunResult result;
+        bool kept = false;
         try {
-            const Duration maxSilence = run.idempotent ? IDEMPOTENT_SILENCE : NON_IDEMPOTENT_SILENCE;
+            const Duration allowed = run.idempotent ? IDEMPOTENT_SILENCE : NON_IDEMPOTENT_SILENCE;
+            const Duration maxSilence = run.freshConnection ? Duration::zero() : allowed;
             HttpConnectionPtr connection = co_await m_pool.acquire(minion, maxSilence, deadline);
+            kept = connection->kept();
             const HttpRequest request = toRequest(run, deadline);
             HttpResponse response = co_await connection->exchange(request, deadline);
             result = toResult(run, std::move(response));
@@ -69,6 +72,7 @@
         } catch (const HttpError &error) {
             result = failed(error);
         }
+        result.keptConnection = kept;
         // Other idle connections to this minion may have gone silent with this one.
         if (result.failure == RunFailure::Timeout) {
             m_pool.dropIdle(minion);
@@ -136,6 +140,9 @@
     return "none";
 }
 
-std::unique_ptr<MinionClient> makeHttpMinionClient(HttpPool &pool) { return std::make_unique<HttpMinionClient>(pool); }
+std::unique_ptr<MinionClient> makeHttpMinionClient(HttpPool &pool)
+{
+    return std::make_unique<HttpMinionClient>(pool);
+}
 
 } // namespace Papaya
--- a/packages/connection/minionclient.h
+++ b/packages/connection/minionclient.h
@@ -20,6 +20,8 @@
     std::string contentType;
     std::string body;
     bool idempotent = false;
+    /** Takes no kept connection, after one turned out to have gone silent. */
+    bool freshConnection = false;
 };
 
 /** How a run ended, as far as this side can tell. */
@@ -43,6 +45,8 @@
     std::optional<std::uint32_t> slotsBusy;
     /** The minion takes no new work. */
     bool leaving = false;
+    /** The run went over a kept connection, so its failure says little about the minion. */
+    bool keptConnection = false;
 };
 
 /** Client of the minions' protocol. */
--- /dev/null
+++ b/packages/connection/peersession.cpp
@@ -0,0 +1,319 @@
+#include "connection/peersession.h"
+
+#include "connection/http2stream.h"
+#include "connection/waiter.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <mutex>
+#include <set>
+
+namespace Papaya
+{
+
+using Tcp = Asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+constexpr std::size_t MAX_PEER_CONNECTIONS = 128;
+
+} // namespace
+
+/** The listener and its connections. */
+class PeerServer::State : public std::enable_shared_from_this<State>
+{
+public:
+    State(Asio::io_context &io, PeerHandler &handler, PeerTraffic &traffic)
+        : m_io(io)
+        , m_handler(handler)
+        , m_traffic(traffic)
+        , m_acceptor(Asio::make_strand(io))
+    {
+    }
+
+    void open(const Endpoint &address)
+    {
+        const Tcp::endpoint endpoint(Asio::ip::make_address(address.ip), address.port);
+        m_acceptor.open(endpoint.protocol());
+        m_acceptor.set_option(Tcp::acceptor::reuse_address(true));
+        m_acceptor.bind(endpoint);
+        m_acceptor.listen();
+        Asio::co_spawn(m_acceptor.get_executor(), accept(shared_from_this()), Asio::detached);
+    }
+
+    void close()
+    {
+        Asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+            error_code ignored;
+            self->m_closed = true;
+            self->m_acceptor.close(ignored);
+        });
+        const std::lock_guard lock(m_mutex);
+        for (const auto &connection : m_connections) {
+            Asio::post(connection.strand, [weak = connection.weak] {
+                if (const auto open = weak.lock()) {
+                    open->close();
+                }
+            });
+        }
+        m_connections.clear();
+    }
+
+private:
+    struct Open {
+        Asio::any_io_executor strand;
+        std::weak_ptr<Http2Connection> weak;
+    };
+
+    static Asio::awaitable<void> accept(std::shared_ptr<State> self)
+    {
+        while (!self->m_closed) {
+            error_code error;
+            auto strand = Asio::make_strand(self->m_io);
+            Tcp::socket socket =
+                co_await self->m_acceptor.async_accept(strand, Asio::redirect_error(Asio::use_awaitable, error));
+            if (error) {
+                co_return;
+            }
+            self->serve(std::move(socket));
+        }
+    }
+
+    void serve(Tcp::socket socket)
+    {
+        error_code ignored;
+        socket.set_option(Tcp::no_delay(true), ignored);
+        const Asio::any_io_executor strand = socket.get_executor();
+        auto connection = Http2Connection::create(std::move(socket), Http2Side::Server, m_traffic);
+        {
+            const std::lock_guard lock(m_mutex);
+            std::erase_if(m_connections, [](const Open &open) { return open.weak.expired(); });
+            if (m_connections.size() >= MAX_PEER_CONNECTIONS) {
+                return;
+            }
+            m_connections.push_back({strand, connection});
+        }
+        std::weak_ptr<Http2Connection> weak = connection;
+        connection->onMessage = [self = shared_from_this(), weak](std::int32_t stream, Http2Message message) {
+            if (const auto open = weak.lock()) {
+                open->sendAnswer(stream, self->m_handler.onPeerRequest(message.path, message.body));
+            }
+        };
+        Asio::post(strand, [connection] { connection->start(); });
+    }
+
+    Asio::io_context &m_io;
+    PeerHandler &m_handler;
+    PeerTraffic &m_traffic;
+    Tcp::acceptor m_acceptor;
+    std::atomic<bool> m_closed {false};
+    std::mutex m_mutex;
+    std::vector<Open> m_connections;
+};
+
+std::unique_ptr<PeerServer> PeerServer::listen(Asio::io_context &io, const Endpoint &address, PeerHandler &handler,
+                                               PeerTraffic &traffic)
+{
+    auto state = std::make_shared<State>(io, handler, traffic);
+    state->open(address);
+    return std::unique_ptr<PeerServer>(new PeerServer(std::move(state)));
+}
+
+PeerServer::PeerServer(std::shared_ptr<State> state)
+    : m_state(std::move(state))
+{
+}
+
+PeerServer::~PeerServer()
+{
+    close();
+}
+
+void PeerServer::close()
+{
+    m_state->close();
+}
+
+namespace
+{
+
+/** What waits for one answer. */
+struct PendingAnswer {
+    std::shared_ptr<Waiter> waiter;
+    bool whole = false;
+    std::string body;
+};
+
+/** Client end of a session; the state is shared with the connection's callbacks and touched on its strand only. */
+class ClientSession : public PeerSession
+{
+public:
+    explicit ClientSession(std::shared_ptr<Http2Connection> connection, Asio::any_io_executor strand)
+        : m_state(std::make_shared<State>())
+    {
+        m_state->connection = std::move(connection);
+        m_state->strand = std::move(strand);
+        std::weak_ptr<State> weak = m_state;
+        m_state->connection->onMessage = [weak](std::int32_t stream, Http2Message message) {
+            if (const auto state = weak.lock()) {
+                state->answer(stream, message.status == "200", std::move(message.body));
+            }
+        };
+        m_state->connection->onStreamFailed = [weak](std::int32_t stream) {
+            if (const auto state = weak.lock()) {
+                state->answer(stream, false, "");
+            }
+        };
+        m_state->connection->onPong = [weak] {
+            if (const auto state = weak.lock()) {
+                state->pong();
+            }
+        };
+        m_state->connection->onClosed = [weak] {
+            if (const auto state = weak.lock()) {
+                state->failAll();
+            }
+        };
+    }
+
+    ~ClientSession() override
+    {
+        Asio::post(m_state->strand, [state = m_state] { state->connection->close(); });
+    }
+
+    ClientSession(const ClientSession &) = delete;
+    ClientSession &operator=(const ClientSession &) = delete;
+
+    Asio::awaitable<std::string> exchange(std::string path, std::string body, TimePoint deadline) override
+    {
+        co_return co_await Asio::co_spawn(m_state->strand, send(m_state, std::move(path), std::move(body), deadline),
+                                          Asio::use_awaitable);
+    }
+
+    Asio::awaitable<void> ping(TimePoint deadline) override
+    {
+        co_await Asio::co_spawn(m_state->strand, probe(m_state, deadline), Asio::use_awaitable);
+    }
+
+private:
+    struct State {
+        std::shared_ptr<Http2Connection> connection;
+        Asio::any_io_executor strand;
+        std::map<std::int32_t, std::shared_ptr<PendingAnswer>> pending;
+        std::shared_ptr<PendingAnswer> pendingPong;
+
+        void answer(std::int32_t stream, bool whole, std::string body)
+        {
+            const auto found = pending.find(stream);
+            if (found != pending.end()) {
+                found->second->whole = whole;
+                found->second->body = std::move(body);
+                found->second->waiter->notify();
+                pending.erase(found);
+            }
+        }
+
+        void pong()
+        {
+            if (pendingPong) {
+                pendingPong->whole = true;
+                pendingPong->waiter->notify();
+            }
+        }
+
+        void failAll()
+        {
+            for (const auto &[stream, waiting] : pending) {
+                waiting->waiter->notify();
+            }
+            pending.clear();
+            if (pendingPong) {
+                pendingPong->waiter->notify();
+            }
+        }
+    };
+
+    static Asio::awaitable<std::string> send(std::shared_ptr<State> state, std::string path, std::string body,
+                                             TimePoint deadline)
+    {
+        auto waiting = std::make_shared<PendingAnswer>();
+        waiting->waiter = Waiter::create(state->strand);
+        const std::int32_t stream = state->connection->sendRequest(path, std::move(body));
+        if (stream < 0) {
+            throw PeerError("the session is closed");
+        }
+        state->pending[stream] = waiting;
+        const bool notified = co_await waiting->waiter->wait(deadline);
+        state->pending.erase(stream);
+        if (!waiting->whole) {
+            throw PeerError(notified ? "the session was closed" : "no answer in time");
+        }
+        co_return std::move(waiting->body);
+    }
+
+    static Asio::awaitable<void> probe(std::shared_ptr<State> state, TimePoint deadline)
+    {
+        auto waiting = std::make_shared<PendingAnswer>();
+        waiting->waiter = Waiter::create(state->strand);
+        state->pendingPong = waiting;
+        state->connection->sendPing();
+        if (!state->connection->closed()) {
+            co_await waiting->waiter->wait(deadline);
+        }
+        state->pendingPong.reset();
+        if (!waiting->whole) {
+            throw PeerError("no answer to a ping");
+        }
+    }
+
+    std::shared_ptr<State> m_state;
+};
+
+struct Opened {
+    std::shared_ptr<Http2Connection> connection;
+    Asio::any_io_executor strand;
+};
+
+Asio::awaitable<Opened> openOnStrand(Asio::any_io_executor strand, Endpoint peer, PeerTraffic &traffic,
+                                     TimePoint deadline)
+{
+    auto socket = std::make_shared<Tcp::socket>(strand);
+    auto timer = std::make_shared<Asio::steady_timer>(strand, deadline);
+    timer->async_wait([socket](const error_code &error) {
+        error_code ignored;
+        if (!error) {
+            socket->close(ignored);
+        }
+    });
+    error_code error;
+    const Tcp::endpoint target(Asio::ip::make_address(peer.ip), peer.port);
+    co_await socket->async_connect(target, Asio::redirect_error(Asio::use_awaitable, error));
+    timer->cancel();
+    if (error) {
+        throw PeerError(peer.toString() + ": " + error.message());
+    }
+    socket->set_option(Tcp::no_delay(true), error);
+    Opened opened;
+    opened.strand = strand;
+    opened.connection = Http2Connection::create(std::move(*socket), Http2Side::Client, traffic);
+    opened.connection->start();
+    co_return opened;
+}
+
+} // namespace
+
+Asio::awaitable<std::unique_ptr<PeerSession>> connectPeer(Asio::io_context &io, Endpoint peer, PeerTraffic &traffic,
+                                                          TimePoint deadline)
+{
+    const Asio::any_io_executor strand = Asio::make_strand(io);
+    Opened opened =
+        co_await Asio::co_spawn(strand, openOnStrand(strand, std::move(peer), traffic, deadline), Asio::use_awaitable);
+    co_return std::make_unique<ClientSession>(std::move(opened.connection), std::move(opened.strand));
+}
+
+} // namespace Papaya
--- a/packages/connection/waiter.h
+++ b/packages/connection/waiter.h
@@ -30,7 +30,10 @@
     /** @return true if notified, false if @p deadline came first. */
     Asio::awaitable<bool> wait(TimePoint deadline);
 
-    [[nodiscard]] bool notified() const { return m_notified; }
+    [[nodiscard]] bool notified() const
+    {
+        return m_notified;
+    }
 
 private:
     explicit Waiter(const Asio::any_io_executor &executor);
--- a/packages/connection/workerclient.cpp
+++ b/packages/connection/workerclient.cpp
@@ -116,7 +116,10 @@
 
 private:
     // The bodies are made outside the coroutines, whose compiler support fails on nested initialiser lists.
-    static std::string epochBody(Epoch epoch) { return toJson({{"epoch", epoch.value()}}); }
+    static std::string epochBody(Epoch epoch)
+    {
+        return toJson({{"epoch", epoch.value()}});
+    }
 
     static std::string prepareBody(Epoch epoch, const TaskSpec &spec)
     {
@@ -207,6 +210,9 @@
     return report;
 }
 
-std::unique_ptr<WorkerClient> makeHttpWorkerClient(HttpPool &pool) { return std::make_unique<HttpWorkerClient>(pool); }
+std::unique_ptr<WorkerClient> makeHttpWorkerClient(HttpPool &pool)
+{
+    return std::make_unique<HttpWorkerClient>(pool);
+}
 
 } // namespace Papaya
--- a/packages/process/adminapi.cpp
+++ b/packages/process/adminapi.cpp
@@ -171,7 +171,6 @@
 HttpResponse AdminApi::showStatus() const
 {
     const PlannerStatus planner = m_context.planner.status();
-    const SlotCount slots = m_context.minions.slots();
     const IgnoredConfig ignored = m_context.config.lastIgnored();
     Json status;
     status["instance"] = m_context.settings.instance.value();
@@ -184,10 +183,14 @@
     status["log"] = {{"config", describeTail(m_context.config.tail())},
                      {"journal", describeTail(m_context.journal.tail())},
                      {"claims", describeTail(m_context.claims.tail())}};
+    Json instances = Json::object();
+    for (const auto &[instance, version] : m_context.versions()) {
+        instances[instance.value()] = version.value();
+    }
+    status["instances"] = std::move(instances);
     status["requests"] = {{"queued", m_context.gate.queued()},
                           {"inProgress", m_context.gate.inProgress()},
-                          {"slotsOwn", slots.own},
-                          {"slotsTotal", slots.total},
+                          {"slots", m_context.minions.slots()},
                           {"minions", m_context.minions.size()},
                           {"minionsEjected", m_context.minions.ejected()}};
     Json jobs = Json::object();
--- a/packages/process/admissiongate.cpp
+++ b/packages/process/admissiongate.cpp
@@ -87,4 +87,10 @@
     return m_policy->inProgress();
 }
 
+TeamDemand AdmissionGate::demand() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_policy->demand();
+}
+
 } // namespace Papaya
--- a/packages/process/admissiongate.h
+++ b/packages/process/admissiongate.h
@@ -33,6 +33,7 @@
 
     [[nodiscard]] std::size_t queued() const;
     [[nodiscard]] std::size_t inProgress() const;
+    [[nodiscard]] TeamDemand demand() const;
 
 private:
     struct Waiting {
@@ -59,7 +60,10 @@
         , m_id(id)
     {
     }
-    ~SlotGuard() { m_gate.leave(m_id); }
+    ~SlotGuard()
+    {
+        m_gate.leave(m_id);
+    }
     SlotGuard(const SlotGuard &) = delete;
     SlotGuard &operator=(const SlotGuard &) = delete;
 
--- a/packages/process/claimservice.cpp
+++ b/packages/process/claimservice.cpp
@@ -44,7 +44,10 @@
     m_tail->stop();
 }
 
-bool ClaimService::ready() const { return m_tail->caughtUp(); }
+bool ClaimService::ready() const
+{
+    return m_tail->caughtUp();
+}
 
 std::optional<Claim> ClaimService::find(const ClaimKey &key) const
 {
@@ -69,9 +72,15 @@
     Asio::co_spawn(Asio::make_strand(m_io), appendDetached(m_writer, toJsonValue(record)), Asio::detached);
 }
 
-void ClaimService::recordOutcome(ClaimOutcome outcome) { appendInBackground(std::move(outcome)); }
+void ClaimService::recordOutcome(ClaimOutcome outcome)
+{
+    appendInBackground(std::move(outcome));
+}
 
-void ClaimService::release(ClaimRelease release) { appendInBackground(std::move(release)); }
+void ClaimService::release(ClaimRelease release)
+{
+    appendInBackground(std::move(release));
+}
 
 void ClaimService::apply(const LogRecord &record)
 {
--- a/packages/process/claimservice.h
+++ b/packages/process/claimservice.h
@@ -39,10 +39,19 @@
     void release(ClaimRelease release);
 
     /** @return records that are not settled yet. */
-    [[nodiscard]] std::size_t unsettled() const { return m_writer->waiting(); }
+    [[nodiscard]] std::size_t unsettled() const
+    {
+        return m_writer->waiting();
+    }
     [[nodiscard]] std::size_t size() const;
-    Broadcast &progress() { return m_tail->progress(); }
-    [[nodiscard]] const StreamTail &tail() const { return *m_tail; }
+    Broadcast &progress()
+    {
+        return m_tail->progress();
+    }
+    [[nodiscard]] const StreamTail &tail() const
+    {
+        return *m_tail;
+    }
 
 private:
     void apply(const LogRecord &record) override;
--- a/packages/process/configservice.cpp
+++ b/packages/process/configservice.cpp
@@ -28,9 +28,15 @@
 {
 }
 
-void ConfigService::start() { m_tail->start(Offset(0)); }
+void ConfigService::start()
+{
+    m_tail->start(Offset(0));
+}
 
-void ConfigService::stop() { m_tail->stop(); }
+void ConfigService::stop()
+{
+    m_tail->stop();
+}
 
 FleetConfigPtr ConfigService::config() const
 {
@@ -56,7 +62,10 @@
     return m_ignored;
 }
 
-bool ConfigService::ready() const { return config() != nullptr; }
+bool ConfigService::ready() const
+{
+    return config() != nullptr;
+}
 
 Asio::awaitable<Offset> ConfigService::skipTo(Offset start)
 {
--- a/packages/process/configservice.h
+++ b/packages/process/configservice.h
@@ -45,10 +45,16 @@
     [[nodiscard]] IgnoredConfig lastIgnored() const;
     /** @return true once the stream has been read to its end, or a peer's version was taken. */
     [[nodiscard]] bool ready() const;
-    [[nodiscard]] const StreamTail &tail() const { return *m_tail; }
+    [[nodiscard]] const StreamTail &tail() const
+    {
+        return *m_tail;
+    }
 
     /** @return the broadcast that is notified when another version comes into force. */
-    Broadcast &changed() { return m_changed; }
+    Broadcast &changed()
+    {
+        return m_changed;
+    }
 
     /**
      * Publishes @p config if version @p replaces is still in force.
--- a/packages/process/fleetmodel.cpp
+++ b/packages/process/fleetmodel.cpp
@@ -38,11 +38,20 @@
     return index;
 }
 
-void FleetModel::setUsable(WorkerIndex worker, bool usable) { m_workers[worker].usable = usable; }
+void FleetModel::setUsable(WorkerIndex worker, bool usable)
+{
+    m_workers[worker].usable = usable;
+}
 
-void FleetModel::take(WorkerIndex worker, const Resources &part) { m_workers[worker].free -= part; }
+void FleetModel::take(WorkerIndex worker, const Resources &part)
+{
+    m_workers[worker].free -= part;
+}
 
-void FleetModel::give(WorkerIndex worker, const Resources &part) { m_workers[worker].free += part; }
+void FleetModel::give(WorkerIndex worker, const Resources &part)
+{
+    m_workers[worker].free += part;
+}
 
 void FleetModel::takeAll(const PartWorkers &workers, const Resources &part)
 {
--- a/packages/process/fleetmodel.h
+++ b/packages/process/fleetmodel.h
@@ -30,7 +30,10 @@
     bool usable = true; ///< may get new work
 
     /** @return true if no accelerator of this worker is taken. */
-    [[nodiscard]] bool whole() const { return free.gpus == capacity.gpus; }
+    [[nodiscard]] bool whole() const
+    {
+        return free.gpus == capacity.gpus;
+    }
 };
 
 /** Workers on which the parts of a gang are placed, by part. */
@@ -52,12 +55,24 @@
 
     /** @return the index of worker @p id. */
     [[nodiscard]] std::optional<WorkerIndex> find(const WorkerId &id) const;
-    [[nodiscard]] const std::vector<ModelWorker> &workers() const { return m_workers; }
-    [[nodiscard]] const ModelWorker &worker(WorkerIndex index) const { return m_workers[index]; }
+    [[nodiscard]] const std::vector<ModelWorker> &workers() const
+    {
+        return m_workers;
+    }
+    [[nodiscard]] const ModelWorker &worker(WorkerIndex index) const
+    {
+        return m_workers[index];
+    }
     /** @return the workers of each rack. */
-    [[nodiscard]] const std::vector<std::vector<WorkerIndex>> &racks() const { return m_racks; }
+    [[nodiscard]] const std::vector<std::vector<WorkerIndex>> &racks() const
+    {
+        return m_racks;
+    }
     /** @return the workers of each place. */
-    [[nodiscard]] const std::vector<std::vector<WorkerIndex>> &places() const { return m_places; }
+    [[nodiscard]] const std::vector<std::vector<WorkerIndex>> &places() const
+    {
+        return m_places;
+    }
 
     /** @return how many parts fit on @p worker; 0 if it may get no new work. */
     [[nodiscard]] std::uint32_t partsThatFit(WorkerIndex worker, const Resources &part) const;
--- a/packages/process/gangrunner.h
+++ b/packages/process/gangrunner.h
@@ -62,8 +62,14 @@
     /** Asks for the end of the gang; it takes effect at the next step. */
     void requestStop(StopCause cause);
 
-    [[nodiscard]] const GangAttempt &attempt() const { return m_attempt; }
-    [[nodiscard]] GangState state() const { return m_machine.state(); }
+    [[nodiscard]] const GangAttempt &attempt() const
+    {
+        return m_attempt;
+    }
+    [[nodiscard]] GangState state() const
+    {
+        return m_machine.state();
+    }
     /** @return true once a stop has been asked for or the gang has broken. */
     [[nodiscard]] bool stopping() const
     {
--- a/packages/process/hostdirectory.cpp
+++ b/packages/process/hostdirectory.cpp
@@ -28,7 +28,10 @@
 {
 }
 
-void HostDirectory::start() { Asio::co_spawn(m_strand, run(shared_from_this()), Asio::detached); }
+void HostDirectory::start()
+{
+    Asio::co_spawn(m_strand, run(shared_from_this()), Asio::detached);
+}
 
 void HostDirectory::stop()
 {
--- a/packages/process/hostdirectory.h
+++ b/packages/process/hostdirectory.h
@@ -29,7 +29,10 @@
     [[nodiscard]] HostSnapshotPtr hosts() const;
 
     /** @return the broadcast that is notified when the list has changed. */
-    Broadcast &changed() { return m_changed; }
+    Broadcast &changed()
+    {
+        return m_changed;
+    }
 
 private:
     HostDirectory(Asio::io_context &io, HostList &list, Metrics &metrics);
--- a/packages/process/instance.cpp
+++ b/packages/process/instance.cpp
@@ -5,6 +5,7 @@
 #include "process/adminapi.h"
 #include "process/callersapi.h"
 #include "process/logging.h"
+#include "process/membership.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -22,6 +23,7 @@
 namespace
 {
 
+constexpr Millis ISOLATION_LIMIT {20'000}; // below what a new planner waits for leases it cannot see
 constexpr Millis ADMISSION_REFRESH {100};
 constexpr Millis DRAIN_POLL {20};
 constexpr Millis RESIGN_LIMIT {1'500};
@@ -62,9 +64,13 @@
         , hosts(HostDirectory::create(io, *hostList, metrics))
         , minions(settings.instance, std::make_unique<HomeMinion>(), std::random_device {}(), metrics)
         , gate(std::make_unique<FairAdmission>())
+        , membership(
+              io, settings.instance, *hosts, config, minions, [this] { return describe(); }, metrics)
         , requests(io, config, claims, gate, minions, *minionClient, metrics)
         , jobs(config, journal, *hosts, metrics)
-        , planner(io, journal, config, *hosts, *workerClient, settings.peers.toString(), settings.logRetention, metrics)
+        , planner(
+              io, journal, config, *hosts, *workerClient, [this] { return isolated(); }, settings.peers.toString(),
+              settings.logRetention, metrics)
         , callersApi(requests, jobs)
         , adminApi(adminContext())
         , signals(io, SIGTERM, SIGINT)
@@ -79,9 +85,9 @@
         journal.start();
         claims.start();
         hosts->start();
+        membership.start(settings.peers);
         planner.start();
         addGauges();
-        Asio::co_spawn(strand, watchHosts(*this), Asio::detached);
         Asio::co_spawn(strand, shareSlots(*this), Asio::detached);
         signals.async_wait([this](const boost::system::error_code &error, int) {
             if (!error) {
@@ -127,7 +133,40 @@
 
     [[nodiscard]] bool ready() const
     {
-        return !draining && config.ready() && hosts->hosts() != nullptr && journal.tail().caughtUp() && claims.ready();
+        return !draining && slotsShared;
+    }
+
+    /** @return true if this instance can no longer know whether another one has become the planner. */
+    [[nodiscard]] bool isolated() const
+    {
+        const bool logSilent = Clock::now() - journal.tail().status().lastSuccess > ISOLATION_LIMIT;
+        const bool replaced = membership.highestEpoch() > planner.status().epoch;
+        return logSilent && (replaced || membership.cutOff(ISOLATION_LIMIT));
+    }
+
+    /** @return what this instance tells its peers. */
+    [[nodiscard]] Gossip describe() const
+    {
+        Gossip gossip;
+        gossip.instance = settings.instance;
+        gossip.incarnation = incarnation;
+        gossip.config = config.version();
+        gossip.plannerEpoch = planner.status().epoch;
+        gossip.ready = ready();
+        gossip.slotsUsed = static_cast<std::uint32_t>(gate.inProgress());
+        gossip.demand = gate.demand();
+        gossip.leaving = minions.leavingByOwnWord();
+        return gossip;
+    }
+
+    /** @return the version in force at each instance that is known to live. */
+    [[nodiscard]] std::map<InstanceId, ConfigVersion> versions() const
+    {
+        std::map<InstanceId, ConfigVersion> all {{settings.instance, config.version()}};
+        for (const auto &[peer, view] : membership.livePeers()) {
+            all[peer] = view.gossip.config;
+        }
+        return all;
     }
 
     AdminContext adminContext()
@@ -158,6 +197,9 @@
         metrics.addGauge("claims_kept", [this] { return double(claims.size()); });
         metrics.addGauge("minions", [this] { return double(minions.size()); });
         metrics.addGauge("minions_out", [this] { return double(minions.ejected()); });
+        metrics.addGauge("peers_live", [this] { return double(membership.livePeers().size()); });
+        metrics.addGauge("peer_bytes_sent", [this] { return double(membership.traffic().sent); });
+        metrics.addGauge("peer_bytes_received", [this] { return double(membership.traffic().received); });
         metrics.addGauge("journal_lag_records", [this] {
             const TailStatus status = journal.tail().status();
             return double(status.end.value()) - double(status.next.value());
@@ -168,34 +210,55 @@
         });
     }
 
-    static Asio::awaitable<void> watchHosts(Parts &parts)
+    /** @return this instance's part of the slots and guarantees, by what its peers use and ask for. */
+    [[nodiscard]] AdmissionSetup admissionSetup(const FleetConfig &fleet) const
     {
-        const auto executor = co_await Asio::this_coro::executor;
-        while (!parts.stopping) {
-            auto changed = parts.hosts->changed().subscribe(executor);
-            if (const auto snapshot = parts.hosts->hosts()) {
-                parts.minions.update(*snapshot);
+        const std::uint32_t total = minions.slots();
+        std::uint32_t usedByPeers = 0;
+        TeamDemand peersDemand;
+        std::uint32_t instances = 1;
+        for (const auto &[peer, view] : membership.livePeers()) {
+            ++instances;
+            usedByPeers += view.gossip.slotsUsed;
+            for (const auto &[team, count] : view.gossip.demand) {
+                peersDemand[team] += count;
             }
-            co_await changed->wait(Clock::now() + Millis(500));
         }
+        const TeamDemand ownDemand = gate.demand();
+        const auto demandOf = [](const TeamDemand &demand, const TeamName &team) {
+            const auto found = demand.find(team);
+            return found == demand.end() ? 0U : found->second;
+        };
+        AdmissionSetup setup;
+        const std::uint32_t fair = (total + instances - 1) / instances;
+        setup.slots = std::max(fair, total - std::min(total, usedByPeers));
+        setup.floors = fleet.floors();
+        for (const auto &[name, team] : fleet.teams()) {
+            // One is added for each instance, so that a team that has been idle here starts with a fair part.
+            const std::uint64_t own = demandOf(ownDemand, name) + 1ULL;
+            const std::uint64_t all = own + demandOf(peersDemand, name) + instances - 1;
+            const auto guaranteed = static_cast<std::uint32_t>((team.guaranteedSlots() * own + all - 1) / all);
+            setup.teams[name] = {team.weight, guaranteed, team.limits};
+        }
+        return setup;
     }
 
-    /** Adapts admission to the configuration in force and to the slots that this instance may use. */
+    /** Follows the host list, the configuration in force and the peers in how slots are shared. */
     static Asio::awaitable<void> shareSlots(Parts &parts)
     {
+        const auto executor = co_await Asio::this_coro::executor;
         while (!parts.stopping) {
-            if (const auto fleet = parts.config.config()) {
-                const SlotCount slots = parts.minions.slots();
-                AdmissionSetup setup;
-                setup.slots = slots.own;
-                setup.floors = fleet->floors();
-                for (const auto &[name, team] : fleet->teams()) {
-                    const std::uint32_t guaranteed = (team.guaranteedSlots() + slots.entries - 1) / slots.entries;
-                    setup.teams[name] = {team.weight, guaranteed, team.limits};
-                }
-                parts.gate.configure(setup);
+            auto changed = parts.hosts->changed().subscribe(executor);
+            const auto snapshot = parts.hosts->hosts();
+            const auto fleet = parts.config.config();
+            if (snapshot) {
+                parts.minions.update(*snapshot);
+            }
+            if (snapshot && fleet) {
+                parts.gate.configure(parts.admissionSetup(*fleet));
+                parts.slotsShared = true;
             }
-            co_await sleepFor(ADMISSION_REFRESH);
+            co_await changed->wait(Clock::now() + ADMISSION_REFRESH);
         }
     }
 
@@ -214,7 +277,10 @@
         Asio::co_spawn(strand, drain(*this), Asio::detached);
     }
 
-    void endNow() { drainCut = true; }
+    void endNow()
+    {
+        drainCut = true;
+    }
 
     static Asio::awaitable<void> drain(Parts &parts)
     {
@@ -245,6 +311,7 @@
         parts.callersServer->close();
         parts.adminServer->close();
         parts.planner.stop();
+        parts.membership.stop();
         parts.config.stop();
         parts.journal.stop();
         parts.claims.stop();
@@ -270,6 +337,7 @@
     std::shared_ptr<HostDirectory> hosts;
     MinionPool minions;
     AdmissionGate gate;
+    Membership membership;
     RequestService requests;
     JobService jobs;
     Planner planner;
@@ -278,6 +346,7 @@
     Asio::signal_set signals;
     std::unique_ptr<HttpServer> callersServer;
     std::unique_ptr<HttpServer> adminServer;
+    std::atomic<bool> slotsShared {false}; ///< there are a configuration and a host list to work by
     std::atomic<bool> draining {false};
     std::atomic<bool> drainCut {false};
     std::atomic<bool> stopping {false};
@@ -298,6 +367,9 @@
 
 Instance::~Instance() = default;
 
-void Instance::run() { m_parts->run(); }
+void Instance::run()
+{
+    m_parts->run();
+}
 
 } // namespace Papaya
--- a/packages/process/journal.cpp
+++ b/packages/process/journal.cpp
@@ -99,7 +99,10 @@
     }
 }
 
-Asio::awaitable<Offset> Journal::skipTo(Offset start) { co_return co_await restore(start); }
+Asio::awaitable<Offset> Journal::skipTo(Offset start)
+{
+    co_return co_await restore(start);
+}
 
 Asio::awaitable<Offset> Journal::restore(Offset fallback)
 {
--- a/packages/process/journal.h
+++ b/packages/process/journal.h
@@ -41,14 +41,29 @@
     /** Appends a snapshot if enough of the journal or of the retention has passed since the last. */
     Asio::awaitable<void> snapshotIfDue(Millis retention);
 
-    [[nodiscard]] const StreamTail &tail() const { return *m_tail; }
+    [[nodiscard]] const StreamTail &tail() const
+    {
+        return *m_tail;
+    }
     /** @return the broadcast that is notified when records have been applied or the end was reached. */
-    Broadcast &progress() { return m_tail->progress(); }
+    Broadcast &progress()
+    {
+        return m_tail->progress();
+    }
     /** @return when this instance last applied a record of the planner. */
     [[nodiscard]] TimePoint plannerHeard() const;
-    [[nodiscard]] Duration lastAppendTime() const { return m_writer->lastAppendTime(); }
-    [[nodiscard]] const InstanceId &instance() const { return m_instance; }
-    [[nodiscard]] Incarnation incarnation() const { return m_incarnation; }
+    [[nodiscard]] Duration lastAppendTime() const
+    {
+        return m_writer->lastAppendTime();
+    }
+    [[nodiscard]] const InstanceId &instance() const
+    {
+        return m_instance;
+    }
+    [[nodiscard]] Incarnation incarnation() const
+    {
+        return m_incarnation;
+    }
 
 private:
     void apply(const LogRecord &record) override;
--- a/packages/process/journalrecord.cpp
+++ b/packages/process/journalrecord.cpp
@@ -44,10 +44,22 @@
                 {"key", r.key},
                 {"digest", r.bodyDigest}};
     }
-    Json operator()(const CancelRequested &r) const { return {{"job", r.job.value()}}; }
-    Json operator()(const PlannerClaim &r) const { return {{"epoch", r.epoch.value()}, {"address", r.address}}; }
-    Json operator()(const PlannerBeat &r) const { return {{"epoch", r.epoch.value()}}; }
-    Json operator()(const PlannerResigned &r) const { return {{"epoch", r.epoch.value()}}; }
+    Json operator()(const CancelRequested &r) const
+    {
+        return {{"job", r.job.value()}};
+    }
+    Json operator()(const PlannerClaim &r) const
+    {
+        return {{"epoch", r.epoch.value()}, {"address", r.address}};
+    }
+    Json operator()(const PlannerBeat &r) const
+    {
+        return {{"epoch", r.epoch.value()}};
+    }
+    Json operator()(const PlannerResigned &r) const
+    {
+        return {{"epoch", r.epoch.value()}};
+    }
     Json operator()(const Placed &r) const
     {
         Json workers = Json::array();
@@ -59,8 +71,14 @@
         value["guaranteed"] = r.guaranteed;
         return value;
     }
-    Json operator()(const Committed &r) const { return decision(r); }
-    Json operator()(const Started &r) const { return decision(r); }
+    Json operator()(const Committed &r) const
+    {
+        return decision(r);
+    }
+    Json operator()(const Started &r) const
+    {
+        return decision(r);
+    }
     Json operator()(const Released &r) const
     {
         Json value = decision(r);
@@ -106,9 +124,18 @@
         // An empty text stands for an absent optional id.
     }
 
-    ObjectReader &reader() { return m_reader; }
-    std::string text(const char *key) { return m_reader.text(key, Presence::Required).value_or(""); }
-    JobId job() { return JobId(text("job")); }
+    ObjectReader &reader()
+    {
+        return m_reader;
+    }
+    std::string text(const char *key)
+    {
+        return m_reader.text(key, Presence::Required).value_or("");
+    }
+    JobId job()
+    {
+        return JobId(text("job"));
+    }
     Epoch epoch()
     {
         return Epoch(
@@ -128,7 +155,10 @@
     {
         return static_cast<E>(m_reader.integer(key, 0, count - 1, Presence::Required).value_or(0));
     }
-    Millis millis(const char *key) { return Millis(m_reader.integer(key, 0, MAX_MS, Presence::Required).value_or(0)); }
+    Millis millis(const char *key)
+    {
+        return Millis(m_reader.integer(key, 0, MAX_MS, Presence::Required).value_or(0));
+    }
     std::vector<std::string> texts(const char *key)
     {
         std::vector<std::string> list;
@@ -281,10 +311,19 @@
     return record;
 }
 
-const char *toString(ReleaseReason reason) { return RELEASE_NAMES[static_cast<std::size_t>(reason)].data(); }
+const char *toString(ReleaseReason reason)
+{
+    return RELEASE_NAMES[static_cast<std::size_t>(reason)].data();
+}
 
-const char *toString(JobOutcome outcome) { return OUTCOME_NAMES[static_cast<std::size_t>(outcome)].data(); }
+const char *toString(JobOutcome outcome)
+{
+    return OUTCOME_NAMES[static_cast<std::size_t>(outcome)].data();
+}
 
-const char *toString(Standing standing) { return STANDING_NAMES[static_cast<std::size_t>(standing)].data(); }
+const char *toString(Standing standing)
+{
+    return STANDING_NAMES[static_cast<std::size_t>(standing)].data();
+}
 
 } // namespace Papaya
--- a/packages/process/ledger.cpp
+++ b/packages/process/ledger.cpp
@@ -35,7 +35,10 @@
 
 } // namespace
 
-const char *toString(JobState state) { return STATE_NAMES[static_cast<std::size_t>(state)].data(); }
+const char *toString(JobState state)
+{
+    return STATE_NAMES[static_cast<std::size_t>(state)].data();
+}
 
 LedgerVerdict Ledger::apply(const JournalRecord &record, const RecordOrigin &origin)
 {
@@ -450,6 +453,9 @@
     return ledger;
 }
 
-std::string Ledger::digest() const { return sha256Hex(toCbor(toJsonValue())); }
+std::string Ledger::digest() const
+{
+    return sha256Hex(toCbor(toJsonValue()));
+}
 
 } // namespace Papaya
--- a/packages/process/ledger.h
+++ b/packages/process/ledger.h
@@ -46,7 +46,10 @@
     std::string reason;
 
     /** @return true if workers may hold parts of this job. */
-    [[nodiscard]] bool placed() const { return !workers.empty(); }
+    [[nodiscard]] bool placed() const
+    {
+        return !workers.empty();
+    }
 };
 
 /** Who holds the planner's role. */
@@ -85,14 +88,26 @@
     /** @return the job that the team submitted under @p key, or null. */
     [[nodiscard]] const Job *jobByKey(const TeamName &team, const std::string &key) const;
     /** @return every job that is kept. */
-    [[nodiscard]] const std::map<JobId, Job> &jobs() const { return m_jobs; }
+    [[nodiscard]] const std::map<JobId, Job> &jobs() const
+    {
+        return m_jobs;
+    }
     /** @return the jobs that have not ended, in the order of their submission. */
-    [[nodiscard]] const std::set<std::pair<std::uint64_t, JobId>> &active() const { return m_active; }
+    [[nodiscard]] const std::set<std::pair<std::uint64_t, JobId>> &active() const
+    {
+        return m_active;
+    }
     /** @return how many jobs of @p team wait. */
     [[nodiscard]] std::size_t waitingJobs(const TeamName &team) const;
-    [[nodiscard]] const PlannerRole &planner() const { return m_planner; }
+    [[nodiscard]] const PlannerRole &planner() const
+    {
+        return m_planner;
+    }
     [[nodiscard]] Standing standing(const WorkerId &worker) const;
-    [[nodiscard]] const std::map<WorkerId, Standing> &standings() const { return m_standings; }
+    [[nodiscard]] const std::map<WorkerId, Standing> &standings() const
+    {
+        return m_standings;
+    }
 
     /** @return the whole state, from which fromJson() makes an equal ledger. */
     [[nodiscard]] nlohmann::json toJsonValue() const;
--- /dev/null
+++ b/packages/process/membership.cpp
@@ -0,0 +1,212 @@
+#include "process/membership.h"
+
+#include "base/digest.h"
+#include "process/logging.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include <algorithm>
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr Millis PROBE_INTERVAL {250};
+constexpr Millis GOSSIP_INTERVAL {1'000}; // also without any change
+constexpr Millis ANSWER_LIMIT {750};      // a session that is silent for longer is dropped
+constexpr Millis CONNECT_LIMIT {750};
+constexpr Millis RECONNECT_PAUSE {250};
+constexpr Millis MANAGE_INTERVAL {250};
+constexpr Millis PEER_LIFE {2'500};     // a peer not heard from for longer is taken as gone
+constexpr std::size_t MAX_SESSIONS = 8; // opened by one instance; bounds traffic when there are dozens
+constexpr const char *GOSSIP_PATH = "/gossip";
+constexpr const char *CONFIG_PATH = "/config";
+
+} // namespace
+
+Membership::Membership(Asio::io_context &io, InstanceId self, HostDirectory &hosts, ConfigService &config,
+                       MinionPool &minions, std::function<Gossip()> describe, Metrics &metrics)
+    : m_io(io)
+    , m_self(std::move(self))
+    , m_hosts(hosts)
+    , m_config(config)
+    , m_minions(minions)
+    , m_describe(std::move(describe))
+    , m_metrics(metrics)
+    , m_strand(Asio::make_strand(io))
+    , m_lastHeard(Clock::now())
+{
+}
+
+void Membership::start(const Endpoint &address)
+{
+    m_server = PeerServer::listen(m_io, address, *this, m_traffic);
+    Asio::co_spawn(m_strand, manage(*this), Asio::detached);
+}
+
+void Membership::stop()
+{
+    m_stopped = true;
+    if (m_server) {
+        m_server->close();
+    }
+}
+
+std::map<InstanceId, Endpoint> Membership::chosenPeers() const
+{
+    std::map<InstanceId, Endpoint> peers;
+    const auto hosts = m_hosts.hosts();
+    for (std::size_t i = 0; hosts && i < hosts->hosts.size(); ++i) {
+        const Host &host = hosts->hosts[i];
+        if (host.kind == HostKind::Entry && host.id != m_self.value()) {
+            peers[InstanceId(host.id)] = host.address;
+        }
+    }
+    // With more peers than sessions each instance keeps those that rank highest for it; gossip passes on from there.
+    while (peers.size() > MAX_SESSIONS) {
+        const auto rank = [this](const auto &a, const auto &b) {
+            const std::uint64_t seed = stableHash(m_self.value());
+            return stableHash(a.first.value(), seed) < stableHash(b.first.value(), seed);
+        };
+        peers.erase(std::min_element(peers.begin(), peers.end(), rank));
+    }
+    return peers;
+}
+
+Asio::awaitable<void> Membership::manage(Membership &self)
+{
+    const auto executor = co_await Asio::this_coro::executor;
+    while (!self.m_stopped) {
+        for (const auto &[peer, address] : self.chosenPeers()) {
+            const std::lock_guard lock(self.m_mutex);
+            if (self.m_linked.insert(peer).second) {
+                Asio::co_spawn(Asio::make_strand(self.m_io), link(self, peer), Asio::detached);
+            }
+        }
+        co_await sleepFor(MANAGE_INTERVAL);
+    }
+}
+
+Asio::awaitable<void> Membership::link(Membership &self, InstanceId peer)
+{
+    while (!self.m_stopped) {
+        const auto peers = self.chosenPeers();
+        const auto found = peers.find(peer);
+        if (found == peers.end()) {
+            break;
+        }
+        const Endpoint address = found->second;
+        try {
+            const auto session = co_await connectPeer(self.m_io, address, self.m_traffic, Clock::now() + CONNECT_LIMIT);
+            self.m_metrics.count(Counter::PeerSessionsOpened);
+            co_await self.talk(*session, peer);
+        } catch (const PeerError &error) {
+            self.m_metrics.count(Counter::PeerSessionsLost);
+            logEvent(LogLevel::Debug, "peer-lost", {{"peer", peer.value()}, {"error", error.what()}});
+        }
+        co_await sleepFor(RECONNECT_PAUSE);
+    }
+    const std::lock_guard lock(self.m_mutex);
+    self.m_linked.erase(peer);
+}
+
+Asio::awaitable<void> Membership::talk(PeerSession &session, InstanceId peer)
+{
+    const auto executor = co_await Asio::this_coro::executor;
+    Gossip told;
+    TimePoint toldAt;
+    while (!m_stopped && chosenPeers().contains(peer)) {
+        auto configChanged = m_config.changed().subscribe(executor);
+        Gossip own = m_describe();
+        const TimePoint now = Clock::now();
+        // Probes are smaller than gossip, so gossip goes out only when there is something new, or now and then.
+        if (own != told || now - toldAt >= GOSSIP_INTERVAL) {
+            co_await exchangeGossip(session, own);
+            told = std::move(own);
+            toldAt = now;
+        } else {
+            co_await session.ping(now + ANSWER_LIMIT);
+            const std::lock_guard lock(m_mutex);
+            m_lastHeard = Clock::now();
+        }
+        co_await configChanged->wait(now + PROBE_INTERVAL);
+    }
+}
+
+Asio::awaitable<void> Membership::exchangeGossip(PeerSession &session, const Gossip &own)
+{
+    const std::string answer = co_await session.exchange(GOSSIP_PATH, own.toBytes(), Clock::now() + ANSWER_LIMIT);
+    const auto gossip = Gossip::fromBytes(answer);
+    if (!gossip) {
+        throw PeerError("malformed gossip");
+    }
+    take(*gossip);
+    if (gossip->config > m_config.version()) {
+        const std::string record = co_await session.exchange(CONFIG_PATH, "", Clock::now() + ANSWER_LIMIT);
+        m_config.adopt(record);
+    }
+}
+
+void Membership::take(const Gossip &gossip)
+{
+    for (const MinionId &minion : gossip.leaving) {
+        m_minions.markLeaving(minion);
+    }
+    const std::lock_guard lock(m_mutex);
+    const auto known = m_peers.find(gossip.instance);
+    if (known != m_peers.end() && gossip.incarnation < known->second.gossip.incarnation) {
+        return;
+    }
+    m_lastHeard = Clock::now();
+    m_peers[gossip.instance] = {gossip, m_lastHeard};
+}
+
+std::string Membership::onPeerRequest(const std::string &path, const std::string &body)
+{
+    if (path == CONFIG_PATH) {
+        return m_config.recordText();
+    }
+    const auto gossip = Gossip::fromBytes(body);
+    if (path != GOSSIP_PATH || !gossip) {
+        return "";
+    }
+    take(*gossip);
+    return m_describe().toBytes();
+}
+
+std::map<InstanceId, PeerView> Membership::livePeers() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::map<InstanceId, PeerView> live;
+    const TimePoint oldest = Clock::now() - PEER_LIFE;
+    for (const auto &[id, view] : m_peers) {
+        if (view.heardAt >= oldest) {
+            live.emplace(id, view);
+        }
+    }
+    return live;
+}
+
+bool Membership::cutOff(Duration limit) const
+{
+    if (chosenPeers().empty()) {
+        return false;
+    }
+    const std::lock_guard lock(m_mutex);
+    return Clock::now() - m_lastHeard > limit;
+}
+
+Epoch Membership::highestEpoch() const
+{
+    Epoch highest;
+    for (const auto &[id, view] : livePeers()) {
+        highest = std::max(highest, view.gossip.plannerEpoch);
+    }
+    return highest;
+}
+
+} // namespace Papaya
--- a/packages/process/metrics.cpp
+++ b/packages/process/metrics.cpp
@@ -117,11 +117,20 @@
     m_retries[static_cast<std::size_t>(reason)].fetch_add(1, std::memory_order_relaxed);
 }
 
-std::uint64_t Metrics::value(Counter counter) const { return m_counters[static_cast<std::size_t>(counter)]; }
+std::uint64_t Metrics::value(Counter counter) const
+{
+    return m_counters[static_cast<std::size_t>(counter)];
+}
 
-std::uint64_t Metrics::value(Refusal refusal) const { return m_refusals[static_cast<std::size_t>(refusal)]; }
+std::uint64_t Metrics::value(Refusal refusal) const
+{
+    return m_refusals[static_cast<std::size_t>(refusal)];
+}
 
-std::uint64_t Metrics::value(RetryReason reason) const { return m_retries[static_cast<std::size_t>(reason)]; }
+std::uint64_t Metrics::value(RetryReason reason) const
+{
+    return m_retries[static_cast<std::size_t>(reason)];
+}
 
 void Metrics::recordLatency(Urgency urgency, Duration latency)
 {
@@ -153,6 +162,9 @@
     return out.str();
 }
 
-const char *toString(RetryReason reason) { return RETRY_NAMES[static_cast<std::size_t>(reason)]; }
+const char *toString(RetryReason reason)
+{
+    return RETRY_NAMES[static_cast<std::size_t>(reason)];
+}
 
 } // namespace Papaya
--- a/packages/process/minionpool.cpp
+++ b/packages/process/minionpool.cpp
@@ -17,7 +17,9 @@
     if (result.outcome == RunOutcome::Answered) {
         return result.status >= FIRST_FAILURE_STATUS ? RunVerdict::Bad : RunVerdict::Good;
     }
-    return result.failure == RunFailure::Busy ? RunVerdict::Neutral : RunVerdict::Bad;
+    const bool lostConnection = result.failure == RunFailure::Timeout || result.failure == RunFailure::Closed;
+    const bool neutral = result.failure == RunFailure::Busy || (result.keptConnection && lostConnection);
+    return neutral ? RunVerdict::Neutral : RunVerdict::Bad;
 }
 
 } // namespace
@@ -47,7 +49,6 @@
             entries.emplace_back(host.id);
         }
     }
-    m_entries = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(entries.size()));
     m_set.update(minions, entries, m_self);
     std::erase_if(m_leaving, [&](const auto &entry) { return entry.second <= now; });
     for (const auto &[id, until] : m_leaving) {
@@ -97,16 +98,10 @@
     }
 }
 
-SlotCount MinionPool::slots() const
+std::uint32_t MinionPool::slots() const
 {
     const std::lock_guard lock(m_mutex);
-    SlotCount count;
-    count.total = m_set.slots();
-    count.entries = m_entries;
-    const std::uint32_t others = std::min(m_set.slotsOfOthers(Clock::now()), count.total);
-    const std::uint32_t fair = (count.total + m_entries - 1) / m_entries;
-    count.own = std::max(fair, count.total - others);
-    return count;
+    return m_set.slots();
 }
 
 std::size_t MinionPool::size() const
--- a/packages/process/minionpool.h
+++ b/packages/process/minionpool.h
@@ -21,13 +21,6 @@
     Endpoint address;
 };
 
-/** Slots that this instance may count on. */
-struct SlotCount {
-    std::uint32_t total = 0;   ///< of all live minions
-    std::uint32_t own = 0;     ///< that this instance may use now
-    std::uint32_t entries = 1; ///< live entry hosts
-};
-
 /** Choice of minions and bookkeeping of runs. */
 class MinionPool
 {
@@ -49,7 +42,8 @@
     /** Counts the end of a run. */
     void finish(const MinionId &id, const RunResult &result);
 
-    [[nodiscard]] SlotCount slots() const;
+    /** @return slots of all live minions. */
+    [[nodiscard]] std::uint32_t slots() const;
     [[nodiscard]] std::size_t size() const;
     [[nodiscard]] std::size_t ejected() const;
 
@@ -60,7 +54,6 @@
     MinionSet m_set;
     std::unordered_map<MinionId, Endpoint> m_addresses;
     std::unordered_map<MinionId, TimePoint> m_leaving; ///< until when their own word holds
-    std::uint32_t m_entries = 1;
 };
 
 } // namespace Papaya
--- a/packages/process/planner.cpp
+++ b/packages/process/planner.cpp
@@ -55,11 +55,13 @@
 } // namespace
 
 Planner::Planner(Asio::io_context &io, Journal &journal, ConfigService &config, HostDirectory &hosts,
-                 WorkerClient &client, std::string peerAddress, Millis retention, Metrics &metrics)
+                 WorkerClient &client, std::function<bool()> isolated, std::string peerAddress, Millis retention,
+                 Metrics &metrics)
     : m_journal(journal)
     , m_config(config)
     , m_hosts(hosts)
     , m_client(client)
+    , m_isolated(std::move(isolated))
     , m_peerAddress(std::move(peerAddress))
     , m_retention(retention)
     , m_metrics(metrics)
@@ -69,7 +71,10 @@
 {
 }
 
-void Planner::start() { Asio::co_spawn(m_strand, loop(*this), Asio::detached); }
+void Planner::start()
+{
+    Asio::co_spawn(m_strand, loop(*this), Asio::detached);
+}
 
 void Planner::stop()
 {
@@ -95,7 +100,10 @@
     return role.holder == m_journal.instance() && role.incarnation == m_journal.incarnation() && !role.resigned;
 }
 
-bool Planner::inCharge(Epoch epoch) const { return m_active && !m_stopped && epoch == m_epoch; }
+bool Planner::inCharge(Epoch epoch) const
+{
+    return m_active && !m_stopped && epoch == m_epoch;
+}
 
 void Planner::superseded()
 {
@@ -103,7 +111,9 @@
     m_mustVerifySince = Clock::now();
 }
 
-void Planner::partEnded(const WorkerId & /*worker*/, const JobId & /*job*/, bool /*succeeded*/) {}
+void Planner::partEnded(const WorkerId & /*worker*/, const JobId & /*job*/, bool /*succeeded*/)
+{
+}
 
 Asio::awaitable<void> Planner::tick()
 {
@@ -136,7 +146,10 @@
     // 3. Plans.
     beat();
     co_await raiseWorkers();
-    m_book.refresh(m_epoch);
+    // An isolated planner lets the leases lapse, because a new one counts on that.
+    if (!m_isolated()) {
+        m_book.refresh(m_epoch);
+    }
     stopCancelled();
     plan();
     m_lastTick = Clock::now();
--- a/packages/process/planner.h
+++ b/packages/process/planner.h
@@ -7,6 +7,7 @@
 #include "process/scheduler.h"
 #include "process/taskbook.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -32,8 +33,9 @@
 class Planner : public GangOwner
 {
 public:
+    /** @param isolated tells whether another planner may exist that this instance cannot hear of */
     Planner(Asio::io_context &io, Journal &journal, ConfigService &config, HostDirectory &hosts, WorkerClient &client,
-            std::string peerAddress, Millis retention, Metrics &metrics);
+            std::function<bool()> isolated, std::string peerAddress, Millis retention, Metrics &metrics);
 
     void start();
     /** Hands the role over and stops planning; gangs run on. */
@@ -75,6 +77,7 @@
     ConfigService &m_config;
     HostDirectory &m_hosts;
     WorkerClient &m_client;
+    std::function<bool()> m_isolated;
     const std::string m_peerAddress;
     const Millis m_retention;
     Metrics &m_metrics;
--- a/packages/process/requestservice.cpp
+++ b/packages/process/requestservice.cpp
@@ -27,8 +27,9 @@
 constexpr Millis MIN_ATTEMPT {50};
 constexpr Millis MIN_HEDGE_DELAY {5};
 constexpr int ATTEMPT_P95_FACTOR = 4;
-constexpr Millis BUSY_PAUSE {3};      // before the minions are tried again after all that were tried were busy
-constexpr std::size_t BUSY_TRIES = 3; // minions tried between two pauses
+constexpr Millis BUSY_PAUSE {3};         // before the minions are tried again after all that were tried were busy
+constexpr std::size_t BUSY_TRIES = 3;    // busy minions tried between two pauses
+constexpr std::size_t MAX_LOST_KEPT = 2; // retries of a request that lost kept connections pay for
 constexpr int FIRST_FAILURE_STATUS = 500;
 
 RetryReason toRetryReason(RunFailure failure)
@@ -68,6 +69,11 @@
 }
 
 struct RequestService::Race {
+    struct FinishedRun {
+        RunResult result;
+        Duration time {0};
+    };
+
     explicit Race(Asio::any_io_executor strand)
         : executor(std::move(strand))
         , waiter(Waiter::create(executor))
@@ -76,9 +82,11 @@
 
     Asio::any_io_executor executor;
     std::shared_ptr<Waiter> waiter; ///< replaced before each wait
-    std::vector<RunResult> finished;
+    std::vector<FinishedRun> finished;
     std::size_t pending = 0;
     std::set<MinionId> tried;
+    std::size_t busyTries = 0;
+    std::size_t lostKept = 0;       ///< runs that were lost with a kept connection
     std::optional<RunResult> worst; ///< what is told if nothing better comes
 };
 
@@ -333,7 +341,13 @@
     }
     race->tried.insert(minion->id);
     ++race->pending;
-    RunRequest run {context.id, context.templateName, context.contentType, context.body, context.work->idempotent};
+    RunRequest run;
+    run.id = context.id;
+    run.templateName = context.templateName;
+    run.contentType = context.contentType;
+    run.body = context.body;
+    run.idempotent = context.work->idempotent;
+    run.freshConnection = race->lostKept > 0;
     Asio::co_spawn(race->executor, runOnce(*this, race, *minion, std::move(run), deadline), Asio::detached);
     return true;
 }
@@ -341,14 +355,15 @@
 Asio::awaitable<void> RequestService::runOnce(RequestService &self, std::shared_ptr<Race> race, ChosenMinion minion,
                                               RunRequest run, TimePoint deadline)
 {
+    const TimePoint begin = Clock::now();
     RunResult result = co_await self.m_client.run(minion.address, std::move(run), deadline);
     self.m_minions.finish(minion.id, result);
     --race->pending;
-    race->finished.push_back(std::move(result));
+    race->finished.push_back({std::move(result), Clock::now() - begin});
     race->waiter->notify();
 }
 
-bool RequestService::mayRetry(const Context &context, const RunResult &result, TimePoint now)
+bool RequestService::mayRetry(const Context &context, Race &race, const RunResult &result, TimePoint now)
 {
     const bool safe = context.work->idempotent || result.outcome == RunOutcome::NotRun;
     if (!safe) {
@@ -359,7 +374,12 @@
         m_metrics.count(RetryReason::DeniedByDeadline);
         return false;
     }
-    if (result.failure != RunFailure::Busy) {
+    // A busy minion has done nothing, and a connection that went silent while it was kept is no failure of a minion, so
+    // neither is paid for from the budget.
+    const bool lostKept = result.keptConnection && result.outcome == RunOutcome::Unknown
+                          && result.failure != RunFailure::CrossedAnswer && race.lostKept < MAX_LOST_KEPT;
+    race.lostKept += lostKept ? 1U : 0U;
+    if (result.failure != RunFailure::Busy && !lostKept) {
         const std::lock_guard lock(m_mutex);
         if (!m_templates[context.templateName].retries.spend()) {
             m_metrics.count(RetryReason::DeniedByBudget);
@@ -370,6 +390,22 @@
     return true;
 }
 
+Asio::awaitable<bool> RequestService::retry(const Context &context, const std::shared_ptr<Race> &race,
+                                            RunFailure failure)
+{
+    const bool busy = failure == RunFailure::Busy;
+    const bool pause = busy && ++race->busyTries % BUSY_TRIES == 0;
+    if (!pause && launch(context, race, attemptDeadline(context, Clock::now()))) {
+        co_return true;
+    }
+    // Every minion has been tried. A busy one may have room a moment later, and a failing one beats none.
+    race->tried.clear();
+    if (busy) {
+        co_await sleepFor(BUSY_PAUSE);
+    }
+    co_return Clock::now() < context.deadline &&launch(context, race, attemptDeadline(context, Clock::now()));
+}
+
 Asio::awaitable<RequestService::Ending> RequestService::runWithRetries(Context &context)
 {
     Ending ending;
@@ -384,7 +420,6 @@
         co_return ending;
     }
     std::optional<TimePoint> hedgeAt = hedgeTime(context, begin);
-    std::size_t busyTries = 0;
     bool mayHaveRun = false;
     while (true) {
         // 1. Waits for a run to end, or for the time of a hedge.
@@ -411,28 +446,25 @@
             }
             continue;
         }
-        RunResult result = std::move(race->finished.back());
+        RunResult result = std::move(race->finished.back().result);
+        const Duration runTime = race->finished.back().time;
         race->finished.pop_back();
         // 2. A good answer ends the request, whichever run it came from.
         if (isGoodAnswer(result)) {
-            learn(context, now - begin);
+            learn(context, runTime);
             ending.answer = {result.status, std::move(result.contentType), std::move(result.body)};
             co_return ending;
         }
         mayHaveRun |= result.outcome != RunOutcome::NotRun;
         // 3. Otherwise another minion is tried if that is safe, in time and within the budget.
-        bool retry = mayRetry(context, result, now);
-        if (retry && result.failure == RunFailure::Busy && ++busyTries % BUSY_TRIES == 0) {
-            co_await sleepFor(BUSY_PAUSE);
-            race->tried.clear();
-        }
-        if (retry) {
-            retry = launch(context, race, attemptDeadline(context, Clock::now()));
+        bool again = mayRetry(context, *race, result, now);
+        if (again) {
+            again = co_await retry(context, race, result.failure);
         }
         if (!race->worst || result.outcome == RunOutcome::Answered) {
             race->worst = std::move(result);
         }
-        if (retry || race->pending > 0 || !race->finished.empty()) {
+        if (again || race->pending > 0 || !race->finished.empty()) {
             continue;
         }
         // 4. Nothing is left to wait for. A failing answer of a minion is an answer all the same.
--- a/packages/process/requestservice.h
+++ b/packages/process/requestservice.h
@@ -69,7 +69,8 @@
     static Asio::awaitable<void> runOnce(RequestService &self, std::shared_ptr<Race> race, ChosenMinion minion,
                                          RunRequest run, TimePoint deadline);
     bool launch(const Context &context, const std::shared_ptr<Race> &race, TimePoint deadline);
-    bool mayRetry(const Context &context, const RunResult &result, TimePoint now);
+    bool mayRetry(const Context &context, Race &race, const RunResult &result, TimePoint now);
+    Asio::awaitable<bool> retry(const Context &context, const std::shared_ptr<Race> &race, RunFailure failure);
     TimePoint attemptDeadline(const Context &context, TimePoint now);
     std::optional<TimePoint> hedgeTime(const Context &context, TimePoint now);
     Duration expectedTime(const Context &context);
--- a/packages/process/snapshotstore.h
+++ b/packages/process/snapshotstore.h
@@ -46,7 +46,10 @@
     void add(SnapshotChunk chunk);
 
     /** @return the newest complete snapshot, if there is one. */
-    [[nodiscard]] const std::optional<Snapshot> &newest() const { return m_newest; }
+    [[nodiscard]] const std::optional<Snapshot> &newest() const
+    {
+        return m_newest;
+    }
 
 private:
     std::vector<SnapshotChunk> m_open; ///< chunks of the snapshots being read, a few writers at most
--- a/packages/process/streamtail.h
+++ b/packages/process/streamtail.h
@@ -63,7 +63,10 @@
     [[nodiscard]] bool verifiedSince(TimePoint since) const;
 
     /** @return the broadcast that is notified after each read that applied something or caught up. */
-    Broadcast &progress() { return m_progress; }
+    Broadcast &progress()
+    {
+        return m_progress;
+    }
 
 private:
     using Strand = Asio::strand<Asio::io_context::executor_type>;
--- a/packages/process/streamwriter.cpp
+++ b/packages/process/streamwriter.cpp
@@ -42,7 +42,10 @@
 {
 }
 
-void StreamWriter::start() { Asio::co_spawn(m_strand, run(shared_from_this()), Asio::detached); }
+void StreamWriter::start()
+{
+    Asio::co_spawn(m_strand, run(shared_from_this()), Asio::detached);
+}
 
 void StreamWriter::stop()
 {
--- a/packages/process/taskbook.h
+++ b/packages/process/taskbook.h
@@ -52,7 +52,10 @@
     void clear();
 
     [[nodiscard]] const HeldTask *find(const TaskId &id) const;
-    [[nodiscard]] std::size_t size() const { return m_tasks.size(); }
+    [[nodiscard]] std::size_t size() const
+    {
+        return m_tasks.size();
+    }
 
     /** Notes what a worker said of a task. */
     void note(const TaskReport &report);
@@ -64,10 +67,16 @@
     [[nodiscard]] bool silent(const HeldTask &task, TimePoint now) const;
 
     /** @return true if a worker has seen a higher epoch than the one it was sent. */
-    [[nodiscard]] bool superseded() const { return m_superseded; }
+    [[nodiscard]] bool superseded() const
+    {
+        return m_superseded;
+    }
 
     /** @return the broadcast that is notified when a task's state has changed. */
-    Broadcast &changed() { return m_changed; }
+    Broadcast &changed()
+    {
+        return m_changed;
+    }
 
 private:
     struct WorkerState {
--- a/packages/request/admission.cpp
+++ b/packages/request/admission.cpp
@@ -12,11 +12,17 @@
 
 constexpr std::size_t KEPT_IDLE_CALLERS = 1024; // per team and band; bounds memory under many callers
 
-double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
 
 } // namespace
 
-void FifoAdmission::configure(const AdmissionSetup &setup) { m_setup = setup; }
+void FifoAdmission::configure(const AdmissionSetup &setup)
+{
+    m_setup = setup;
+}
 
 EnqueueResult FifoAdmission::enqueue(const Ticket &ticket, TimePoint /*now*/)
 {
@@ -41,7 +47,7 @@
     if (now >= ticket.deadline) {
         return Dequeued {ticket.id, Refusal::DeadlinePassed};
     }
-    m_inProgress.insert(ticket.id);
+    m_inProgress.emplace(ticket.id, ticket.team);
     return Dequeued {ticket.id, std::nullopt};
 }
 
@@ -50,11 +56,32 @@
     std::erase_if(m_queue, [id](const Ticket &ticket) { return ticket.id == id; });
 }
 
-void FifoAdmission::finish(TicketId id) { m_inProgress.erase(id); }
+void FifoAdmission::finish(TicketId id)
+{
+    m_inProgress.erase(id);
+}
+
+std::size_t FifoAdmission::queued() const
+{
+    return m_queue.size();
+}
 
-std::size_t FifoAdmission::queued() const { return m_queue.size(); }
+std::size_t FifoAdmission::inProgress() const
+{
+    return m_inProgress.size();
+}
 
-std::size_t FifoAdmission::inProgress() const { return m_inProgress.size(); }
+TeamDemand FifoAdmission::demand() const
+{
+    TeamDemand demand;
+    for (const Ticket &ticket : m_queue) {
+        ++demand[ticket.team];
+    }
+    for (const auto &[id, team] : m_inProgress) {
+        ++demand[team];
+    }
+    return demand;
+}
 
 FairAdmission::FairAdmission(CallerFairness fairness)
     : m_fairness(fairness)
@@ -69,7 +96,10 @@
     }
 }
 
-FairAdmission::TeamState &FairAdmission::teamState(const TeamName &name) { return m_teams[name]; }
+FairAdmission::TeamState &FairAdmission::teamState(const TeamName &name)
+{
+    return m_teams[name];
+}
 
 CallerName FairAdmission::queueName(const Ticket &ticket) const
 {
@@ -347,8 +377,26 @@
     return dispatch(pickTeam(*band), *band, now);
 }
 
-std::size_t FairAdmission::queued() const { return m_waiting.size(); }
+std::size_t FairAdmission::queued() const
+{
+    return m_waiting.size();
+}
+
+std::size_t FairAdmission::inProgress() const
+{
+    return m_inProgress.size();
+}
 
-std::size_t FairAdmission::inProgress() const { return m_inProgress.size(); }
+TeamDemand FairAdmission::demand() const
+{
+    TeamDemand demand;
+    for (const auto &[name, team] : m_teams) {
+        const auto count = static_cast<std::uint32_t>(team.queued) + team.inProgress;
+        if (count > 0) {
+            demand[name] = count;
+        }
+    }
+    return demand;
+}
 
 } // namespace Papaya
--- a/packages/request/admission.h
+++ b/packages/request/admission.h
@@ -49,6 +49,9 @@
     std::map<TeamName, TeamShare> teams;
 };
 
+/** Requests by team. */
+using TeamDemand = std::map<TeamName, std::uint32_t>;
+
 /** Result of asking for a slot. */
 struct EnqueueResult {
     /** Set if the request was refused. */
@@ -82,6 +85,8 @@
 
     [[nodiscard]] virtual std::size_t queued() const = 0;
     [[nodiscard]] virtual std::size_t inProgress() const = 0;
+    /** @return requests of each team that wait or are in progress. */
+    [[nodiscard]] virtual TeamDemand demand() const = 0;
 };
 
 /** First in, first out over all teams and urgencies; the baseline. */
@@ -95,11 +100,12 @@
     void finish(TicketId id) override;
     [[nodiscard]] std::size_t queued() const override;
     [[nodiscard]] std::size_t inProgress() const override;
+    [[nodiscard]] TeamDemand demand() const override;
 
 private:
     AdmissionSetup m_setup;
     std::deque<Ticket> m_queue;
-    std::set<TicketId> m_inProgress;
+    std::map<TicketId, TeamName> m_inProgress;
 };
 
 /** Whether callers of one team share its slots fairly, or only teams among each other. */
@@ -121,6 +127,7 @@
     void finish(TicketId id) override;
     [[nodiscard]] std::size_t queued() const override;
     [[nodiscard]] std::size_t inProgress() const override;
+    [[nodiscard]] TeamDemand demand() const override;
 
 private:
     using QueueKey = std::pair<TimePoint, TicketId>;
--- a/packages/request/claimtable.cpp
+++ b/packages/request/claimtable.cpp
@@ -40,7 +40,10 @@
         value["body"] = Json::binary(std::vector<std::uint8_t>(body.begin(), body.end()));
         return value;
     }
-    Json operator()(const ClaimRelease &record) const { return keyFields(record.key, record.request); }
+    Json operator()(const ClaimRelease &record) const
+    {
+        return keyFields(record.key, record.request);
+    }
 };
 
 } // namespace
--- a/packages/request/claimtable.h
+++ b/packages/request/claimtable.h
@@ -89,7 +89,10 @@
     /** @return what is known about @p key, or null. */
     [[nodiscard]] const Claim *find(const ClaimKey &key) const;
 
-    [[nodiscard]] std::size_t size() const { return m_claims.size(); }
+    [[nodiscard]] std::size_t size() const
+    {
+        return m_claims.size();
+    }
 
 private:
     bool on(const ClaimRecord &record, std::int64_t timeMs);
--- a/packages/request/gangmachine.cpp
+++ b/packages/request/gangmachine.cpp
@@ -96,7 +96,10 @@
 class Compiled : public Base
 {
 public:
-    Compiled() { m_machine.start(); }
+    Compiled()
+    {
+        m_machine.start();
+    }
 
     void process(GangEvent event) override
     {
@@ -164,10 +167,19 @@
     return action();
 }
 
-GangState GangMachine::state() const { return m_machine->state(); }
+GangState GangMachine::state() const
+{
+    return m_machine->state();
+}
 
-GangAction GangMachine::action() const { return ACTIONS[static_cast<std::size_t>(state())]; }
+GangAction GangMachine::action() const
+{
+    return ACTIONS[static_cast<std::size_t>(state())];
+}
 
-const char *toString(GangState state) { return STATE_NAMES[static_cast<std::size_t>(state)]; }
+const char *toString(GangState state)
+{
+    return STATE_NAMES[static_cast<std::size_t>(state)];
+}
 
 } // namespace Papaya
--- a/packages/request/latencyestimate.cpp
+++ b/packages/request/latencyestimate.cpp
@@ -23,8 +23,14 @@
     m_p95 = sorted[used * 95 / 100];
 }
 
-Duration LatencyEstimate::median(Duration fallback) const { return m_count < REFRESH ? fallback : m_median; }
+Duration LatencyEstimate::median(Duration fallback) const
+{
+    return m_count < REFRESH ? fallback : m_median;
+}
 
-Duration LatencyEstimate::p95(Duration fallback) const { return m_count < REFRESH ? fallback : m_p95; }
+Duration LatencyEstimate::p95(Duration fallback) const
+{
+    return m_count < REFRESH ? fallback : m_p95;
+}
 
 } // namespace Papaya
--- a/packages/request/minionchoice.cpp
+++ b/packages/request/minionchoice.cpp
@@ -171,15 +171,6 @@
     return total;
 }
 
-std::uint32_t MinionSet::slotsOfOthers(TimePoint now) const
-{
-    std::uint32_t total = 0;
-    for (const auto &[id, state] : m_minions) {
-        total += now - state.reportedAt < REPORT_LIFE ? state.others : 0;
-    }
-    return total;
-}
-
 std::size_t MinionSet::ejected(TimePoint now) const
 {
     const auto out = [now](const auto &entry) { return now < entry.second.ejectedUntil; };
--- a/packages/request/minionchoice.h
+++ b/packages/request/minionchoice.h
@@ -101,9 +101,10 @@
 
     /** @return slots of the minions that may be used. */
     [[nodiscard]] std::uint32_t slots() const;
-    /** @return slots that other instances had in use, as far as minions reported it. */
-    [[nodiscard]] std::uint32_t slotsOfOthers(TimePoint now) const;
-    [[nodiscard]] std::size_t size() const { return m_minions.size(); }
+    [[nodiscard]] std::size_t size() const
+    {
+        return m_minions.size();
+    }
     [[nodiscard]] std::size_t ejected(TimePoint now) const;
 
 private:
--- a/packages/request/refusal.cpp
+++ b/packages/request/refusal.cpp
@@ -36,7 +36,10 @@
 
 } // namespace
 
-const RefusalInfo &infoOf(Refusal refusal) { return INFOS[static_cast<std::size_t>(refusal)]; }
+const RefusalInfo &infoOf(Refusal refusal)
+{
+    return INFOS[static_cast<std::size_t>(refusal)];
+}
 
 const char *toString(Outcome outcome)
 {
--- a/packages/request/retrybudget.h
+++ b/packages/request/retrybudget.h
@@ -19,7 +19,10 @@
     }
 
     /** Counts a success. */
-    void earn() { m_tokens = m_tokens + m_share < m_reserve ? m_tokens + m_share : m_reserve; }
+    void earn()
+    {
+        m_tokens = m_tokens + m_share < m_reserve ? m_tokens + m_share : m_reserve;
+    }
 
     /** @return true if a retry may be sent; it is then paid for. */
     bool spend()
--- a/packages/version/configstate.cpp
+++ b/packages/version/configstate.cpp
@@ -54,7 +54,10 @@
     return toJson(document);
 }
 
-ConfigVerdict ConfigState::refuse(std::string reason) const { return {false, m_version, std::move(reason)}; }
+ConfigVerdict ConfigState::refuse(std::string reason) const
+{
+    return {false, m_version, std::move(reason)};
+}
 
 ConfigVerdict ConfigState::apply(std::string_view text)
 {
--- a/packages/version/configstate.h
+++ b/packages/version/configstate.h
@@ -51,11 +51,20 @@
      */
     ConfigVerdict apply(std::string_view text);
 
-    [[nodiscard]] ConfigVersion version() const { return m_version; }
+    [[nodiscard]] ConfigVersion version() const
+    {
+        return m_version;
+    }
     /** @return the configuration in force, or null before the first. */
-    [[nodiscard]] const FleetConfigPtr &config() const { return m_config; }
+    [[nodiscard]] const FleetConfigPtr &config() const
+    {
+        return m_config;
+    }
     /** @return the record in force; its renewal is what keeps the version from ageing out. */
-    [[nodiscard]] const ConfigRecord &record() const { return m_record; }
+    [[nodiscard]] const ConfigRecord &record() const
+    {
+        return m_record;
+    }
 
 private:
     ConfigVerdict refuse(std::string reason) const;
--- a/packages/version/fleetconfig.cpp
+++ b/packages/version/fleetconfig.cpp
@@ -174,7 +174,10 @@
 
 } // namespace
 
-const char *toString(Urgency urgency) { return URGENCY_NAMES[static_cast<std::size_t>(urgency)].data(); }
+const char *toString(Urgency urgency)
+{
+    return URGENCY_NAMES[static_cast<std::size_t>(urgency)].data();
+}
 
 std::uint32_t Team::guaranteedSlots() const
 {
--- a/packages/version/fleetconfig.h
+++ b/packages/version/fleetconfig.h
@@ -94,10 +94,19 @@
     /** @return true if @p token opens the team, or the team is open. */
     [[nodiscard]] static bool opens(const Team &team, const std::string &token);
 
-    [[nodiscard]] const std::map<TeamName, Team> &teams() const { return m_teams; }
-    [[nodiscard]] const std::map<TemplateName, Template> &templates() const { return m_templates; }
+    [[nodiscard]] const std::map<TeamName, Team> &teams() const
+    {
+        return m_teams;
+    }
+    [[nodiscard]] const std::map<TemplateName, Template> &templates() const
+    {
+        return m_templates;
+    }
     /** @return percent of contended capacity kept for each urgency. */
-    [[nodiscard]] const std::array<std::uint32_t, URGENCY_COUNT> &floors() const { return m_floors; }
+    [[nodiscard]] const std::array<std::uint32_t, URGENCY_COUNT> &floors() const
+    {
+        return m_floors;
+    }
 
 private:
     FleetConfig() = default;
--- a/packages/version/shape.cpp
+++ b/packages/version/shape.cpp
@@ -14,7 +14,10 @@
 
 } // namespace
 
-const char *toString(Adjacency adjacency) { return ADJACENCY_NAMES[static_cast<std::size_t>(adjacency)].data(); }
+const char *toString(Adjacency adjacency)
+{
+    return ADJACENCY_NAMES[static_cast<std::size_t>(adjacency)].data();
+}
 
 std::optional<Shape> readShape(const nlohmann::json &value, const std::string &path, Errors &errors)
 {
--- a/packages/version/shape.h
+++ b/packages/version/shape.h
@@ -26,7 +26,10 @@
     bool operator==(const Shape &) const = default;
 
     /** @return accelerators of the whole gang. */
-    [[nodiscard]] std::int64_t totalGpus() const { return part.gpus * parts; }
+    [[nodiscard]] std::int64_t totalGpus() const
+    {
+        return part.gpus * parts;
+    }
 };
 
 /** @return the word for @p adjacency in configuration and messages. */
--- a/tests/integration/atmostonce.cpp
+++ b/tests/integration/atmostonce.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <signal.h>
+
 // A non-idempotent request runs at most once, whatever fails.
 
 namespace Papaya::Testing
@@ -10,6 +12,25 @@
 namespace
 {
 
+using Call = std::pair<Endpoint, HttpRequest>;
+
+Call keyedCall(const Cluster &cluster, std::size_t instance, const std::string &key)
+{
+    HttpRequest request {"POST", "/v1/requests/book-table", {}, "body of " + key};
+    request.fields.set(Field::TEAM, "bookings");
+    request.fields.set(Field::IDEMPOTENCY_KEY, key);
+    return {cluster.callers(instance), request};
+}
+
+void setDelay(Cluster &cluster, std::int64_t delayMs)
+{
+    Standins::MinionFaults faults;
+    faults.delayMs = delayMs;
+    for (const auto &minion : cluster.minions) {
+        minion->setFaults(faults);
+    }
+}
+
 TEST(AtMostOnce, AnswersARepeatedKeyAtAnotherInstanceWithTheKeptAnswer)
 {
     Cluster cluster;
@@ -24,6 +45,171 @@
     EXPECT_EQ(422, cluster.request(1, "book-table", "table 8", "key-1").status);
 }
 
+TEST(AtMostOnce, RunsEachKeyOnceWhenCallersRepeatItEverywhereAtOnce)
+{
+    ClusterOptions options;
+    options.instances = 3;
+    Cluster cluster(options);
+    cluster.start(sampleConfig());
+    std::vector<Call> calls;
+    for (std::size_t key = 0; key < 30; ++key) {
+        for (std::size_t instance = 0; instance < 3; ++instance) {
+            calls.push_back(keyedCall(cluster, instance, "key-" + std::to_string(key)));
+        }
+    }
+    const auto answers = cluster.callAll(calls, Millis(6'000));
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        EXPECT_EQ(200, answers[i].status) << answers[i].body;
+        EXPECT_EQ(answers[i - i % 3].body, answers[i].body);
+        EXPECT_EQ(1U, cluster.runsOfBody(calls[i].second.body));
+    }
+}
+
+TEST(AtMostOnce, DoesNotRepeatARunWhoseMinionDiedAfterRunning)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    Standins::MinionFaults faults;
+    faults.dieAfterRun = 20;
+    for (const auto &minion : cluster.minions) {
+        minion->setFaults(faults);
+    }
+    std::vector<Call> calls;
+    for (std::size_t i = 0; i < 100; ++i) {
+        HttpRequest request {"POST", "/v1/requests/book-table", {}, "unkeyed " + std::to_string(i)};
+        request.fields.set(Field::TEAM, "bookings");
+        calls.emplace_back(cluster.callers(i % 2), request);
+        calls.push_back(keyedCall(cluster, i % 2, "key-" + std::to_string(i)));
+    }
+    const auto answers = cluster.callAll(calls, Millis(6'000));
+    std::size_t unknown = 0;
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        EXPECT_LE(cluster.runsOfBody(calls[i].second.body), 1U);
+        unknown += answers[i].outcome() == "unknown" ? 1U : 0U;
+    }
+    EXPECT_EQ(60U, unknown);
+}
+
+TEST(AtMostOnce, DoesNotRunAKeyAgainWhoseInstanceWasKilled)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    setDelay(cluster, 600);
+    std::vector<Call> calls;
+    for (std::size_t i = 0; i < 10; ++i) {
+        calls.push_back(keyedCall(cluster, 0, "key-" + std::to_string(i)));
+    }
+    std::thread killer([&] {
+        Cluster::eventually([&] { return cluster.runsOfBody("body of key-0") > 0; });
+        cluster.instances[0]->kill();
+    });
+    cluster.callAll(calls, Millis(3'000));
+    killer.join();
+    // At once and again later, at the other instance: the outcome cannot be known, and nothing runs twice.
+    for (int round = 0; round < 2; ++round) {
+        for (Call &call : calls) {
+            call.first = cluster.callers(1);
+            call.second.fields.set(Field::DEADLINE_MS, "500");
+        }
+        for (const Answer &answer : cluster.callAll(calls, Millis(3'000))) {
+            EXPECT_TRUE(answer.status == 200 || answer.outcome() == "unknown") << answer.status << answer.body;
+        }
+    }
+    for (const Call &call : calls) {
+        EXPECT_LE(cluster.runsOfBody(call.second.body), 1U);
+    }
+}
+
+TEST(AtMostOnce, HoldsWhenTheLogLosesAnswersAfterTakingEffect)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    Standins::LogFaults faults;
+    faults.loseAnswers = 6;
+    cluster.log.setFaults(faults);
+    std::vector<Call> calls;
+    for (std::size_t i = 0; i < 40; ++i) {
+        calls.push_back(keyedCall(cluster, i % 2, "key-" + std::to_string(i / 2)));
+    }
+    for (const Answer &answer : cluster.callAll(calls, Millis(6'000))) {
+        EXPECT_EQ(200, answer.status) << answer.body;
+    }
+    for (const Call &call : calls) {
+        EXPECT_EQ(1U, cluster.runsOfBody(call.second.body));
+    }
+}
+
+TEST(AtMostOnce, GivesAKeyBackThatWasClaimedButNeverForwarded)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    // Answers to appends come too late for the first caller; the claim takes effect all the same.
+    Standins::LogFaults faults;
+    faults.silent = true;
+    cluster.log.setFaults(faults);
+    Call call = keyedCall(cluster, 0, "key-1");
+    call.second.fields.set(Field::DEADLINE_MS, "700");
+    const Answer refused = cluster.call(call.first, call.second);
+    EXPECT_EQ("not-run", refused.outcome()) << refused.body;
+    cluster.log.setFaults({});
+    EXPECT_EQ(0U, cluster.runsOfBody("body of key-1"));
+    const Call again = keyedCall(cluster, 1, "key-1");
+    EXPECT_TRUE(Cluster::eventually([&] { return cluster.call(again.first, again.second).status == 200; }));
+    EXPECT_EQ(1U, cluster.runsOfBody("body of key-1"));
+}
+
+TEST(AtMostOnce, HoldsWhenAnInstanceIsFrozenPastEveryLimitAndResumed)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    setDelay(cluster, 150);
+    std::vector<Call> calls;
+    for (std::size_t i = 0; i < 20; ++i) {
+        calls.push_back(keyedCall(cluster, 0, "key-" + std::to_string(i)));
+    }
+    std::thread freezer([&] {
+        std::this_thread::sleep_for(Millis(60));
+        cluster.instances[0]->signal(SIGSTOP);
+    });
+    std::thread callers([&] { cluster.callAll(calls, Millis(8'000)); });
+    freezer.join();
+    std::vector<Call> repeats = calls;
+    for (Call &call : repeats) {
+        call.first = cluster.callers(1);
+    }
+    // The repeats outlast the first callers' deadlines.
+    cluster.callAll(repeats, Millis(5'000));
+    cluster.instances[0]->signal(SIGCONT);
+    callers.join();
+    cluster.callAll(repeats, Millis(5'000));
+    for (const Call &call : calls) {
+        EXPECT_LE(cluster.runsOfBody(call.second.body), 1U);
+    }
+}
+
+TEST(AtMostOnce, SurvivesARestartOfAllInstances)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    const Answer first = cluster.request(0, "book-table", "table 9", "key-9");
+    ASSERT_EQ(200, first.status);
+    // The outcome is in the log once the other instance knows it.
+    ASSERT_EQ(200, cluster.request(1, "book-table", "table 9", "key-9").status);
+    for (const auto &instance : cluster.instances) {
+        instance->kill();
+    }
+    for (std::size_t i = 0; i < cluster.instances.size(); ++i) {
+        cluster.startInstance(i);
+    }
+    Answer again;
+    EXPECT_TRUE(Cluster::eventually([&] {
+        again = cluster.request(1, "book-table", "table 9", "key-9");
+        return again.status == 200;
+    }));
+    EXPECT_EQ(first.body, again.body);
+    EXPECT_EQ(1U, cluster.runsOfBody("table 9"));
+}
+
 } // namespace
 
 } // namespace Papaya::Testing
--- a/tests/integration/cluster.cpp
+++ b/tests/integration/cluster.cpp
@@ -26,12 +26,23 @@
 constexpr unsigned THREADS = 3;
 constexpr Millis POLL {20};
 
-/** @return a port of the loopback address that was free a moment ago. */
+/** @return an address whose port is free, below the range from which outgoing connections take theirs. */
 Endpoint freeEndpoint(Asio::io_context &io)
 {
-    const Asio::ip::tcp::endpoint any(Asio::ip::address_v4::loopback(), 0);
-    Asio::ip::tcp::acceptor acceptor(io, any);
-    return {"127.0.0.1", acceptor.local_endpoint().port()};
+    constexpr unsigned FIRST_PORT = 20'000;
+    constexpr unsigned PORTS = 12'000;
+    constexpr unsigned PORTS_PER_PROCESS = 397;
+    static std::atomic<unsigned> next {static_cast<unsigned>(::getpid()) * PORTS_PER_PROCESS};
+    while (true) {
+        const auto port = static_cast<std::uint16_t>(FIRST_PORT + next++ % PORTS);
+        Asio::ip::tcp::acceptor acceptor(io);
+        boost::system::error_code error;
+        acceptor.open(Asio::ip::tcp::v4());
+        acceptor.bind({Asio::ip::address_v4::loopback(), port}, error);
+        if (!error) {
+            return {"127.0.0.1", port};
+        }
+    }
 }
 
 Asio::awaitable<Answer> exchange(HttpPool &pool, Endpoint endpoint, HttpRequest request, Millis limit)
@@ -58,7 +69,10 @@
 {
 }
 
-InstanceProcess::~InstanceProcess() { kill(); }
+InstanceProcess::~InstanceProcess()
+{
+    kill();
+}
 
 void InstanceProcess::start()
 {
@@ -99,7 +113,10 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
 
-Json Answer::json() const { return Json::parse(body, nullptr, false); }
+Json Answer::json() const
+{
+    return Json::parse(body, nullptr, false);
+}
 
 Cluster::Cluster(ClusterOptions options)
     : m_options(std::move(options))
@@ -215,7 +232,10 @@
     hosts.set(host);
 }
 
-void Cluster::startInstance(std::size_t index) { instances[index]->start(); }
+void Cluster::startInstance(std::size_t index)
+{
+    instances[index]->start();
+}
 
 void Cluster::start(const Json &config)
 {
--- a/tests/integration/cluster.h
+++ b/tests/integration/cluster.h
@@ -38,8 +38,14 @@
     void kill();
     /** Waits for the end. @return the exit code, or nothing if it still runs at the limit */
     std::optional<int> waitForEnd(Millis limit);
-    [[nodiscard]] bool running() const { return m_pid > 0; }
-    [[nodiscard]] int pid() const { return m_pid; }
+    [[nodiscard]] bool running() const
+    {
+        return m_pid > 0;
+    }
+    [[nodiscard]] int pid() const
+    {
+        return m_pid;
+    }
 
 private:
     std::string m_settingsPath;
@@ -55,8 +61,14 @@
     Duration time {0};
 
     [[nodiscard]] Json json() const;
-    [[nodiscard]] std::string outcome() const { return fields.get(Field::OUTCOME); }
-    [[nodiscard]] std::string reason() const { return fields.get(Field::REASON); }
+    [[nodiscard]] std::string outcome() const
+    {
+        return fields.get(Field::OUTCOME);
+    }
+    [[nodiscard]] std::string reason() const
+    {
+        return fields.get(Field::REASON);
+    }
 };
 
 /** Sizes and proxies of a cluster. */
@@ -116,8 +128,14 @@
     static Host hostOf(const Standins::MinionStandin &minion, const Endpoint &address);
     Host hostOf(const Standins::WorkerStandin &worker, std::size_t index) const;
 
-    [[nodiscard]] Endpoint callers(std::size_t instance) const { return m_callers[instance]; }
-    [[nodiscard]] Endpoint admin(std::size_t instance) const { return m_admin[instance]; }
+    [[nodiscard]] Endpoint callers(std::size_t instance) const
+    {
+        return m_callers[instance];
+    }
+    [[nodiscard]] Endpoint admin(std::size_t instance) const
+    {
+        return m_admin[instance];
+    }
 
     Asio::io_context io;
     Standins::LogStandin log;
--- /dev/null
+++ b/tests/integration/truth.cpp
@@ -0,0 +1,223 @@
+#include "cluster.h"
+
+#include <gtest/gtest.h>
+
+// Every caller gets the whole answer to its own request or the truth about why not.
+
+namespace Papaya::Testing
+{
+
+namespace
+{
+
+using Call = std::pair<Endpoint, HttpRequest>;
+
+Call makeCall(const Cluster &cluster, std::size_t instance, const std::string &work, const std::string &body)
+{
+    HttpRequest request {"POST", "/v1/requests/" + work, {}, body};
+    request.fields.set(Field::TEAM, "bookings");
+    return {cluster.callers(instance), request};
+}
+
+std::vector<Call> makeCalls(const Cluster &cluster, const std::string &work, std::size_t count)
+{
+    std::vector<Call> calls;
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::string body = work + " body " + std::to_string(i) + std::string(i % 700, 'x');
+        calls.push_back(makeCall(cluster, i % cluster.instances.size(), work, body));
+    }
+    return calls;
+}
+
+/** Checks each answer against the call it belongs to and against the minions' records. */
+void expectTruth(const Cluster &cluster, const std::vector<Call> &calls, const std::vector<Answer> &answers)
+{
+    std::map<std::string, std::size_t> runs;
+    for (const auto &minion : cluster.minions) {
+        for (const Standins::MinionRun &run : minion->runs()) {
+            ++runs[run.request];
+        }
+    }
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        const Answer &answer = answers[i];
+        const std::string id = answer.fields.get(Field::REQUEST);
+        if (answer.status == 200) {
+            EXPECT_EQ(calls[i].second.body, answer.json().value("echo", ""));
+            EXPECT_EQ(id, answer.json().value("request", ""));
+            EXPECT_GE(runs[id], 1U);
+        } else if (answer.outcome() == "not-run") {
+            EXPECT_EQ(0U, runs[id]) << answer.body;
+        }
+    }
+}
+
+/** @return how often each reason was given, for the message of a failed check. */
+std::string describe(const std::vector<Answer> &answers)
+{
+    std::map<std::string, std::size_t> counts;
+    for (const Answer &answer : answers) {
+        ++counts[std::to_string(answer.status) + " " + answer.reason()];
+    }
+    return Json(counts).dump();
+}
+
+std::size_t countStatus(const std::vector<Answer> &answers, int status)
+{
+    return static_cast<std::size_t>(
+        std::count_if(answers.begin(), answers.end(), [status](const Answer &a) { return a.status == status; }));
+}
+
+TEST(Truth, GivesEachOfManyCallersItsOwnAnswerUnderCrossedLateAndCutAnswers)
+{
+    ClusterOptions options;
+    options.proxyMinions = true;
+    Cluster cluster(options);
+    cluster.start(sampleConfig());
+    Standins::MinionFaults faults;
+    faults.delayMs = 10;
+    faults.jitterMs = 20;
+    faults.crossAnswers = 10;
+    faults.dieAfterRun = 10;
+    faults.lateAnswers = 5;
+    for (const auto &minion : cluster.minions) {
+        minion->setFaults(faults);
+    }
+    cluster.minionProxies[0]->cutAnswersAfter(5'000);
+    const auto calls = makeCalls(cluster, "phone-check", 400);
+    const auto answers = cluster.callAll(calls, Millis(5'000));
+    expectTruth(cluster, calls, answers);
+    // The retries, within their budget, make up for most of the faults.
+    EXPECT_GE(countStatus(answers, 200), 320U) << describe(answers);
+    EXPECT_EQ(0U, countStatus(answers, 0));
+}
+
+TEST(Truth, RunsNothingThatItRefusedAsNotRun)
+{
+    ClusterOptions options;
+    options.minions = 2;
+    options.slots = 2;
+    options.proxyMinions = true;
+    Cluster cluster(options);
+    Json config = sampleConfig();
+    config["teams"]["bookings"]["limits"] = {{"queued", 40}, {"inFlight", 4}};
+    cluster.start(config);
+    Standins::MinionFaults faults;
+    faults.delayMs = 60;
+    for (const auto &minion : cluster.minions) {
+        minion->setFaults(faults);
+    }
+    // An overload of work that may run once only, while one minion dies and comes back at another time.
+    const auto calls = makeCalls(cluster, "book-table", 500);
+    std::thread killer([&] {
+        std::this_thread::sleep_for(Millis(150));
+        cluster.minionProxies[1]->setRefuse(true);
+        cluster.minionProxies[1]->cutOpen();
+        std::this_thread::sleep_for(Millis(300));
+        cluster.minionProxies[1]->setRefuse(false);
+    });
+    const auto answers = cluster.callAll(calls, Millis(8'000));
+    killer.join();
+    expectTruth(cluster, calls, answers);
+    EXPECT_GT(countStatus(answers, 200), 20U) << describe(answers);
+    EXPECT_GT(countStatus(answers, 429) + countStatus(answers, 503), 50U);
+    for (const Call &call : calls) {
+        EXPECT_LE(cluster.runsOfBody(call.second.body), 1U);
+    }
+}
+
+TEST(Truth, RecoversWithinTheDeadlineWhenOpenConnectionsToMinionsGoSilent)
+{
+    ClusterOptions options;
+    options.proxyMinions = true;
+    Cluster cluster(options);
+    cluster.start(sampleConfig());
+    cluster.callAll(makeCalls(cluster, "phone-check", 60), Millis(5'000));
+    for (const auto &proxy : cluster.minionProxies) {
+        proxy->silenceOpen();
+    }
+    const auto calls = makeCalls(cluster, "phone-check", 40);
+    const auto answers = cluster.callAll(calls, Millis(3'000));
+    EXPECT_EQ(40U, countStatus(answers, 200)) << describe(answers);
+    expectTruth(cluster, calls, answers);
+}
+
+TEST(Truth, RecoversWhenConnectionsToMinionsAreHalfOpen)
+{
+    ClusterOptions options;
+    options.proxyMinions = true;
+    Cluster cluster(options);
+    cluster.start(sampleConfig());
+    cluster.callAll(makeCalls(cluster, "phone-check", 60), Millis(5'000));
+    for (const auto &proxy : cluster.minionProxies) {
+        proxy->halfOpen();
+    }
+    const auto answers = cluster.callAll(makeCalls(cluster, "phone-check", 40), Millis(3'000));
+    EXPECT_EQ(40U, countStatus(answers, 200)) << describe(answers);
+}
+
+TEST(Truth, RecoversWhenOpenConnectionsToTheLogGoSilent)
+{
+    ClusterOptions options;
+    options.proxyLog = true;
+    Cluster cluster(options);
+    cluster.start(sampleConfig());
+    ASSERT_EQ(200, cluster.request(0, "book-table", "before", "key-before").status);
+    cluster.logProxies[0]->silenceOpen();
+    EXPECT_EQ(200, cluster.request(0, "book-table", "after", "key-after").status);
+    EXPECT_EQ(202, cluster.submitJob(0, "small-study", Json::object()).status);
+}
+
+TEST(Truth, ServesUnkeyedRequestsWhileTheLogIsOut)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    Standins::LogFaults faults;
+    faults.outage = true;
+    cluster.log.setFaults(faults);
+    EXPECT_EQ(200, cluster.request(0, "phone-check", "a").status);
+    EXPECT_EQ(200, cluster.request(1, "book-table", "b").status);
+    const Answer keyed = cluster.request(0, "book-table", "c", "key-c");
+    EXPECT_EQ(503, keyed.status);
+    EXPECT_EQ("not-run", keyed.outcome());
+    EXPECT_EQ("log-out", keyed.reason());
+    EXPECT_EQ(0U, cluster.runsOfBody("c"));
+    cluster.log.setFaults({});
+    EXPECT_EQ(200, cluster.request(1, "book-table", "c", "key-c").status);
+    EXPECT_EQ(1U, cluster.runsOfBody("c"));
+}
+
+TEST(Truth, RefusesBadInputWithACodeAndHarmsNothing)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    const auto post = [&](const std::string &path, const std::string &body, const std::string &team) {
+        HttpRequest request {"POST", path, {}, body};
+        request.fields.set(Field::TEAM, team);
+        return cluster.call(cluster.callers(0), request);
+    };
+    EXPECT_EQ(401, post("/v1/requests/phone-check", "x", "nobody").status);
+    EXPECT_EQ(404, post("/v1/requests/no-such", "x", "bookings").status);
+    EXPECT_EQ(404, post("/v1/requests/phone-check", "x", "archive").status);
+    EXPECT_EQ(400, post("/v1/requests/route-plan", "x", "bookings").status);
+    EXPECT_EQ(404, post("/no/such/path", "x", "bookings").status);
+    EXPECT_EQ(413, post("/v1/requests/phone-check", std::string(2'000'000, 'x'), "bookings").status);
+    EXPECT_EQ(400, post("/v1/jobs", "{", "bookings").status);
+    EXPECT_EQ(400, post("/v1/jobs", std::string(50'000, '['), "bookings").status);
+    EXPECT_EQ(400, post("/v1/jobs", R"({"template": 7})", "bookings").status);
+    EXPECT_EQ(422, post("/v1/jobs", R"({"template": "too-large"})", "bookings").status);
+    const Answer undeclared =
+        post("/v1/jobs", R"({"template": "route-plan", "parameters": {"depot": "x", "dept": "y"}})", "bookings");
+    EXPECT_EQ(400, undeclared.status);
+    EXPECT_EQ("parameters.dept", undeclared.json()["error"]["path"]);
+    const Answer mistyped = post("/v1/jobs", R"({"template": "route-plan", "parameters": {"depot": 7}})", "bookings");
+    EXPECT_EQ("parameters.depot", mistyped.json()["error"]["path"]);
+    HttpRequest deadline {"POST", "/v1/requests/phone-check", {}, "x"};
+    deadline.fields.set(Field::TEAM, "bookings");
+    deadline.fields.set(Field::DEADLINE_MS, "-5");
+    EXPECT_EQ(400, cluster.call(cluster.callers(0), deadline).status);
+    EXPECT_EQ(200, cluster.request(0, "phone-check", "still served").status);
+}
+
+} // namespace
+
+} // namespace Papaya::Testing
--- a/tests/property/parsers.cpp
+++ b/tests/property/parsers.cpp
@@ -31,7 +31,7 @@
         "teams",   "templates", "t",       "job",    "team",     "epoch",   "claim",  "submitted", "shape",
         "parts",   "gpus",      "w",       "n",      "i",        "s",       "p",      "id",        "kind",
         "request", "urgent",    "version", "config", "replaces", "records", "offset", "data",      ""});
-    const auto leaf =
+    auto leaf =
         rc::gen::oneOf(rc::gen::map(word, [](std::string text) { return Json(std::move(text)); }),
                        rc::gen::map(rc::gen::arbitrary<std::int64_t>(), [](auto n) { return Json(n); }),
                        rc::gen::map(rc::gen::inRange(0, 9), [](int n) { return Json(n); }),
--- a/tests/standins/faultproxy.cpp
+++ b/tests/standins/faultproxy.cpp
@@ -85,7 +85,10 @@
     std::atomic<bool> m_silent {false};
     std::atomic<bool> m_refuse {false};
     std::atomic<std::uint64_t> m_accepted {0};
-    Asio::strand<Asio::io_context::executor_type> strand() { return m_strand; }
+    Asio::strand<Asio::io_context::executor_type> strand()
+    {
+        return m_strand;
+    }
 
 private:
     static Asio::awaitable<void> accept(std::shared_ptr<State> self)
@@ -187,18 +190,30 @@
 {
 }
 
-FaultProxy::~FaultProxy() { m_state->close(); }
+FaultProxy::~FaultProxy()
+{
+    m_state->close();
+}
 
-Endpoint FaultProxy::address() const { return m_state->m_address; }
+Endpoint FaultProxy::address() const
+{
+    return m_state->m_address;
+}
 
-void FaultProxy::setDelay(Millis delay) { m_state->m_delayMs = delay.count(); }
+void FaultProxy::setDelay(Millis delay)
+{
+    m_state->m_delayMs = delay.count();
+}
 
 void FaultProxy::silenceOpen()
 {
     m_state->onEach([](State::Link &link) { link.silent = true; });
 }
 
-void FaultProxy::setSilent(bool silent) { m_state->m_silent = silent; }
+void FaultProxy::setSilent(bool silent)
+{
+    m_state->m_silent = silent;
+}
 
 void FaultProxy::halfOpen()
 {
@@ -210,10 +225,19 @@
     Asio::post(m_state->strand(), [state = m_state] { state->cutAll(); });
 }
 
-void FaultProxy::cutAnswersAfter(std::int64_t bytes) { m_state->m_cutAfter = bytes; }
+void FaultProxy::cutAnswersAfter(std::int64_t bytes)
+{
+    m_state->m_cutAfter = bytes;
+}
 
-void FaultProxy::setRefuse(bool refuse) { m_state->m_refuse = refuse; }
+void FaultProxy::setRefuse(bool refuse)
+{
+    m_state->m_refuse = refuse;
+}
 
-std::uint64_t FaultProxy::accepted() const { return m_state->m_accepted; }
+std::uint64_t FaultProxy::accepted() const
+{
+    return m_state->m_accepted;
+}
 
 } // namespace Papaya::Standins
--- a/tests/standins/logstandin.h
+++ b/tests/standins/logstandin.h
@@ -44,7 +44,10 @@
     struct Stream {
         std::uint64_t start = 0;
         std::deque<Record> records;
-        [[nodiscard]] std::uint64_t end() const { return start + records.size(); }
+        [[nodiscard]] std::uint64_t end() const
+        {
+            return start + records.size();
+        }
     };
 
     void expire(Stream &stream) const;
--- a/tests/standins/minionstandin.h
+++ b/tests/standins/minionstandin.h
@@ -40,8 +40,14 @@
     [[nodiscard]] MinionFaults faults() const;
     [[nodiscard]] std::vector<MinionRun> runs() const;
     void forgetRuns();
-    [[nodiscard]] const std::string &id() const { return m_id; }
-    [[nodiscard]] std::uint32_t slots() const { return m_slots; }
+    [[nodiscard]] const std::string &id() const
+    {
+        return m_id;
+    }
+    [[nodiscard]] std::uint32_t slots() const
+    {
+        return m_slots;
+    }
     /** @return the most runs that were in progress at one time. */
     [[nodiscard]] std::uint32_t peak() const;
 
--- a/tests/standins/standinserver.cpp
+++ b/tests/standins/standinserver.cpp
@@ -41,7 +41,10 @@
     m_address = m_server->address();
 }
 
-void StandinServer::close() { m_server.reset(); }
+void StandinServer::close()
+{
+    m_server.reset();
+}
 
 Asio::awaitable<HttpResponse> StandinServer::handle(HttpRequest request)
 {
--- a/tests/standins/standinserver.h
+++ b/tests/standins/standinserver.h
@@ -36,7 +36,10 @@
     /** Closes the listener and every connection, as a killed host would. */
     void close();
 
-    [[nodiscard]] Endpoint address() const { return m_address; }
+    [[nodiscard]] Endpoint address() const
+    {
+        return m_address;
+    }
 
     Asio::awaitable<HttpResponse> handle(HttpRequest request) override;
 
--- a/tests/standins/workerstandin.cpp
+++ b/tests/standins/workerstandin.cpp
@@ -11,7 +11,10 @@
 constexpr std::int64_t FAIL_AFTER_MS = 20;
 constexpr std::size_t KEPT_REPORTS = 400;
 
-bool ended(const std::string &state) { return state == "succeeded" || state == "failed" || state == "stopped"; }
+bool ended(const std::string &state)
+{
+    return state == "succeeded" || state == "failed" || state == "stopped";
+}
 
 } // namespace
 
@@ -142,7 +145,10 @@
     return false;
 }
 
-Asio::awaitable<HttpResponse> WorkerStandin::serve(HttpRequest request) { co_return dispatch(request); }
+Asio::awaitable<HttpResponse> WorkerStandin::serve(HttpRequest request)
+{
+    co_return dispatch(request);
+}
 
 HttpResponse WorkerStandin::dispatch(const HttpRequest &request)
 {
--- a/tests/standins/workerstandin.h
+++ b/tests/standins/workerstandin.h
@@ -43,8 +43,14 @@
     [[nodiscard]] std::uint64_t epoch() const;
     /** @return commands that were refused because of an older epoch. */
     [[nodiscard]] std::uint64_t staleCommands() const;
-    [[nodiscard]] const std::string &id() const { return m_id; }
-    [[nodiscard]] const Resources &capacity() const { return m_capacity; }
+    [[nodiscard]] const std::string &id() const
+    {
+        return m_id;
+    }
+    [[nodiscard]] const Resources &capacity() const
+    {
+        return m_capacity;
+    }
     /** Ends every task, as the host's death does. */
     void loseTasks();
 
