--- a/packages/connection/workerclient.cpp
+++ b/packages/connection/workerclient.cpp
@@ -67,6 +67,13 @@
     throw HttpError(FailureStage::Exchange, FailureKind::Malformed, what);
 }
 
+std::string checkpointIn(const std::string &body)
+{
+    const auto document = parseJson(body);
+    Errors errors;
+    return document ? ObjectReader(*document, "", errors).text("checkpoint").value_or("") : std::string();
+}
+
 class HttpWorkerClient : public WorkerClient
 {
 public:
@@ -89,13 +96,19 @@
         co_return toResult(co_await post(worker, "/v1/tasks", prepareBody(epoch, spec), deadline), epoch);
     }
 
-    Asio::awaitable<CommandResult> command(Endpoint worker, Epoch epoch, TaskId task, TaskCommand command,
-                                           TimePoint deadline) override
+    Asio::awaitable<CommandReply> command(Endpoint worker, Epoch epoch, TaskId task, TaskCommand command,
+                                          TimePoint deadline) override
     {
         const std::string verb(COMMAND_NAMES[static_cast<std::size_t>(command)]);
         const std::string target =
             "/v1/tasks/" + task.job.value() + "/" + std::to_string(task.part.value()) + "/" + verb;
-        co_return toResult(co_await post(worker, target, epochBody(epoch), deadline), epoch);
+        const HttpResponse response = co_await post(worker, target, epochBody(epoch), deadline);
+        CommandReply reply;
+        reply.result = toResult(response, epoch);
+        if (command == TaskCommand::Checkpoint && reply.result == CommandResult::Done) {
+            reply.checkpoint = checkpointIn(response.body);
+        }
+        co_return reply;
     }
 
     Asio::awaitable<std::optional<std::vector<TaskId>>> renew(Endpoint worker, Epoch epoch, Millis lease,
--- a/packages/connection/workerclient.h
+++ b/packages/connection/workerclient.h
@@ -62,6 +62,12 @@
     NoRoom,
 };
 
+/** A worker's answer to an order. */
+struct CommandReply {
+    CommandResult result = CommandResult::Refused;
+    std::string checkpoint; ///< of an order to take one, if the worker names it at once
+};
+
 /** Orders a worker takes for one task. */
 enum class TaskCommand { Run, Stop, Checkpoint, Throttle };
 
@@ -77,8 +83,8 @@
     /** Prepares and holds a task under a first lease. */
     virtual Asio::awaitable<CommandResult> prepare(Endpoint worker, Epoch epoch, TaskSpec spec, TimePoint deadline) = 0;
     /** Gives an order for one task. */
-    virtual Asio::awaitable<CommandResult> command(Endpoint worker, Epoch epoch, TaskId task, TaskCommand command,
-                                                   TimePoint deadline) = 0;
+    virtual Asio::awaitable<CommandReply> command(Endpoint worker, Epoch epoch, TaskId task, TaskCommand command,
+                                                  TimePoint deadline) = 0;
     /** Renews leases. @return the tasks whose leases had lapsed, or nothing if the epoch is stale. */
     virtual Asio::awaitable<std::optional<std::vector<TaskId>>>
     renew(Endpoint worker, Epoch epoch, Millis lease, std::vector<TaskId> tasks, TimePoint deadline) = 0;
--- a/packages/process/adminapi.cpp
+++ b/packages/process/adminapi.cpp
@@ -183,6 +183,7 @@
     status["log"] = {{"config", describeTail(m_context.config.tail())},
                      {"journal", describeTail(m_context.journal.tail())},
                      {"claims", describeTail(m_context.claims.tail())}};
+    status["guaranteesBroken"] = planner.brokenGuarantees;
     Json instances = Json::object();
     for (const auto &[instance, version] : m_context.versions()) {
         instances[instance.value()] = version.value();
--- a/packages/process/gangrunner.cpp
+++ b/packages/process/gangrunner.cpp
@@ -19,7 +19,7 @@
 constexpr Millis RUN_LIMIT {800}; // within the short lease that the parts hold at that time
 constexpr Millis STOP_LIMIT {500};
 constexpr Millis STOP_RETRY_PAUSE {300};
-constexpr Millis CHECKPOINT_GRACE {600};
+constexpr Millis CHECKPOINT_GRACE {1'000};
 constexpr Millis WATCH_INTERVAL {200};
 constexpr Millis LEASE_MARGIN {300};      // for a worker whose clock runs slower
 constexpr std::uint32_t MAX_FAILURES = 3; // attempts that may end by a failed part
@@ -160,7 +160,7 @@
     const TimePoint sent = Clock::now();
     try {
         // The worker may take the task even if its answer is lost, so the lease is entered before the call.
-        m_book.hold(spec.id, host.worker, host.address, LeaseMode::Short, sent);
+        m_book.hold(spec.id, host.worker, host.address, LeaseMode::Short, sent, m_attempt.attempt > 1);
         results[part] = co_await m_client.prepare(host.address, m_attempt.epoch, spec, sent + PREPARE_LIMIT);
     } catch (const HttpError &) {
         results[part] = CommandResult::Refused;
@@ -213,8 +213,13 @@
 {
     const PartHost &host = m_attempt.parts[part];
     try {
-        results[part] =
-            co_await m_client.command(host.address, m_attempt.epoch, taskOf(part), command, Clock::now() + limit);
+        const TimePoint deadline = Clock::now() + limit;
+        const CommandReply reply =
+            co_await m_client.command(host.address, m_attempt.epoch, taskOf(part), command, deadline);
+        results[part] = reply.result;
+        if (!reply.checkpoint.empty()) {
+            m_book.noteCheckpoint(taskOf(part), reply.checkpoint);
+        }
     } catch (const HttpError &) {
         results[part].reset();
     }
@@ -236,7 +241,8 @@
     for (std::size_t part = 0; part < results.size(); ++part) {
         if (results[part] != CommandResult::Done) {
             m_metrics.count(Counter::GangStartsAborted);
-            breakOff(ReleaseReason::StartFailed);
+            m_owner.partEnded(m_attempt.parts[part].worker, m_attempt.spec.job, false);
+            breakOff(ReleaseReason::StartFailed, m_attempt.parts[part].worker);
             co_return GangEvent::Broken;
         }
     }
@@ -336,7 +342,7 @@
     const TimePoint until = Clock::now() + CHECKPOINT_GRACE;
     co_await forEachPart(
         [&](std::size_t part) { return commandPart(part, TaskCommand::Checkpoint, CHECKPOINT_GRACE, results); });
-    // The checkpoints show up in the workers' reports.
+    // A worker that does not name its checkpoint at once shows it in its reports.
     const auto hasCheckpoint = [&](std::size_t part) {
         const HeldTask *task = m_book.find(taskOf(part));
         return task == nullptr || !task->checkpoint.empty();
--- /dev/null
+++ b/packages/process/guaranteescheduling.cpp
@@ -0,0 +1,619 @@
+#include "process/guaranteescheduling.h"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr std::array<std::int64_t, URGENCY_COUNT> VICTIM_WEIGHT {64, 8, 1};
+constexpr std::int64_t VICTIM_BASE_MS = 60'000; // cost of a restart, whatever work is lost
+constexpr std::int64_t MS_PER_HOUR = 3'600'000;
+constexpr std::int64_t CRUMB_DIVISOR = 4; // a crumb has at most this part of the gang that it is moved for
+
+/** @return what stopping @p gang costs: the work that is lost, weighed by its urgency. */
+std::int64_t victimCost(const RunningGang &gang, std::int64_t nowMs)
+{
+    const std::int64_t ranMs = std::max<std::int64_t>(0, nowMs - gang.startedMs);
+    const std::int64_t lostMs = gang.restart == RestartRule::Checkpoint ? 0 : ranMs;
+    const std::int64_t gpus = std::max<std::int64_t>(1, gang.shape.totalGpus());
+    return VICTIM_WEIGHT[static_cast<std::size_t>(gang.urgency)] * (VICTIM_BASE_MS + lostMs) * gpus;
+}
+
+/** Waiting gangs that are ordered among each other by their submission alone. */
+struct QueueKey {
+    Urgency urgency = Urgency::Normal;
+    TeamName team;
+    CallerName caller;
+
+    auto operator<=>(const QueueKey &) const = default;
+};
+
+/** A shape for which no room was found, and the shortest run time with which it was tried. */
+struct FailedShape {
+    Shape shape;
+    std::int64_t runMs = 0;
+};
+
+/** Workers that could be had for a gang, and the gangs that would have to go. */
+struct ReclaimOption {
+    PartWorkers workers;
+    std::set<std::size_t> victims; ///< indices into the running gangs
+    std::int64_t cost = 0;
+};
+
+} // namespace
+
+/** The state of one pass. */
+struct GuaranteeScheduling::Pass {
+    explicit Pass(const PlanningView &planningView)
+        : view(planningView)
+        , free(occupiedFleet(planningView))
+        , reclaimable(planningView.fleet)
+    {
+        for (std::size_t i = 0; i < view.running.size(); ++i) {
+            const RunningGang &gang = view.running[i];
+            if (!gang.preemptible()) {
+                reclaimable.takeAll(gang.workers, gang.shape.part);
+            }
+            for (const WorkerIndex worker : gang.workers) {
+                gangsOf[worker].insert(i);
+            }
+            countUse(gang.urgency, gang.team, gang.caller, gang.shape.totalGpus());
+        }
+    }
+
+    void countUse(Urgency urgency, const TeamName &team, const CallerName &caller, std::int64_t gpus)
+    {
+        usedGpus[static_cast<std::size_t>(urgency)] += gpus;
+        teamGpus[team] += gpus;
+        callerGpus[{team, caller}] += gpus;
+    }
+
+    /** @return true if the guarantees that nothing uses can still be had with @p workers taken for good. */
+    [[nodiscard]] bool keepsGuarantees(const PartWorkers &workers, const Resources &part) const
+    {
+        FleetModel fleet = reclaimable;
+        fleet.takeAll(workers, part);
+        const std::size_t broken = assignGuarantees(fleet, unused).broken.size();
+        return broken == 0 || broken <= assignGuarantees(reclaimable, unused).broken.size();
+    }
+
+    /** @return the share that decides between two queues of a band. */
+    [[nodiscard]] double teamShare(const TeamName &team) const
+    {
+        const auto weight = view.weights.find(team);
+        const auto used = teamGpus.find(team);
+        const double divisor = weight == view.weights.end() ? 1.0 : weight->second;
+        return used == teamGpus.end() ? 0.0 : static_cast<double>(used->second) / divisor;
+    }
+
+    /** @return true if queue @p a is served before queue @p b. */
+    [[nodiscard]] bool before(const QueueKey &a, const QueueKey &b) const
+    {
+        if (a.urgency != b.urgency) {
+            const auto use = [&](Urgency urgency) {
+                const auto band = static_cast<std::size_t>(urgency);
+                return static_cast<double>(usedGpus[band] + 1) / std::max(1U, view.floors[band]);
+            };
+            return use(a.urgency) < use(b.urgency);
+        }
+        if (a.team != b.team) {
+            const double shareA = teamShare(a.team);
+            const double shareB = teamShare(b.team);
+            return shareA != shareB ? shareA < shareB : a.team < b.team;
+        }
+        const auto callerUse = [&](const QueueKey &key) {
+            const auto used = callerGpus.find({key.team, key.caller});
+            return used == callerGpus.end() ? 0 : used->second;
+        };
+        const std::int64_t useA = callerUse(a);
+        const std::int64_t useB = callerUse(b);
+        return useA != useB ? useA < useB : a.caller < b.caller;
+    }
+
+    /** @return true if a gang that needs no more than @p gang has found no room in this pass. */
+    [[nodiscard]] bool knownToFail(const WaitingGang &gang) const
+    {
+        return std::any_of(failed.begin(), failed.end(), [&](const FailedShape &entry) {
+            return entry.shape == gang.shape && gang.runMs >= entry.runMs;
+        });
+    }
+
+    const PlanningView &view;
+    FleetModel free;                                      ///< what nothing holds
+    FleetModel reclaimable;                               ///< what is free or held by work that may be stopped
+    std::map<WorkerIndex, std::set<std::size_t>> gangsOf; ///< indices into view.running
+    std::vector<GuaranteedGang> unused;                   ///< guaranteed gangs that nothing uses
+    std::vector<const WaitingGang *> borrowers;
+    std::vector<Reservation> reservations;
+    std::vector<FailedShape> failed;
+    std::set<std::size_t> stopped; ///< indices into view.running
+    std::array<std::int64_t, URGENCY_COUNT> usedGpus {};
+    std::map<TeamName, std::int64_t> teamGpus;
+    std::map<std::pair<TeamName, CallerName>, std::int64_t> callerGpus;
+    ScheduleDecision decision;
+};
+
+GuaranteeScheduling::GuaranteeScheduling(GuaranteeSchedulingLimits limits)
+    : m_limits(limits)
+    , m_moveTokens(static_cast<double>(limits.movesPerHour))
+{
+}
+
+ScheduleDecision GuaranteeScheduling::plan(const PlanningView &view)
+{
+    Pass pass(view);
+    const double hours = static_cast<double>(view.nowMs - m_lastPassMs) / static_cast<double>(MS_PER_HOUR);
+    const double budget = static_cast<double>(m_limits.movesPerHour);
+    m_moveTokens = std::min(budget, m_moveTokens + std::max(0.0, hours * budget));
+    m_lastPassMs = view.nowMs;
+    keepHolds(pass);
+    matchGuarantees(pass);
+    placeBorrowing(pass);
+    pass.decision.brokenGuarantees = assignGuarantees(pass.reclaimable, pass.unused).broken;
+    return std::move(pass.decision);
+}
+
+void GuaranteeScheduling::accept(Pass &pass, const WaitingGang &gang, PartWorkers workers, bool guaranteed)
+{
+    pass.free.takeAll(workers, gang.shape.part);
+    if (guaranteed || gang.restart == RestartRule::Never) {
+        pass.reclaimable.takeAll(workers, gang.shape.part);
+    }
+    pass.countUse(gang.urgency, gang.team, gang.caller, gang.shape.totalGpus());
+    m_holds.erase(gang.job);
+    pass.decision.placements.push_back({gang.job, std::move(workers), guaranteed});
+}
+
+void GuaranteeScheduling::wait(Pass &pass, const WaitingGang &gang, WaitCause cause, std::int64_t startMs)
+{
+    pass.decision.waits.push_back({gang.job, cause, startMs});
+}
+
+void GuaranteeScheduling::keepHolds(Pass &pass)
+{
+    std::map<JobId, const WaitingGang *> waiting;
+    for (const WaitingGang &gang : pass.view.waiting) {
+        waiting[gang.job] = &gang;
+    }
+    for (auto entry = m_holds.begin(); entry != m_holds.end();) {
+        Hold &hold = entry->second;
+        const auto gang = waiting.find(entry->first);
+        hold.workers.clear();
+        for (const WorkerId &id : hold.ids) {
+            const auto index = pass.view.fleet.find(id);
+            if (index && pass.view.fleet.usable(*index)) {
+                hold.workers.push_back(*index);
+            }
+        }
+        const bool lost = hold.workers.size() != hold.ids.size();
+        const bool old = pass.view.nowMs - hold.sinceMs > m_limits.holdMs;
+        if (gang == waiting.end() || lost || old) {
+            entry = m_holds.erase(entry);
+            continue;
+        }
+        // What is kept counts as taken; the gang gets it once everything that it needs there is free.
+        pass.free.takeAll(hold.workers, gang->second->shape.part);
+        if (hold.guaranteed) {
+            pass.reclaimable.takeAll(hold.workers, gang->second->shape.part);
+        }
+        ++entry;
+    }
+}
+
+void GuaranteeScheduling::hold(Pass &pass, const WaitingGang &gang, PartWorkers workers, bool guaranteed)
+{
+    pass.free.takeAll(workers, gang.shape.part);
+    if (guaranteed) {
+        pass.reclaimable.takeAll(workers, gang.shape.part);
+    }
+    Hold kept;
+    for (const WorkerIndex worker : workers) {
+        kept.ids.push_back(pass.view.fleet.id(worker));
+    }
+    kept.workers = std::move(workers);
+    kept.sinceMs = pass.view.nowMs;
+    kept.guaranteed = guaranteed;
+    m_holds[gang.job] = std::move(kept);
+}
+
+bool GuaranteeScheduling::takeHeld(Pass &pass, const WaitingGang &gang, bool guaranteed)
+{
+    const Hold &kept = m_holds.at(gang.job);
+    const PartWorkers workers = kept.workers;
+    // The hold itself is taken already, so the gang fits if nothing there is overdrawn.
+    const bool ready =
+        std::none_of(workers.begin(), workers.end(), [&](WorkerIndex worker) { return pass.free.overdrawn(worker); });
+    if (!ready) {
+        wait(pass, gang, WaitCause::Reclaiming);
+        return false;
+    }
+    pass.free.giveAll(workers, gang.shape.part);
+    if (kept.guaranteed) {
+        pass.reclaimable.giveAll(workers, gang.shape.part);
+    }
+    accept(pass, gang, workers, guaranteed);
+    return true;
+}
+
+void GuaranteeScheduling::matchGuarantees(Pass &pass)
+{
+    // 1. Gangs that run within a guarantee use it up.
+    std::vector<TeamGuarantee> left = pass.view.guarantees;
+    const auto use = [&](const TeamName &team, const Shape &shape) -> const TeamGuarantee * {
+        for (TeamGuarantee &guarantee : left) {
+            if (guarantee.team == team && guarantee.count > 0 && usesGuarantee(shape, guarantee.shape)) {
+                --guarantee.count;
+                return &guarantee;
+            }
+        }
+        return nullptr;
+    };
+    for (const RunningGang &gang : pass.view.running) {
+        if (gang.guaranteed) {
+            use(gang.team, gang.shape);
+        }
+    }
+    // 2. Waiting gangs ask for what is left, the most urgent first.
+    std::vector<const WaitingGang *> order;
+    order.reserve(pass.view.waiting.size());
+    for (const WaitingGang &gang : pass.view.waiting) {
+        order.push_back(&gang);
+    }
+    std::stable_sort(order.begin(), order.end(),
+                     [](const WaitingGang *a, const WaitingGang *b) { return a->urgency < b->urgency; });
+    std::vector<std::pair<const WaitingGang *, Shape>> demand;
+    for (const WaitingGang *gang : order) {
+        if (const TeamGuarantee *guarantee = use(gang->team, gang->shape)) {
+            demand.emplace_back(gang, guarantee->shape);
+        } else {
+            pass.borrowers.push_back(gang);
+        }
+    }
+    // 3. What nobody asks for stays in the map, and so does what is asked for until its gang has its workers.
+    for (const TeamGuarantee &guarantee : left) {
+        pass.unused.insert(pass.unused.end(), guarantee.count, {guarantee.team, guarantee.shape});
+    }
+    for (const auto &[gang, shape] : demand) {
+        if (!m_holds.contains(gang->job) || !m_holds.at(gang->job).guaranteed) {
+            pass.unused.push_back({gang->team, shape});
+        }
+    }
+    for (const auto &[gang, shape] : demand) {
+        placeGuaranteed(pass, *gang, shape);
+    }
+}
+
+bool GuaranteeScheduling::placeGuaranteed(Pass &pass, const WaitingGang &gang, const Shape &guaranteed)
+{
+    const auto kept = m_holds.find(gang.job);
+    if (kept != m_holds.end() && kept->second.guaranteed) {
+        return takeHeld(pass, gang, true);
+    }
+    // 1. The guarantee is used by this gang from here on, wherever it goes, and goes as close together as guaranteed,
+    // so
+    //    that the same shape is to be had again when it ends.
+    const auto own = std::find_if(pass.unused.begin(), pass.unused.end(), [&](const GuaranteedGang &unused) {
+        return unused.team == gang.team && unused.shape == guaranteed;
+    });
+    const GuaranteedGang entry = *own;
+    pass.unused.erase(own);
+    WaitingGang tight = gang;
+    tight.shape.adjacency = guaranteed.adjacency;
+    // 2. Free workers, if the guarantees of others can still be had then; else those of borrowers.
+    const auto workers = m_placement.place(pass.free, tight.shape, gang.avoid);
+    if (workers && pass.keepsGuarantees(*workers, gang.shape.part)) {
+        accept(pass, gang, *workers, true);
+        return true;
+    }
+    const bool reclaimed = reclaim(pass, tight, true);
+    if (!reclaimed) {
+        pass.unused.push_back(entry);
+    }
+    wait(pass, gang, reclaimed ? WaitCause::Reclaiming : WaitCause::NoRoom);
+    return false;
+}
+
+bool GuaranteeScheduling::reclaim(Pass &pass, const WaitingGang &gang, bool guaranteed)
+{
+    // A guaranteed gang may take from any borrower; an urgent one only from less urgent borrowers.
+    const auto mayStop = [&](std::size_t index) {
+        const RunningGang &victim = pass.view.running[index];
+        return victim.preemptible() && (guaranteed || victim.urgency > gang.urgency);
+    };
+    // A gang that is being stopped already costs nothing more.
+    const auto costOf = [&](std::size_t index) {
+        const RunningGang &victim = pass.view.running[index];
+        return victim.stopping || pass.stopped.contains(index) ? 0 : victimCost(victim, pass.view.nowMs);
+    };
+    FleetModel base = pass.free;
+    for (std::size_t i = 0; i < pass.view.running.size(); ++i) {
+        if (mayStop(i)) {
+            base.giveAll(pass.view.running[i].workers, pass.view.running[i].shape.part);
+        }
+    }
+    // 1. What could be had in each group, and from whom.
+    std::vector<ReclaimOption> options;
+    for (const WorkerGroup &group : pass.view.fleet.groups(gang.shape.adjacency)) {
+        std::vector<std::pair<std::int64_t, WorkerIndex>> order;
+        for (const WorkerIndex worker : group) {
+            std::int64_t cost = 0;
+            const auto gangs = pass.gangsOf.find(worker);
+            if (gangs != pass.gangsOf.end() && pass.free.partsThatFit(worker, gang.shape.part) == 0) {
+                for (const std::size_t index : gangs->second) {
+                    cost += mayStop(index) ? costOf(index) : 0;
+                }
+            }
+            order.emplace_back(cost, worker);
+        }
+        std::stable_sort(order.begin(), order.end());
+        ReclaimOption option;
+        FleetModel trial = base;
+        for (const auto &[cost, worker] : order) {
+            while (option.workers.size() < gang.shape.parts && !gang.avoid.contains(worker)
+                   && trial.partsThatFit(worker, gang.shape.part) > 0) {
+                trial.take(worker, gang.shape.part);
+                option.workers.push_back(worker);
+            }
+        }
+        if (option.workers.size() < gang.shape.parts) {
+            continue;
+        }
+        // 2. Who has to go there: the cheapest first, until the parts fit.
+        FleetModel room = pass.free;
+        room.takeAll(option.workers, gang.shape.part);
+        for (const WorkerIndex worker : option.workers) {
+            std::vector<std::pair<std::int64_t, std::size_t>> here;
+            const auto gangs = pass.gangsOf.find(worker);
+            for (const std::size_t index : gangs == pass.gangsOf.end() ? std::set<std::size_t> {} : gangs->second) {
+                if (mayStop(index)) {
+                    here.emplace_back(costOf(index), index);
+                }
+            }
+            std::sort(here.begin(), here.end());
+            for (const auto &[cost, index] : here) {
+                if (room.overdrawn(worker) && option.victims.insert(index).second) {
+                    room.giveAll(pass.view.running[index].workers, pass.view.running[index].shape.part);
+                    option.cost += cost;
+                }
+            }
+        }
+        options.push_back(std::move(option));
+    }
+    // 3. The cheapest that leaves the guarantees of others intact: its workers are kept, its victims stopped.
+    std::stable_sort(options.begin(), options.end(),
+                     [](const ReclaimOption &a, const ReclaimOption &b) { return a.cost < b.cost; });
+    for (ReclaimOption &option : options) {
+        if (guaranteed && !pass.keepsGuarantees(option.workers, gang.shape.part)) {
+            continue;
+        }
+        for (const std::size_t index : option.victims) {
+            if (pass.stopped.insert(index).second && !pass.view.running[index].stopping) {
+                pass.decision.stops.push_back({pass.view.running[index].job, gang.job, false});
+            }
+        }
+        hold(pass, gang, std::move(option.workers), guaranteed);
+        return true;
+    }
+    return false;
+}
+
+void GuaranteeScheduling::placeBorrowing(Pass &pass)
+{
+    // 1. Gangs that have waited for long go first, the oldest before the others.
+    std::vector<const WaitingGang *> aged;
+    std::map<QueueKey, std::vector<const WaitingGang *>> queues;
+    for (const WaitingGang *gang : pass.borrowers) {
+        if (pass.view.nowMs - gang->submittedMs > m_limits.agedAfterMs) {
+            aged.push_back(gang);
+        } else {
+            queues[{gang->urgency, gang->team, gang->caller}].push_back(gang);
+        }
+    }
+    std::stable_sort(aged.begin(), aged.end(),
+                     [](const WaitingGang *a, const WaitingGang *b) { return a->submittedMs < b->submittedMs; });
+    for (const WaitingGang *gang : aged) {
+        placeBorrower(pass, *gang);
+    }
+    // 2. Then the band that is furthest below its floor, in it the team and the caller that have the least.
+    std::map<QueueKey, std::size_t> served;
+    while (!queues.empty()) {
+        auto next = queues.begin();
+        for (auto queue = queues.begin(); queue != queues.end(); ++queue) {
+            if (pass.before(queue->first, next->first)) {
+                next = queue;
+            }
+        }
+        std::size_t &position = served[next->first];
+        placeBorrower(pass, *next->second[position]);
+        if (++position == next->second.size()) {
+            queues.erase(next);
+        }
+    }
+}
+
+void GuaranteeScheduling::placeBorrower(Pass &pass, const WaitingGang &gang)
+{
+    // 1. A gang that others are being stopped for gets its workers as soon as they are free.
+    if (m_holds.contains(gang.job)) {
+        takeHeld(pass, gang, false);
+        return;
+    }
+    if (gang.avoid.empty() && pass.knownToFail(gang)) {
+        wait(pass, gang, WaitCause::NoRoom);
+        return;
+    }
+    // 2. Workers that are kept for others may be used only by what ends before they are needed.
+    std::set<WorkerIndex> avoid = gang.avoid;
+    for (const Reservation &reservation : pass.reservations) {
+        if (pass.view.nowMs + gang.runMs > reservation.startMs) {
+            avoid.insert(reservation.workers.begin(), reservation.workers.end());
+        }
+    }
+    auto workers = m_placement.place(pass.free, gang.shape, avoid);
+    const bool fixed = gang.restart == RestartRule::Never;
+    if (workers && fixed && !pass.keepsGuarantees(*workers, gang.shape.part)) {
+        wait(pass, gang, WaitCause::WouldBreakGuarantee);
+        return;
+    }
+    if (workers) {
+        accept(pass, gang, std::move(*workers), false);
+        return;
+    }
+    if (!fitsEmptyFleet(pass.view.fleet, gang.shape)) {
+        wait(pass, gang, WaitCause::NeverFits);
+        return;
+    }
+    if (gang.avoid.empty()) {
+        pass.failed.push_back({gang.shape, gang.runMs});
+    }
+    // 3. Urgent work takes from less urgent borrowers; other work gets a reservation.
+    if (gang.urgency == Urgency::Urgent && !fixed && reclaim(pass, gang, false)) {
+        wait(pass, gang, WaitCause::Reclaiming);
+        return;
+    }
+    const bool roomKept = avoid.size() > gang.avoid.size() && m_placement.place(pass.free, gang.shape, gang.avoid);
+    if (roomKept) {
+        wait(pass, gang, WaitCause::HeldForOthers);
+    } else if (!reserve(pass, gang)) {
+        wait(pass, gang, WaitCause::NoRoom);
+    }
+}
+
+bool GuaranteeScheduling::reserve(Pass &pass, const WaitingGang &gang)
+{
+    if (pass.reservations.size() >= m_limits.reservations) {
+        return false;
+    }
+    // 1. Lets the running gangs end one after the other until the gang fits. More ends never hurt, so the first that
+    //    is enough can be found by halving.
+    std::vector<const RunningGang *> ends;
+    ends.reserve(pass.view.running.size());
+    for (const RunningGang &running : pass.view.running) {
+        ends.push_back(&running);
+    }
+    std::stable_sort(ends.begin(), ends.end(), [&](const RunningGang *a, const RunningGang *b) {
+        return a->expectedEndMs(pass.view.nowMs) < b->expectedEndMs(pass.view.nowMs);
+    });
+    std::set<WorkerIndex> avoid = gang.avoid;
+    for (const Reservation &reservation : pass.reservations) {
+        avoid.insert(reservation.workers.begin(), reservation.workers.end());
+    }
+    const auto placeAfter = [&](std::size_t count) {
+        FleetModel trial = pass.free;
+        for (std::size_t i = 0; i < count; ++i) {
+            trial.giveAll(ends[i]->workers, ends[i]->shape.part);
+        }
+        return m_placement.place(trial, gang.shape, avoid);
+    };
+    std::size_t low = 0;
+    std::size_t high = ends.size();
+    auto workers = placeAfter(high);
+    if (!workers) {
+        return false;
+    }
+    while (low < high) {
+        const std::size_t middle = low + (high - low) / 2;
+        auto found = placeAfter(middle);
+        if (found) {
+            workers = std::move(found);
+            high = middle;
+        } else {
+            low = middle + 1;
+        }
+    }
+    // 2. Moves crumbs out of the way if that is enough, and else keeps the workers from what would still run then.
+    if (consolidate(pass, gang)) {
+        wait(pass, gang, WaitCause::Reclaiming);
+        return true;
+    }
+    Reservation reservation;
+    reservation.job = gang.job;
+    reservation.workers.insert(workers->begin(), workers->end());
+    reservation.startMs = low == 0 ? pass.view.nowMs : ends[low - 1]->expectedEndMs(pass.view.nowMs);
+    wait(pass, gang, WaitCause::Reserved, reservation.startMs);
+    pass.reservations.push_back(std::move(reservation));
+    return true;
+}
+
+bool GuaranteeScheduling::consolidate(Pass &pass, const WaitingGang &gang)
+{
+    const std::int64_t need = gang.shape.totalGpus();
+    if (gang.shape.parts < 2 || gang.restart == RestartRule::Never || pass.free.freeGpus() < need) {
+        return false;
+    }
+    // Only crumbs are moved: checkpointed borrowers that are small beside the gang, and have room elsewhere.
+    const auto isCrumb = [&](std::size_t index) {
+        const RunningGang &running = pass.view.running[index];
+        return running.preemptible() && running.restart == RestartRule::Checkpoint && !running.stopping
+               && !pass.stopped.contains(index) && running.shape.totalGpus() * CRUMB_DIVISOR <= need;
+    };
+    std::optional<ReclaimOption> best;
+    for (const WorkerGroup &group : pass.view.fleet.groups(gang.shape.adjacency)) {
+        std::set<std::size_t> crumbs;
+        FleetModel room = pass.free;
+        for (const WorkerIndex worker : group) {
+            const auto gangs = pass.gangsOf.find(worker);
+            for (const std::size_t index : gangs == pass.gangsOf.end() ? std::set<std::size_t> {} : gangs->second) {
+                if (isCrumb(index) && crumbs.insert(index).second) {
+                    room.giveAll(pass.view.running[index].workers, pass.view.running[index].shape.part);
+                }
+            }
+        }
+        if (crumbs.empty()) {
+            continue;
+        }
+        std::set<WorkerIndex> outside = gang.avoid;
+        const std::set<WorkerIndex> members(group.begin(), group.end());
+        for (WorkerIndex i = 0; i < pass.view.fleet.size(); ++i) {
+            if (!members.contains(i)) {
+                outside.insert(i);
+            }
+        }
+        const auto workers = m_placement.place(room, gang.shape, outside);
+        if (!workers) {
+            continue;
+        }
+        ReclaimOption option;
+        option.workers = *workers;
+        const std::set<WorkerIndex> chosen(workers->begin(), workers->end());
+        FleetModel elsewhere = pass.free;
+        bool allMove = true;
+        for (const std::size_t index : crumbs) {
+            const RunningGang &running = pass.view.running[index];
+            const bool inTheWay = std::any_of(running.workers.begin(), running.workers.end(),
+                                              [&](WorkerIndex worker) { return chosen.contains(worker); });
+            if (!inTheWay) {
+                continue;
+            }
+            const auto target = m_placement.place(elsewhere, running.shape, chosen);
+            if (!target) {
+                allMove = false;
+                break;
+            }
+            elsewhere.takeAll(*target, running.shape.part);
+            option.victims.insert(index);
+            option.cost += running.shape.totalGpus();
+        }
+        if (allMove && !option.victims.empty() && (!best || option.cost < best->cost)) {
+            best = std::move(option);
+        }
+    }
+    if (!best || static_cast<double>(best->victims.size()) > m_moveTokens) {
+        return false;
+    }
+    m_moveTokens -= static_cast<double>(best->victims.size());
+    for (const std::size_t index : best->victims) {
+        pass.stopped.insert(index);
+        pass.decision.stops.push_back({pass.view.running[index].job, gang.job, true});
+    }
+    hold(pass, gang, std::move(best->workers), false);
+    return true;
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/process/guaranteescheduling.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "process/schedulingpolicy.h"
+
+// Scheduling under team guarantees: guaranteed demand first and at the cost of borrowed work, the rest by floors and
+// fair shares, with room kept for large gangs that wait.
+
+namespace Papaya
+{
+
+/** Limits of the policy. */
+struct GuaranteeSchedulingLimits {
+    std::size_t reservations = 4;            ///< gangs that workers are kept for at one time
+    std::int64_t agedAfterMs = 120 * 60'000; ///< a gang that waits longer goes before its band
+    std::int64_t movesPerHour = 20;          ///< gangs that may be moved to bring free workers together
+    std::int64_t holdMs = 60'000;            ///< workers are kept this long for a gang that others are stopped for
+};
+
+/** The policy of the product. */
+class GuaranteeScheduling : public SchedulingPolicy
+{
+public:
+    explicit GuaranteeScheduling(GuaranteeSchedulingLimits limits = {});
+    ScheduleDecision plan(const PlanningView &view) override;
+
+private:
+    /** Workers kept for a gang while others are being stopped for it. */
+    struct Hold {
+        std::vector<WorkerId> ids;
+        PartWorkers workers; ///< indices of this pass
+        std::int64_t sinceMs = 0;
+        bool guaranteed = false;
+    };
+
+    /** A gang that workers are kept for as they come free. */
+    struct Reservation {
+        JobId job;
+        std::set<WorkerIndex> workers;
+        std::int64_t startMs = 0;
+    };
+
+    struct Pass;
+
+    void keepHolds(Pass &pass);
+    void matchGuarantees(Pass &pass);
+    bool placeGuaranteed(Pass &pass, const WaitingGang &gang, const Shape &guaranteed);
+    bool takeHeld(Pass &pass, const WaitingGang &gang, bool guaranteed);
+    void hold(Pass &pass, const WaitingGang &gang, PartWorkers workers, bool guaranteed);
+    bool reclaim(Pass &pass, const WaitingGang &gang, bool guaranteed);
+    void placeBorrowing(Pass &pass);
+    void placeBorrower(Pass &pass, const WaitingGang &gang);
+    bool reserve(Pass &pass, const WaitingGang &gang);
+    bool consolidate(Pass &pass, const WaitingGang &gang);
+    void accept(Pass &pass, const WaitingGang &gang, PartWorkers workers, bool guaranteed);
+    void wait(Pass &pass, const WaitingGang &gang, WaitCause cause, std::int64_t startMs = 0);
+
+    GuaranteeSchedulingLimits m_limits;
+    ShapeKeeping m_placement;
+    std::map<JobId, Hold> m_holds;
+    double m_moveTokens;
+    std::int64_t m_lastPassMs = 0;
+};
+
+} // namespace Papaya
--- a/packages/process/instance.cpp
+++ b/packages/process/instance.cpp
@@ -38,6 +38,32 @@
     return Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count()));
 }
 
+std::unique_ptr<MinionPolicy> makeMinionPolicy(MinionPolicyKind kind)
+{
+    switch (kind) {
+    case MinionPolicyKind::Random:
+        return std::make_unique<RandomMinion>();
+    case MinionPolicyKind::RoundRobin:
+        return std::make_unique<RoundRobinMinion>();
+    case MinionPolicyKind::Home:
+        break;
+    }
+    return std::make_unique<HomeMinion>();
+}
+
+std::unique_ptr<AdmissionPolicy> makeAdmissionPolicy(AdmissionPolicyKind kind)
+{
+    switch (kind) {
+    case AdmissionPolicyKind::Fifo:
+        return std::make_unique<FifoAdmission>();
+    case AdmissionPolicyKind::TeamsOnly:
+        return std::make_unique<FairAdmission>(CallerFairness::PerTeamOnly);
+    case AdmissionPolicyKind::Fair:
+        break;
+    }
+    return std::make_unique<FairAdmission>();
+}
+
 HttpLimits adminLimits()
 {
     HttpLimits limits;
@@ -62,8 +88,8 @@
         , journal(io, *log, settings.instance, incarnation, metrics)
         , claims(io, *log, settings.instance, incarnation, settings.keyHorizon, metrics)
         , hosts(HostDirectory::create(io, *hostList, metrics))
-        , minions(settings.instance, std::make_unique<HomeMinion>(), std::random_device {}(), metrics)
-        , gate(std::make_unique<FairAdmission>())
+        , minions(settings.instance, makeMinionPolicy(settings.minionPolicy), std::random_device {}(), metrics)
+        , gate(makeAdmissionPolicy(settings.admissionPolicy))
         , membership(
               io, settings.instance, *hosts, config, minions, [this] { return describe(); }, metrics)
         , requests(io, config, claims, gate, minions, *minionClient, metrics)
@@ -192,6 +218,7 @@
         metrics.addGauge("config_version", [this] { return double(config.version().value()); });
         metrics.addGauge("planner_epoch", [this] { return double(planner.status().epoch.value()); });
         metrics.addGauge("planner_here", [this] { return planner.status().active ? 1.0 : 0.0; });
+        metrics.addGauge("guarantees_broken", [this] { return double(planner.status().brokenGuarantees.size()); });
         metrics.addGauge("requests_queued", [this] { return double(gate.queued()); });
         metrics.addGauge("requests_in_progress", [this] { return double(gate.inProgress()); });
         metrics.addGauge("claims_kept", [this] { return double(claims.size()); });
--- a/packages/process/jobservice.cpp
+++ b/packages/process/jobservice.cpp
@@ -5,7 +5,7 @@
 #include "base/objectreader.h"
 #include "process/callerauth.h"
 #include "process/logging.h"
-#include "process/placement.h"
+#include "version/placement.h"
 
 #include <boost/asio/this_coro.hpp>
 
@@ -88,7 +88,7 @@
         }
     }
     // Without a list of workers nothing can be said against the job.
-    return fleet.workers().empty() || fitsEmptyFleet(fleet, shape);
+    return fleet.size() == 0 || fitsEmptyFleet(fleet, shape);
 }
 
 Result<JobSubmitted> JobService::parseSubmission(const HttpRequest &request, const FleetConfig &config,
--- a/packages/process/ledger.cpp
+++ b/packages/process/ledger.cpp
@@ -42,7 +42,9 @@
 
 LedgerVerdict Ledger::apply(const JournalRecord &record, const RecordOrigin &origin)
 {
-    return std::visit([&](const auto &typed) { return on(typed, origin); }, record);
+    const LedgerVerdict verdict = std::visit([&](const auto &typed) { return on(typed, origin); }, record);
+    m_revision += verdict.counts && !std::holds_alternative<PlannerBeat>(record) ? 1 : 0;
+    return verdict;
 }
 
 const Job *Ledger::job(const JobId &id) const
--- a/packages/process/ledger.h
+++ b/packages/process/ledger.h
@@ -83,6 +83,16 @@
     /** Applies the next record of the journal; a void record changes nothing. */
     LedgerVerdict apply(const JournalRecord &record, const RecordOrigin &origin);
 
+    /** @return a number that rises with each record that counts and is more than a sign of life. */
+    [[nodiscard]] std::uint64_t revision() const
+    {
+        return m_revision;
+    }
+    /** @return the jobs that have ended, by the time of their end. */
+    [[nodiscard]] const std::set<std::pair<std::int64_t, JobId>> &ended() const
+    {
+        return m_ended;
+    }
     /** @return the job, or null. */
     [[nodiscard]] const Job *job(const JobId &id) const;
     /** @return the job that the team submitted under @p key, or null. */
@@ -147,6 +157,7 @@
     std::map<WorkerId, Standing> m_standings;
     PlannerRole m_planner;
     std::uint64_t m_nextOrder = 1;
+    std::uint64_t m_revision = 0; ///< not part of the state
 };
 
 /** @return the word for @p state in answers and logs. */
--- a/packages/process/planner.cpp
+++ b/packages/process/planner.cpp
@@ -32,6 +32,7 @@
 constexpr Millis UPKEEP_INTERVAL {1'000};
 constexpr Millis ISOLATED_RENEWALS {30'000}; // an old planner that is cut off may renew leases this long
 constexpr Millis STRAY_LIMIT {500};
+constexpr Millis PLAN_INTERVAL {500};
 
 Asio::awaitable<void> stopStray(WorkerClient &client, Endpoint address, Epoch epoch, TaskId task)
 {
@@ -42,6 +43,11 @@
     }
 }
 
+std::int64_t wallClockMs()
+{
+    return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
 const Host *findWorker(const HostSnapshot &hosts, const WorkerId &id)
 {
     for (const Host &host : hosts.hosts) {
@@ -67,7 +73,6 @@
     , m_metrics(metrics)
     , m_strand(Asio::make_strand(io))
     , m_book(m_strand, client, metrics)
-    , m_scheduler(std::make_unique<BestFit>())
 {
 }
 
@@ -111,8 +116,34 @@
     m_mustVerifySince = Clock::now();
 }
 
-void Planner::partEnded(const WorkerId & /*worker*/, const JobId & /*job*/, bool /*succeeded*/)
+void Planner::partEnded(const WorkerId &worker, const JobId &job, bool succeeded)
 {
+    if (succeeded) {
+        m_health.succeeded(worker);
+    } else {
+        m_health.failed(worker, job);
+    }
+}
+
+void Planner::applyHealth()
+{
+    const auto append = [](Planner &self, WorkerStanding record) -> Asio::awaitable<void> {
+        const AppendStatus status = co_await self.m_journal.append(record, Clock::now() + BEAT_LIMIT);
+        if (status == AppendStatus::Applied && record.standing == Standing::Quarantined) {
+            self.m_metrics.count(Counter::WorkersQuarantined);
+        }
+    };
+    const auto hosts = m_hosts.hosts();
+    std::size_t workers = 0;
+    for (std::size_t i = 0; hosts && i < hosts->hosts.size(); ++i) {
+        workers += hosts->hosts[i].kind == HostKind::Worker ? 1U : 0U;
+    }
+    const auto standings = m_journal.read([](const Ledger &ledger) { return ledger.standings(); });
+    for (const HealthChange &change : m_health.changes(standings, workers, Clock::now())) {
+        logEvent(LogLevel::Warning, "worker-standing",
+                 {{"worker", change.worker.value()}, {"standing", toString(change.standing)}});
+        Asio::co_spawn(m_strand, append(*this, {m_epoch, change.worker, change.standing}), Asio::detached);
+    }
 }
 
 Asio::awaitable<void> Planner::tick()
@@ -151,6 +182,7 @@
         m_book.refresh(m_epoch);
     }
     stopCancelled();
+    applyHealth();
     plan();
     m_lastTick = Clock::now();
 }
@@ -245,6 +277,7 @@
             co_return;
         }
         m_raised.insert(WorkerId(worker.id));
+        m_book.epochRaised(WorkerId(worker.id));
         stopStrays(worker, *report);
         for (const TaskReport &task : report->tasks) {
             m_book.note(task);
@@ -308,8 +341,8 @@
         attempt.parts.push_back({job.workers[part], host == nullptr ? Endpoint {} : host->address});
         // The last planner may have renewed this lease until now, and an isolated one may go on for a while.
         m_book.hold({job.spec.job, PartIndex(static_cast<std::uint32_t>(part))}, job.workers[part],
-                    attempt.parts.back().address, running ? LeaseMode::Long : LeaseMode::Short,
-                    now + ISOLATED_RENEWALS);
+                    attempt.parts.back().address, running ? LeaseMode::Long : LeaseMode::Short, now + ISOLATED_RENEWALS,
+                    job.attempt > 1 && !running);
     }
     const GangState committed = running ? GangState::Running : GangState::Starting;
     launch(std::move(attempt), job.committed ? committed : GangState::Stopping);
@@ -371,51 +404,161 @@
     return model;
 }
 
-void Planner::plan()
-{
-    const auto hosts = m_hosts.hosts();
-    if (!hosts) {
-        return;
-    }
-    FleetModel model = fleet();
-    // Placements under way are not in the ledger yet; their workers are taken all the same.
-    std::set<JobId> starting;
-    for (const auto &[id, runner] : m_runners) {
-        starting.insert(id);
-        if (runner->state() != GangState::Placing) {
+void Planner::addGangs(const Ledger &ledger, PlanningView &view) const
+{
+    for (const auto &[order, id] : ledger.active()) {
+        const Job &job = *ledger.job(id);
+        const auto runner = m_runners.find(id);
+        const std::int64_t runMs = m_runTimes.expectedMs(job.spec.templateName, job.spec.run.count());
+        if (!job.placed() && runner == m_runners.end()) {
+            WaitingGang gang {id,
+                              job.spec.team,
+                              job.spec.caller,
+                              job.spec.urgency,
+                              job.spec.restart,
+                              job.spec.shape,
+                              job.submittedMs,
+                              runMs,
+                              {}};
+            for (const WorkerId &culprit : job.culprits) {
+                if (const auto index = view.fleet.find(culprit)) {
+                    gang.avoid.insert(*index);
+                }
+            }
+            // A gang that has failed nearly everywhere is let in again.
+            if (!gang.avoid.empty() && !FirstFit().place(view.fleet.emptied(), gang.shape, gang.avoid)) {
+                gang.avoid.clear();
+            }
+            view.waiting.push_back(std::move(gang));
             continue;
         }
-        for (const PartHost &host : runner->attempt().parts) {
-            if (const auto index = model.find(host.worker)) {
-                model.take(*index, runner->attempt().spec.shape.part);
+        // A placement under way is not in the ledger yet; its workers are taken all the same.
+        RunningGang gang;
+        gang.job = id;
+        gang.team = job.spec.team;
+        gang.caller = job.spec.caller;
+        gang.urgency = job.spec.urgency;
+        gang.restart = job.spec.restart;
+        gang.shape = job.spec.shape;
+        gang.startedMs = job.startedMs > 0 ? job.startedMs : view.nowMs;
+        gang.runMs = runMs;
+        gang.guaranteed = job.guaranteed;
+        gang.stopping = runner != m_runners.end() && runner->second->stopping();
+        std::vector<WorkerId> workers = job.workers;
+        if (!job.placed()) {
+            gang.guaranteed = runner->second->attempt().guaranteed;
+            for (const PartHost &host : runner->second->attempt().parts) {
+                workers.push_back(host.worker);
+            }
+        }
+        for (const WorkerId &worker : workers) {
+            if (const auto index = view.fleet.find(worker)) {
+                gang.workers.push_back(*index);
             }
         }
+        view.running.push_back(std::move(gang));
     }
-    const ScheduleDecision decision =
-        m_journal.read([&](const Ledger &ledger) { return m_scheduler.plan(ledger, model); });
-    for (const PlaceDecision &placement : decision.placements) {
-        if (!starting.contains(placement.job)) {
-            startGang(placement, *hosts);
+}
+
+PlanningView Planner::planningView()
+{
+    PlanningView view;
+    view.fleet = fleet();
+    view.nowMs = wallClockMs();
+    const FleetConfigPtr config = m_config.config();
+    view.floors = config->floors();
+    for (const auto &[name, team] : config->teams()) {
+        view.weights[name] = team.weight;
+        for (const Guarantee &guarantee : team.guarantees) {
+            if (guarantee.count > 0) {
+                view.guarantees.push_back({name, guarantee.shape, guarantee.count});
+            }
         }
     }
-    for (const FitnessDecision &fitness : decision.fitness) {
-        auto append = [](Planner &self, Fitness record) -> Asio::awaitable<void> {
-            co_await self.m_journal.append(record, Clock::now() + BEAT_LIMIT);
-        };
-        Asio::co_spawn(m_strand, append(*this, Fitness {m_epoch, fitness.job, fitness.fits, fitness.reason}),
-                       Asio::detached);
+    m_journal.read([&](const Ledger &ledger) {
+        m_runTimes.learn(ledger);
+        addGangs(ledger, view);
+    });
+    return view;
+}
+
+void Planner::plan()
+{
+    // A pass is made when the ledger has changed, and now and then for hosts, leases and the passing of time.
+    const std::uint64_t revision = m_journal.read([](const Ledger &ledger) { return ledger.revision(); });
+    const auto hosts = m_hosts.hosts();
+    if (!hosts || !m_config.config() || (revision == m_plannedRevision && Clock::now() - m_lastPlan < PLAN_INTERVAL)) {
+        return;
     }
+    m_plannedRevision = revision;
+    m_lastPlan = Clock::now();
     // A placement whose append had no answer may have turned up since.
     adoptGangs();
+    const PlanningView view = planningView();
+    const ScheduleDecision decision = m_scheduling.plan(view);
+    for (const StopDecision &stop : decision.stops) {
+        stopGang(stop);
+    }
+    for (const PlaceDecision &placement : decision.placements) {
+        startGang(placement, view.fleet, *hosts);
+    }
+    noteWaits(decision);
 }
 
-void Planner::startGang(const PlaceDecision &decision, const HostSnapshot &hosts)
+void Planner::stopGang(const StopDecision &decision)
+{
+    const auto runner = m_runners.find(decision.job);
+    if (runner == m_runners.end() || runner->second->stopping()) {
+        return;
+    }
+    logEvent(LogLevel::Info, decision.move ? "gang-moved" : "gang-preempted",
+             {{"job", decision.job.value()}, {"for", decision.beneficiary.value()}});
+    runner->second->requestStop(decision.move ? StopCause::Moved : StopCause::Preempted);
+}
+
+void Planner::noteWaits(const ScheduleDecision &decision)
+{
+    const auto append = [](Planner &self, Fitness record) -> Asio::awaitable<void> {
+        co_await self.m_journal.append(record, Clock::now() + BEAT_LIMIT);
+    };
+    std::map<JobId, WaitReason> waits;
+    for (const WaitReason &reason : decision.waits) {
+        waits[reason.job] = reason;
+    }
+    // The ledger is told of jobs that can never run on the fleet as it is, and of those that can again.
+    std::vector<Fitness> changes;
+    m_journal.read([&](const Ledger &ledger) {
+        for (const auto &[id, reason] : waits) {
+            const Job *job = ledger.job(id);
+            const bool fits = reason.cause != WaitCause::NeverFits;
+            if (job != nullptr && !job->placed() && fits == (job->state == JobState::Unschedulable)) {
+                changes.push_back({m_epoch, id, fits, fits ? "" : toString(reason.cause)});
+            }
+        }
+    });
+    for (Fitness &change : changes) {
+        Asio::co_spawn(m_strand, append(*this, std::move(change)), Asio::detached);
+    }
+    std::vector<std::string> broken;
+    for (const GuaranteedGang &gang : decision.brokenGuarantees) {
+        broken.push_back(gang.team.value());
+    }
+    if (broken != m_brokenGuarantees) {
+        logEvent(broken.empty() ? LogLevel::Info : LogLevel::Error, "guarantees-broken",
+                 {{"count", std::uint64_t(broken.size())}, {"first", broken.empty() ? "" : broken.front()}});
+        m_brokenGuarantees = std::move(broken);
+    }
+    const std::lock_guard lock(m_statusMutex);
+    m_waits = std::move(waits);
+}
+
+void Planner::startGang(const PlaceDecision &decision, const FleetModel &fleet, const HostSnapshot &hosts)
 {
     const auto job = m_journal.read([&](const Ledger &ledger) -> std::optional<Job> {
         const Job *found = ledger.job(decision.job);
         return found == nullptr || found->placed() || isFinal(found->state) ? std::nullopt : std::optional<Job>(*found);
     });
-    if (!job) {
+    if (!job || m_runners.contains(decision.job)) {
         return;
     }
     GangAttempt attempt;
@@ -425,12 +568,12 @@
     attempt.guaranteed = decision.guaranteed;
     attempt.checkpoints = job->checkpoints;
     attempt.earlierFailures = job->failures;
-    for (const WorkerId &worker : decision.workers) {
-        const Host *host = findWorker(hosts, worker);
+    for (const WorkerIndex worker : decision.workers) {
+        const Host *host = findWorker(hosts, fleet.id(worker));
         if (host == nullptr) {
             return;
         }
-        attempt.parts.push_back({worker, host->address});
+        attempt.parts.push_back({fleet.id(worker), host->address});
     }
     launch(std::move(attempt), GangState::Placing);
 }
@@ -472,7 +615,8 @@
 {
     const PlannerRole role = m_journal.read([](const Ledger &ledger) { return ledger.planner(); });
     const std::lock_guard lock(m_statusMutex);
-    m_status = {m_active, role.epoch, role.holder, m_runners.size(), m_book.size(), m_raised.size()};
+    m_status = {m_active,      role.epoch,      role.holder,       m_runners.size(),
+                m_book.size(), m_raised.size(), m_brokenGuarantees};
 }
 
 PlannerStatus Planner::status() const
@@ -488,7 +632,23 @@
         if (job == nullptr) {
             return "no such job";
         }
-        return std::string(toString(job->state)) + (job->reason.empty() ? "" : ": " + job->reason);
+        std::string text = toString(job->state);
+        const std::lock_guard lock(m_statusMutex);
+        const auto wait = m_waits.find(id);
+        if (!job->placed() && !isFinal(job->state) && wait != m_waits.end()) {
+            text += std::string(": ") + toString(wait->second.cause);
+            if (wait->second.expectedStartMs > 0) {
+                const std::int64_t waitMs = wait->second.expectedStartMs - wallClockMs();
+                text +=
+                    "; expected to start in about " + std::to_string(std::max<std::int64_t>(0, waitMs) / 1000) + " s";
+            }
+        } else if (!job->reason.empty()) {
+            text += ": " + job->reason;
+        }
+        if (!m_status.active && !job->placed() && !isFinal(job->state)) {
+            text += " (ask " + m_status.holder.value() + ", which plans, for more)";
+        }
+        return text;
     });
 }
 
--- a/packages/process/planner.h
+++ b/packages/process/planner.h
@@ -2,10 +2,12 @@
 
 #include "process/configservice.h"
 #include "process/gangrunner.h"
+#include "process/guaranteescheduling.h"
 #include "process/hostdirectory.h"
 #include "process/journal.h"
-#include "process/scheduler.h"
+#include "process/runtimebook.h"
 #include "process/taskbook.h"
+#include "process/workerhealth.h"
 
 #include <functional>
 #include <map>
@@ -27,6 +29,7 @@
     std::size_t gangs = 0;
     std::size_t tasks = 0;
     std::size_t workersRaised = 0;
+    std::vector<std::string> brokenGuarantees; ///< teams whose guarantee the fleet cannot give now
 };
 
 /** The planner of one instance. */
@@ -61,11 +64,16 @@
     void leaveRole();
     void beat();
     void plan();
-    void startGang(const PlaceDecision &decision, const HostSnapshot &hosts);
+    void startGang(const PlaceDecision &decision, const FleetModel &fleet, const HostSnapshot &hosts);
+    void stopGang(const StopDecision &decision);
+    void noteWaits(const ScheduleDecision &decision);
+    [[nodiscard]] PlanningView planningView();
     void launch(GangAttempt attempt, GangState entry);
     void stopCancelled();
+    void applyHealth();
     void updateStatus();
     [[nodiscard]] FleetModel fleet() const;
+    void addGangs(const Ledger &ledger, PlanningView &view) const;
     [[nodiscard]] Duration suspicionLimit(const PlannerRole &role) const;
     [[nodiscard]] bool holdsRole() const;
 
@@ -83,7 +91,9 @@
     Metrics &m_metrics;
     Strand m_strand;
     TaskBook m_book;
-    Scheduler m_scheduler;
+    GuaranteeScheduling m_scheduling;
+    RunTimeBook m_runTimes;
+    WorkerHealth m_health;
 
     bool m_stopped = false;
     bool m_resigning = false;
@@ -99,8 +109,13 @@
     std::set<WorkerId> m_raised; ///< workers that know this epoch
     std::map<JobId, std::unique_ptr<GangRunner>> m_runners;
 
+    std::vector<std::string> m_brokenGuarantees;
+    std::uint64_t m_plannedRevision = 0; ///< of the ledger, when the last pass was made
+    TimePoint m_lastPlan;
+
     mutable std::mutex m_statusMutex;
     PlannerStatus m_status;
+    std::map<JobId, WaitReason> m_waits; ///< of the last pass
 };
 
 } // namespace Papaya
--- /dev/null
+++ b/packages/process/schedulingpolicy.cpp
@@ -0,0 +1,71 @@
+#include "process/schedulingpolicy.h"
+
+#include <algorithm>
+
+namespace Papaya
+{
+
+std::int64_t RunningGang::expectedEndMs(std::int64_t nowMs) const
+{
+    const std::int64_t expected = startedMs + runMs;
+    return expected > nowMs ? expected : nowMs + (nowMs - startedMs) / 2;
+}
+
+const char *toString(WaitCause cause)
+{
+    switch (cause) {
+    case WaitCause::NoRoom:
+        return "no group of workers close enough together has that much free";
+    case WaitCause::Reserved:
+        return "no room yet; workers are being kept for it as they come free";
+    case WaitCause::WouldBreakGuarantee:
+        return "it may not be restarted, so it may not run where a team's guarantee could need the room";
+    case WaitCause::HeldForOthers:
+        return "the room that is free is kept for work before it";
+    case WaitCause::Reclaiming:
+        return "borrowed work is being stopped to make room for it";
+    case WaitCause::NeverFits:
+        return "no worker or group of workers is large enough, even with nothing running";
+    }
+    return "";
+}
+
+FleetModel occupiedFleet(const PlanningView &view)
+{
+    FleetModel fleet = view.fleet;
+    for (const RunningGang &gang : view.running) {
+        fleet.takeAll(gang.workers, gang.shape.part);
+    }
+    return fleet;
+}
+
+PlainScheduling::PlainScheduling(std::unique_ptr<PlacementPolicy> placement)
+    : m_placement(std::move(placement))
+{
+}
+
+ScheduleDecision PlainScheduling::plan(const PlanningView &view)
+{
+    ScheduleDecision decision;
+    FleetModel fleet = occupiedFleet(view);
+    std::vector<const WaitingGang *> order;
+    order.reserve(view.waiting.size());
+    for (const WaitingGang &gang : view.waiting) {
+        order.push_back(&gang);
+    }
+    std::stable_sort(order.begin(), order.end(),
+                     [](const WaitingGang *a, const WaitingGang *b) { return a->urgency < b->urgency; });
+    for (const WaitingGang *gang : order) {
+        auto workers = m_placement->place(fleet, gang->shape, gang->avoid);
+        if (!workers) {
+            const bool fits = fitsEmptyFleet(view.fleet, gang->shape);
+            decision.waits.push_back({gang->job, fits ? WaitCause::NoRoom : WaitCause::NeverFits, 0});
+            continue;
+        }
+        fleet.takeAll(*workers, gang->shape.part);
+        decision.placements.push_back({gang->job, std::move(*workers), false});
+    }
+    return decision;
+}
+
+} // namespace Papaya
--- a/packages/process/settings.cpp
+++ b/packages/process/settings.cpp
@@ -20,6 +20,8 @@
 constexpr std::int64_t MAX_RETENTION_MS = 365LL * 24 * 3'600'000;
 constexpr std::string_view DIGEST_PREFIX = "sha256:";
 constexpr std::size_t DIGEST_LENGTH = 64;
+const std::vector<std::string_view> MINION_POLICY_NAMES {"home", "random", "round-robin"};
+const std::vector<std::string_view> ADMISSION_POLICY_NAMES {"fair", "teams-only", "fifo"};
 const std::vector<std::string_view> LEVEL_NAMES {"debug", "info", "warning", "error"};
 
 Endpoint readEndpoint(ObjectReader &reader, const char *key)
@@ -120,6 +122,12 @@
     if (const auto level = reader.oneOf("logLevel", LEVEL_NAMES)) {
         settings.logLevel = static_cast<LogLevel>(*level);
     }
+    if (const auto policy = reader.oneOf("minionPolicy", MINION_POLICY_NAMES)) {
+        settings.minionPolicy = static_cast<MinionPolicyKind>(*policy);
+    }
+    if (const auto policy = reader.oneOf("admissionPolicy", ADMISSION_POLICY_NAMES)) {
+        settings.admissionPolicy = static_cast<AdmissionPolicyKind>(*policy);
+    }
     reader.refuseUnknownKeys();
     if (settings.keyHorizon >= settings.logRetention) {
         reader.report("out-of-range", "must be shorter than platform.logRetentionMs", "keyHorizonMs");
--- a/packages/process/settings.h
+++ b/packages/process/settings.h
@@ -13,6 +13,12 @@
 namespace Papaya
 {
 
+/** How a minion is chosen; the others than Home are baselines for measurements. */
+enum class MinionPolicyKind { Home, Random, RoundRobin };
+
+/** How slots are shared out; the others than Fair are baselines for measurements. */
+enum class AdmissionPolicyKind { Fair, TeamsOnly, Fifo };
+
 enum class LogLevel { Debug, Info, Warning, Error };
 
 /** Settings of one instance. */
@@ -34,6 +40,8 @@
     /** How long an idempotency key is remembered; shorter than the retention. */
     Millis keyHorizon {3'600'000};
     LogLevel logLevel = LogLevel::Info;
+    MinionPolicyKind minionPolicy = MinionPolicyKind::Home;
+    AdmissionPolicyKind admissionPolicy = AdmissionPolicyKind::Fair;
 
     /**
      * Parses and checks a settings document: JSON with comments.
--- a/packages/process/taskbook.cpp
+++ b/packages/process/taskbook.cpp
@@ -17,6 +17,7 @@
 constexpr Millis LONG_RENEWAL {3'000};
 constexpr Millis MIN_REPORT_INTERVAL {500};
 constexpr Millis REPORT_INTERVAL_PER_WORKER {10}; // keeps the planner's cost flat as the fleet grows
+constexpr Millis REPORT_LAG_ALLOWED {5'000};
 constexpr Millis CALL_LIMIT {1'000};
 constexpr Millis SILENCE_ALLOWED {2'500}; // beyond the interval between two contacts
 
@@ -29,7 +30,8 @@
 {
 }
 
-void TaskBook::hold(const TaskId &id, const WorkerId &worker, const Endpoint &address, LeaseMode mode, TimePoint sent)
+void TaskBook::hold(const TaskId &id, const WorkerId &worker, const Endpoint &address, LeaseMode mode, TimePoint sent,
+                    bool repeated)
 {
     HeldTask &task = m_tasks[id];
     task = {};
@@ -38,6 +40,7 @@
     task.mode = mode;
     task.leaseUntil = sent + (mode == LeaseMode::Long ? LONG_LEASE : SHORT_LEASE);
     task.lastContact = Clock::now();
+    task.endsDoubtfulUntil = repeated ? task.lastContact + REPORT_LAG_ALLOWED : TimePoint {};
     WorkerState &state = m_workers[worker];
     state.address = address;
     state.tasks.insert(id);
@@ -85,15 +88,41 @@
     return found == m_tasks.end() ? nullptr : &found->second;
 }
 
+void TaskBook::epochRaised(const WorkerId &worker)
+{
+    const TimePoint latest = Clock::now() + LONG_LEASE;
+    for (auto &[id, task] : m_tasks) {
+        if (task.worker == worker) {
+            task.leaseUntil = std::min(task.leaseUntil, latest);
+        }
+    }
+}
+
+void TaskBook::noteCheckpoint(const TaskId &id, const std::string &checkpoint)
+{
+    const auto found = m_tasks.find(id);
+    if (found != m_tasks.end()) {
+        found->second.checkpoint = checkpoint;
+    }
+}
+
 void TaskBook::note(const TaskReport &report)
 {
     const auto found = m_tasks.find(report.id);
     if (found == m_tasks.end()) {
         return;
     }
-    found->second.state = report.state;
+    HeldTask &task = found->second;
+    const bool ended =
+        report.state == TaskState::Succeeded || report.state == TaskState::Failed || report.state == TaskState::Stopped;
+    if (!ended) {
+        task.endsDoubtfulUntil = {};
+    } else if (Clock::now() < task.endsDoubtfulUntil) {
+        return;
+    }
+    task.state = report.state;
     if (!report.checkpoint.empty()) {
-        found->second.checkpoint = report.checkpoint;
+        task.checkpoint = report.checkpoint;
     }
 }
 
--- a/packages/process/taskbook.h
+++ b/packages/process/taskbook.h
@@ -36,6 +36,8 @@
     bool lost = false;     ///< the worker no longer has it
     TaskState state = TaskState::Prepared;
     std::string checkpoint;
+    /** Until then a report of the task's end may be of an earlier attempt, unless one has shown it held before. */
+    TimePoint endsDoubtfulUntil;
 };
 
 /** Book of the tasks of all gangs. */
@@ -44,8 +46,12 @@
 public:
     TaskBook(Asio::any_io_executor strand, WorkerClient &client, Metrics &metrics);
 
-    /** Enters a task under a lease that was sent at @p sent. */
-    void hold(const TaskId &id, const WorkerId &worker, const Endpoint &address, LeaseMode mode, TimePoint sent);
+    /**
+     * Enters a task under a lease that was sent at @p sent.
+     * @param repeated an earlier attempt may have been on the same worker, and reports lag
+     */
+    void hold(const TaskId &id, const WorkerId &worker, const Endpoint &address, LeaseMode mode, TimePoint sent,
+              bool repeated);
     /** Changes how the lease is renewed. */
     void setMode(const TaskId &id, LeaseMode mode);
     void forget(const TaskId &id);
@@ -57,6 +63,11 @@
         return m_tasks.size();
     }
 
+    /** The worker knows the current epoch, so that no earlier planner can renew leases there any longer. */
+    void epochRaised(const WorkerId &worker);
+
+    /** Notes a checkpoint that a worker named at once. */
+    void noteCheckpoint(const TaskId &id, const std::string &checkpoint);
     /** Notes what a worker said of a task. */
     void note(const TaskReport &report);
 
--- /dev/null
+++ b/packages/version/guaranteemap.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "base/strong.h"
+#include "version/fleetmodel.h"
+#include "version/placement.h"
+
+#include <vector>
+
+// Guarantees are shapes, not counts: "two adjacent workers of 8 accelerators" must stay reclaimable as such. A
+// guarantee map assigns every guaranteed shape that is not in use to workers, such that all of them could be had at the
+// same time by stopping only work that may be stopped.
+
+namespace Papaya
+{
+
+/** A team's guarantee of a number of gangs of one shape. */
+struct TeamGuarantee {
+    TeamName team;
+    Shape shape;
+    std::uint32_t count = 0;
+};
+
+/** One guaranteed gang that is not in use. */
+struct GuaranteedGang {
+    TeamName team;
+    Shape shape;
+};
+
+/** Where a guaranteed gang could be had. */
+struct GuaranteedPlace {
+    GuaranteedGang gang;
+    PartWorkers workers;
+};
+
+/** The assignment, and what could not be assigned. */
+struct GuaranteeMap {
+    std::vector<GuaranteedPlace> places;
+    std::vector<GuaranteedGang> broken;
+
+    [[nodiscard]] bool valid() const
+    {
+        return broken.empty();
+    }
+};
+
+/**
+ * Assigns guaranteed gangs to workers.
+ * @param reclaimable the fleet with only that taken which may not be stopped
+ * @param unused the guaranteed gangs that are not in use
+ */
+GuaranteeMap assignGuarantees(const FleetModel &reclaimable, const std::vector<GuaranteedGang> &unused);
+
+/** @return true if a gang of shape @p job counts as a use of a guarantee of shape @p guaranteed. */
+bool usesGuarantee(const Shape &job, const Shape &guaranteed);
+
+} // namespace Papaya
--- a/packages/process/placement.h
+++ b/packages/version/placement.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "process/fleetmodel.h"
+#include "version/fleetmodel.h"
 
 #include <memory>
 #include <optional>
@@ -42,6 +42,17 @@
                                                    const std::set<WorkerIndex> &avoid) const override;
 };
 
+/**
+ * Keeps large shapes placeable: fills workers that are already broken up, then breaks up racks that are, and takes
+ * whole racks last.
+ */
+class ShapeKeeping : public PlacementPolicy
+{
+public:
+    [[nodiscard]] std::optional<PartWorkers> place(const FleetModel &fleet, const Shape &shape,
+                                                   const std::set<WorkerIndex> &avoid) const override;
+};
+
 /** @return true if @p shape would fit on a fleet of the same workers with nothing running. */
 bool fitsEmptyFleet(const FleetModel &fleet, const Shape &shape);
 
--- /dev/null
+++ b/tests/integration/gangs.cpp
@@ -0,0 +1,478 @@
+#include "cluster.h"
+
+#include "process/journalrecord.h"
+
+#include <gtest/gtest.h>
+
+#include <signal.h>
+
+// Gangs run whole or not at all, jobs are neither lost nor doubled nor misreported, and the planner can be replaced.
+
+namespace Papaya::Testing
+{
+
+namespace
+{
+
+constexpr Millis URGENT_START {2'800};
+
+/** Longest time that some parts may run without the others: finding out, stopping, and a lease that must lapse. */
+constexpr Millis PARTIAL_LIMIT {6'000};
+
+void setWorkers(Cluster &cluster, std::int64_t runMs, bool neverFinish = false)
+{
+    Standins::WorkerFaults faults;
+    faults.runMs = runMs;
+    faults.neverFinish = neverFinish;
+    for (const auto &worker : cluster.workers) {
+        worker->setFaults(faults);
+    }
+}
+
+std::vector<Standins::WorkerSpan> spansOf(const Cluster &cluster, const std::string &job)
+{
+    std::vector<Standins::WorkerSpan> spans;
+    for (const auto &worker : cluster.workers) {
+        for (const Standins::WorkerSpan &span : worker->spans()) {
+            if (span.job == job) {
+                spans.push_back(span);
+            }
+        }
+    }
+    return spans;
+}
+
+/** @return the longest time during which between one and @p parts - 1 parts of the job ran. */
+Duration longestPartialRun(const Cluster &cluster, const std::string &job, std::size_t parts)
+{
+    std::vector<std::pair<TimePoint, int>> changes;
+    for (const Standins::WorkerSpan &span : spansOf(cluster, job)) {
+        changes.emplace_back(span.begin, 1);
+        changes.emplace_back(std::min(span.end, Clock::now()), -1);
+    }
+    std::sort(changes.begin(), changes.end());
+    Duration longest {0};
+    int running = 0;
+    TimePoint since;
+    for (const auto &[when, change] : changes) {
+        const bool wasPartial = running > 0 && running < static_cast<int>(parts);
+        if (wasPartial) {
+            longest = std::max(longest, when - since);
+        }
+        running += change;
+        since = when;
+    }
+    return longest;
+}
+
+std::size_t runningParts(const Cluster &cluster, const std::string &job)
+{
+    std::size_t count = 0;
+    for (const Standins::WorkerSpan &span : spansOf(cluster, job)) {
+        count += span.end == TimePoint::max() ? 1U : 0U;
+    }
+    return count;
+}
+
+std::string submit(Cluster &cluster, std::size_t instance, const std::string &work, const std::string &key = "")
+{
+    const Json parameters = work == "route-plan" ? Json {{"depot", "bergen"}} : Json::object();
+    const Answer answer = cluster.submitJob(instance, work, parameters, key);
+    EXPECT_EQ(202, answer.status) << answer.body;
+    return answer.status == 202 ? answer.json().value("job", "") : "";
+}
+
+std::string stateOf(Cluster &cluster, std::size_t instance, const std::string &job)
+{
+    const Json status = cluster.jobStatus(instance, job);
+    return status.is_object() ? status.value("state", "") : "";
+}
+
+/** @return true if the ledgers of all running instances have the same digest. */
+bool ledgersAgree(Cluster &cluster)
+{
+    std::set<std::string> digests;
+    for (std::size_t i = 0; i < cluster.instances.size(); ++i) {
+        if (cluster.instances[i]->running()) {
+            digests.insert(cluster.adminStatus(i)["ledger"].value("digest", ""));
+        }
+    }
+    return digests.size() == 1;
+}
+
+Standing standingOf(Cluster &cluster, const std::string &worker)
+{
+    const Json workers = cluster.call(cluster.admin(0), {"GET", "/admin/workers", {}, ""}).json();
+    for (const Json &entry : workers["workers"]) {
+        if (entry["id"] == worker && entry["standing"] != "good") {
+            return entry["standing"] == "quarantined" ? Standing::Quarantined : Standing::Draining;
+        }
+    }
+    return Standing::Good;
+}
+
+TEST(Gangs, RestartsTheWholeGangWhenAWorkerLosesItsTasks)
+{
+    ClusterOptions options;
+    options.workers = 4;
+    Cluster cluster(options);
+    cluster.start(sampleConfig());
+    setWorkers(cluster, 4'000);
+    const std::string job = submit(cluster, 0, "route-plan");
+    ASSERT_TRUE(Cluster::eventually([&] { return runningParts(cluster, job) == 2; }));
+    for (const auto &worker : cluster.workers) {
+        if (!worker->spans().empty()) {
+            worker->loseTasks();
+            break;
+        }
+    }
+    EXPECT_EQ("succeeded", cluster.endOfJob(1, job, Millis(20'000)));
+    EXPECT_LE(longestPartialRun(cluster, job, 2), PARTIAL_LIMIT);
+    EXPECT_EQ(4U, spansOf(cluster, job).size());
+}
+
+TEST(Gangs, RestartsTheWholeGangWhenAWorkerGoesSilent)
+{
+    ClusterOptions options;
+    options.workers = 4;
+    Cluster cluster(options);
+    cluster.start(sampleConfig());
+    setWorkers(cluster, 5'000);
+    const std::string job = submit(cluster, 0, "route-plan");
+    ASSERT_TRUE(Cluster::eventually([&] { return runningParts(cluster, job) == 2; }));
+    for (const auto &worker : cluster.workers) {
+        if (!worker->spans().empty()) {
+            worker->close();
+            break;
+        }
+    }
+    // The other part is stopped as soon as the silence is noticed; the gang runs again only once the silent worker's
+    // lease must have lapsed, so that no part ever runs twice at one time.
+    EXPECT_EQ("succeeded", cluster.endOfJob(1, job, Millis(40'000)));
+    std::map<std::uint32_t, std::vector<Standins::WorkerSpan>> byPart;
+    for (const Standins::WorkerSpan &span : spansOf(cluster, job)) {
+        byPart[span.part].push_back(span);
+    }
+    for (const auto &[part, spans] : byPart) {
+        ASSERT_EQ(2U, spans.size());
+        EXPECT_TRUE(spans[0].end <= spans[1].begin || spans[1].end <= spans[0].begin);
+    }
+}
+
+TEST(Gangs, StartsNothingWhenOnePartRefusesToRun)
+{
+    ClusterOptions options;
+    options.workers = 3;
+    Cluster cluster(options);
+    cluster.start(sampleConfig());
+    Standins::WorkerFaults faults;
+    faults.refuseRun = true;
+    cluster.workers[0]->setFaults(faults);
+    const std::string job = submit(cluster, 0, "route-plan");
+    // The gang may hit the bad worker first; what was started there with it must end at once.
+    EXPECT_EQ("succeeded", cluster.endOfJob(0, job, Millis(15'000)));
+    EXPECT_LE(longestPartialRun(cluster, job, 2), PARTIAL_LIMIT);
+}
+
+TEST(Gangs, FailsAJobThatMustNotRestartAndSaysSo)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    setWorkers(cluster, 60'000);
+    const std::string job = submit(cluster, 0, "once-only");
+    ASSERT_TRUE(Cluster::eventually([&] { return runningParts(cluster, job) == 2; }));
+    for (const auto &worker : cluster.workers) {
+        worker->loseTasks();
+    }
+    EXPECT_EQ("failed", cluster.endOfJob(1, job));
+    EXPECT_NE(std::string::npos, cluster.jobStatus(0, job).value("reason", "").find("forbids a restart"));
+    EXPECT_EQ(2U, spansOf(cluster, job).size());
+}
+
+TEST(Gangs, CancelsQueuedAndRunningJobsInWaves)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    setWorkers(cluster, 1'000, true);
+    std::vector<std::string> jobs;
+    for (int i = 0; i < 40; ++i) {
+        jobs.push_back(submit(cluster, static_cast<std::size_t>(i % 2), "small-study"));
+    }
+    ASSERT_TRUE(Cluster::eventually([&] { return runningParts(cluster, jobs[0]) == 1; }));
+    std::vector<std::pair<Endpoint, HttpRequest>> calls;
+    for (std::size_t i = 0; i < jobs.size(); ++i) {
+        HttpRequest request {"DELETE", "/v1/jobs/" + jobs[i], {}, ""};
+        request.fields.set(Field::TEAM, "bookings");
+        calls.emplace_back(cluster.callers(i % 2), request);
+        calls.emplace_back(cluster.callers((i + 1) % 2), request); // twice, at two instances
+    }
+    for (const Answer &answer : cluster.callAll(calls, Millis(12'000))) {
+        EXPECT_EQ(202, answer.status) << answer.body;
+    }
+    for (const std::string &job : jobs) {
+        EXPECT_EQ("cancelled", cluster.endOfJob(0, job));
+        EXPECT_EQ(0U, runningParts(cluster, job));
+    }
+    EXPECT_TRUE(Cluster::eventually([&] { return ledgersAgree(cluster); }));
+}
+
+TEST(Gangs, DoesNotLetAWorkerThatFailsEverythingEatTheQueue)
+{
+    ClusterOptions options;
+    options.workers = 3;
+    Cluster cluster(options);
+    cluster.start(sampleConfig());
+    Standins::WorkerFaults faults;
+    faults.failing = true;
+    cluster.workers[0]->setFaults(faults);
+    std::vector<std::string> jobs;
+    for (int i = 0; i < 24; ++i) {
+        jobs.push_back(submit(cluster, 0, "small-study"));
+    }
+    for (const std::string &job : jobs) {
+        EXPECT_EQ("succeeded", cluster.endOfJob(0, job, Millis(20'000)));
+    }
+    // It was found out, and what it failed ran elsewhere.
+    EXPECT_EQ(Standing::Quarantined, standingOf(cluster, "worker-0"));
+}
+
+TEST(Reclaim, StartsAnUrgentGuaranteedGangOnAFullFleetInTime)
+{
+    ClusterOptions options;
+    options.workers = 2;
+    Cluster cluster(options);
+    Json config = sampleConfig();
+    config["teams"]["bookings"]["guarantees"] =
+        Json::array({{{"shape", {{"parts", 2}, {"gpus", 4}, {"adjacent", "rack"}}}, {"count", 1}}});
+    cluster.start(config);
+    setWorkers(cluster, 1'000, true);
+    std::vector<std::string> borrowers;
+    for (int i = 0; i < 16; ++i) {
+        borrowers.push_back(submit(cluster, 0, "small-study"));
+    }
+    ASSERT_TRUE(Cluster::eventually([&] {
+        std::size_t running = 0;
+        for (const std::string &job : borrowers) {
+            running += runningParts(cluster, job);
+        }
+        return running == 16;
+    }));
+    const TimePoint asked = Clock::now();
+    const std::string job = submit(cluster, 1, "urgent-plan");
+    ASSERT_TRUE(Cluster::eventually([&] { return runningParts(cluster, job) == 2; }, URGENT_START));
+    RecordProperty("start_ms", static_cast<int>(toMillis(Clock::now() - asked)));
+    // Only as many borrowers were stopped as were in the way.
+    std::size_t running = 0;
+    for (const std::string &borrower : borrowers) {
+        running += runningParts(cluster, borrower);
+    }
+    EXPECT_EQ(8U, running);
+}
+
+TEST(Reclaim, StopsACheckpointedBorrowerAndResumesIt)
+{
+    ClusterOptions options;
+    options.workers = 2;
+    Cluster cluster(options);
+    Json config = sampleConfig();
+    config["teams"]["bookings"]["guarantees"] =
+        Json::array({{{"shape", {{"parts", 2}, {"gpus", 4}, {"adjacent", "rack"}}}, {"count", 1}}});
+    cluster.start(config);
+    setWorkers(cluster, 5'000);
+    const std::string borrower = submit(cluster, 0, "route-plan");
+    ASSERT_TRUE(Cluster::eventually([&] { return runningParts(cluster, borrower) == 2; }));
+    std::this_thread::sleep_for(Millis(2'500));
+    const std::string urgent = submit(cluster, 0, "urgent-plan");
+    ASSERT_TRUE(Cluster::eventually([&] { return runningParts(cluster, urgent) == 2; }, URGENT_START));
+    EXPECT_EQ("succeeded", cluster.endOfJob(0, urgent, Millis(20'000)));
+    EXPECT_EQ("succeeded", cluster.endOfJob(0, borrower, Millis(20'000)));
+    // The second run of each part is shorter than the whole, because it went on from the checkpoint.
+    Duration shortest = Millis(5'000);
+    for (const Standins::WorkerSpan &span : spansOf(cluster, borrower)) {
+        if (span.ending == "succeeded") {
+            shortest = std::min(shortest, span.end - span.begin);
+        }
+    }
+    EXPECT_LT(shortest, Millis(4'500));
+}
+
+TEST(PlannerRole, IsReplacedInTimeWhenKilled)
+{
+    ClusterOptions options;
+    options.instances = 3;
+    Cluster cluster(options);
+    cluster.start(sampleConfig());
+    const auto planner = cluster.planner();
+    ASSERT_TRUE(planner);
+    const std::size_t other = (*planner + 1) % 3;
+    cluster.instances[*planner]->kill();
+    const std::string job = submit(cluster, other, "urgent-plan");
+    EXPECT_TRUE(Cluster::eventually([&] { return runningParts(cluster, job) == 2; }, URGENT_START));
+    EXPECT_EQ("succeeded", cluster.endOfJob(other, job));
+}
+
+TEST(PlannerRole, IsReplacedInTimeWhenFrozenAndChangesNothingWhenItWakes)
+{
+    ClusterOptions options;
+    options.instances = 3;
+    Cluster cluster(options);
+    cluster.start(sampleConfig());
+    setWorkers(cluster, 8'000);
+    const std::string before = submit(cluster, 0, "urgent-plan");
+    ASSERT_TRUE(Cluster::eventually([&] { return runningParts(cluster, before) == 2; }));
+    const auto planner = cluster.planner();
+    ASSERT_TRUE(planner);
+    const std::size_t other = (*planner + 1) % 3;
+    cluster.instances[*planner]->signal(SIGSTOP);
+    const std::string job = submit(cluster, other, "urgent-plan");
+    EXPECT_TRUE(Cluster::eventually([&] { return runningParts(cluster, job) == 2; }, URGENT_START));
+    const std::uint64_t epoch = cluster.workers[0]->epoch();
+    EXPECT_GE(epoch, 2U);
+    std::this_thread::sleep_for(Millis(1'500));
+    cluster.instances[*planner]->signal(SIGCONT);
+    std::this_thread::sleep_for(Millis(2'000));
+    // Both gangs ran through, each part once, and the workers have seen no later epoch.
+    EXPECT_EQ("succeeded", cluster.endOfJob(other, before, Millis(20'000)));
+    EXPECT_EQ("succeeded", cluster.endOfJob(other, job, Millis(20'000)));
+    EXPECT_EQ(2U, spansOf(cluster, before).size());
+    EXPECT_EQ(2U, spansOf(cluster, job).size());
+    EXPECT_EQ(epoch, cluster.workers[0]->epoch());
+    EXPECT_TRUE(Cluster::eventually([&] { return ledgersAgree(cluster); }));
+}
+
+TEST(PlannerRole, IsHandedOverByAGracefulStop)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    const auto planner = cluster.planner();
+    ASSERT_TRUE(planner);
+    const std::size_t other = 1 - *planner;
+    cluster.instances[*planner]->signal(SIGTERM);
+    EXPECT_TRUE(Cluster::eventually([&] { return cluster.planner(Millis(50), *planner) == other; }, Millis(1'500)));
+    EXPECT_EQ(0, cluster.instances[*planner]->waitForEnd(Millis(8'000)));
+}
+
+TEST(PlannerRole, KilledAtAnyMomentOfAStartLeavesNoPartialGang)
+{
+    ClusterOptions options;
+    options.instances = 3;
+    options.workers = 4;
+    Cluster cluster(options);
+    cluster.start(sampleConfig());
+    setWorkers(cluster, 3'000);
+    // The delay between submission and kill sweeps over every step of the start.
+    for (int delayMs = 0; delayMs <= 140; delayMs += 20) {
+        const auto planner = cluster.planner();
+        ASSERT_TRUE(planner);
+        const std::size_t other = (*planner + 1) % 3;
+        const std::string job = submit(cluster, other, "urgent-plan");
+        std::this_thread::sleep_for(Millis(delayMs));
+        cluster.instances[*planner]->kill();
+        EXPECT_EQ("succeeded", cluster.endOfJob(other, job, Millis(30'000)));
+        EXPECT_LE(longestPartialRun(cluster, job, 2), Millis(1'700)) << delayMs;
+        cluster.startInstance(*planner);
+        const HttpRequest ready {"GET", "/ready", {}, ""};
+        ASSERT_TRUE(Cluster::eventually([&] { return cluster.call(cluster.admin(*planner), ready).status == 200; }));
+        ASSERT_TRUE(Cluster::eventually([&] { return ledgersAgree(cluster); }));
+    }
+    EXPECT_TRUE(Cluster::eventually([&] { return ledgersAgree(cluster); }));
+}
+
+TEST(Jobs, SurviveTheKillOfAllInstances)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    setWorkers(cluster, 6'000);
+    const std::string running = submit(cluster, 0, "route-plan");
+    ASSERT_TRUE(Cluster::eventually([&] { return runningParts(cluster, running) == 2; }));
+    const std::string queued = submit(cluster, 1, "route-plan");
+    for (const auto &instance : cluster.instances) {
+        instance->kill();
+    }
+    for (std::size_t i = 0; i < cluster.instances.size(); ++i) {
+        cluster.startInstance(i);
+    }
+    EXPECT_EQ("succeeded", cluster.endOfJob(0, running, Millis(30'000)));
+    EXPECT_EQ("succeeded", cluster.endOfJob(1, queued, Millis(30'000)));
+    // The running gang went on under the new planner.
+    EXPECT_EQ(2U, spansOf(cluster, running).size());
+}
+
+TEST(Jobs, AreNotDoubledByLostAnswersOrRepeatedKeys)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    Standins::LogFaults faults;
+    faults.loseAnswers = 5;
+    cluster.log.setFaults(faults);
+    std::set<std::string> jobs;
+    for (int i = 0; i < 10; ++i) {
+        jobs.insert(submit(cluster, static_cast<std::size_t>(i % 2), "small-study", "key-" + std::to_string(i / 2)));
+    }
+    EXPECT_EQ(5U, jobs.size());
+    for (const std::string &job : jobs) {
+        EXPECT_EQ("succeeded", cluster.endOfJob(0, job));
+        EXPECT_EQ(1U, spansOf(cluster, job).size());
+    }
+}
+
+TEST(Jobs, RunOnThroughALogOutageAndAreReportedAfterIt)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    setWorkers(cluster, 3'000);
+    const std::string job = submit(cluster, 0, "route-plan");
+    ASSERT_TRUE(Cluster::eventually([&] { return stateOf(cluster, 0, job) == "running"; }));
+    Standins::LogFaults faults;
+    faults.outage = true;
+    cluster.log.setFaults(faults);
+    const Answer refused = cluster.submitJob(0, "small-study", Json::object());
+    EXPECT_EQ(503, refused.status);
+    EXPECT_EQ("not-run", refused.outcome());
+    std::this_thread::sleep_for(Millis(4'000));
+    cluster.log.setFaults({});
+    EXPECT_EQ("succeeded", cluster.endOfJob(1, job));
+    EXPECT_EQ(2U, spansOf(cluster, job).size());
+}
+
+TEST(Jobs, SurviveTheAgeingOutOfTheirRecords)
+{
+    ClusterOptions options;
+    options.settings = {{"platform", {{"logRetentionMs", 4'000}}}, {"keyHorizonMs", 1'000}};
+    Cluster cluster(options);
+    Standins::LogFaults faults;
+    faults.retentionMs = 4'000;
+    cluster.log.setFaults(faults);
+    cluster.start(sampleConfig());
+    setWorkers(cluster, 12'000);
+    const std::string job = submit(cluster, 0, "route-plan", "old-key");
+    ASSERT_TRUE(Cluster::eventually([&] { return stateOf(cluster, 0, job) == "running"; }));
+    std::this_thread::sleep_for(Millis(7'000));
+    // A fresh instance knows the job only from a snapshot.
+    cluster.instances[1]->kill();
+    cluster.startInstance(1);
+    EXPECT_TRUE(Cluster::eventually([&] { return stateOf(cluster, 1, job) == "running"; }, Millis(4'000)));
+    EXPECT_TRUE(Cluster::eventually([&] { return ledgersAgree(cluster); }));
+    EXPECT_EQ(job, submit(cluster, 1, "route-plan", "old-key"));
+    EXPECT_EQ("succeeded", cluster.endOfJob(1, job, Millis(20'000)));
+    EXPECT_EQ(2U, spansOf(cluster, job).size());
+}
+
+TEST(Jobs, AreMarkedUnschedulableWithTheReasonWhenTheFleetShrinks)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    setWorkers(cluster, 1'000, true);
+    const std::string first = submit(cluster, 0, "route-plan");
+    ASSERT_TRUE(Cluster::eventually([&] { return runningParts(cluster, first) == 2; }));
+    const std::string second = submit(cluster, 0, "route-plan");
+    cluster.hosts.remove("worker-1");
+    EXPECT_TRUE(Cluster::eventually([&] { return stateOf(cluster, 0, second) == "unschedulable"; }));
+    EXPECT_NE("", cluster.jobStatus(0, second).value("reason", ""));
+    cluster.hosts.set(cluster.hostOf(*cluster.workers[1], 1));
+    EXPECT_TRUE(Cluster::eventually([&] { return stateOf(cluster, 0, second) == "queued"; }));
+}
+
+} // namespace
+
+} // namespace Papaya::Testing
