Keep the planner's and the peers' cost down; bench signature

Cause: every report woke every gang, a coroutine was spawned for each worker in each tick, and intervals did not grow with the fleet. Ruled out: the planning pass (0.4 ms). Now a report wakes the gangs it names, only what is due is spawned, renewals and reports are at most 50 a second, and leases grow with their interval.

Peers hold one session a pair and push a newer configuration; the host list is asked with its entity tag; idle reads of the log wait a second.

papayactl bench digests the decisions of fixed scenarios of both paths; papayactl completion bash.

--- a/apps/papayactl/commands.h
+++ b/apps/papayactl/commands.h
@@ -19,6 +19,8 @@
 ExitCode workerCommand(const Options &options, const Words &words);
 ExitCode statusCommand(const Options &options, const Words &words);
 ExitCode explainCommand(const Options &options, const Words &words);
+ExitCode benchCommand(const Options &options, const Words &words);
+ExitCode completionCommand(const Options &options, const Words &words);
 
 /** Prints a usage error. @return ExitCode::Usage */
 ExitCode usageError(const std::string &message);
--- a/apps/papayactl/main.cpp
+++ b/apps/papayactl/main.cpp
@@ -29,7 +29,9 @@
     "  worker list              workers and what they hold\n"
     "  worker drain|undrain W   keep new work from a worker, or let it in again\n"
     "  status                   what this instance sees\n"
-    "  explain JOB              why a job waits\n\n"
+    "  explain JOB              why a job waits\n"
+    "  bench                    signature of the decision code's choices\n"
+    "  completion bash          completion for the shell\n\n"
     "Exit codes: 0 done, 1 refused, 2 usage, 3 unreachable";
 
 using Command = ExitCode (*)(const Options &, const Words &);
@@ -37,8 +39,9 @@
 const std::map<std::string, Command> &commands()
 {
     static const std::map<std::string, Command> ALL {
-        {"config", configCommand}, {"job", jobCommand},       {"request", requestCommand}, {"team", teamCommand},
-        {"worker", workerCommand}, {"status", statusCommand}, {"explain", explainCommand},
+        {"config", configCommand},   {"job", jobCommand},       {"request", requestCommand},
+        {"team", teamCommand},       {"worker", workerCommand}, {"status", statusCommand},
+        {"explain", explainCommand}, {"bench", benchCommand},   {"completion", completionCommand},
     };
     return ALL;
 }
--- a/apps/papayactl/operatorcommands.cpp
+++ b/apps/papayactl/operatorcommands.cpp
@@ -1,5 +1,7 @@
 #include "commands.h"
 
+#include "signature.h"
+
 #include <algorithm>
 #include <iostream>
 
@@ -153,6 +155,38 @@
     return ExitCode::Done;
 }
 
+ExitCode benchCommand(const Options &options, const Words &words)
+{
+    if (!words.empty()) {
+        return usageError("bench takes no words");
+    }
+    const std::uint64_t signature = Bench::decisionSignature();
+    std::cout << (options.json ? Json {{"bench", signature}}.dump() : "Bench: " + std::to_string(signature)) << "\n";
+    return ExitCode::Done;
+}
+
+ExitCode completionCommand(const Options & /*options*/, const Words &words)
+{
+    if (words != Words {"bash"}) {
+        return usageError("completion bash");
+    }
+    std::cout << R"(_papayactl() {
+    local word=${COMP_WORDS[COMP_CWORD]} before=${COMP_WORDS[COMP_CWORD-1]}
+    case $before in
+        config) COMPREPLY=($(compgen -W "check apply show diff" -- "$word")) ;;
+        job) COMPREPLY=($(compgen -W "submit status cancel list" -- "$word")) ;;
+        team) COMPREPLY=($(compgen -W "show" -- "$word")) ;;
+        worker) COMPREPLY=($(compgen -W "list drain undrain" -- "$word")) ;;
+        check|apply|diff) COMPREPLY=($(compgen -f -- "$word")) ;;
+        *) COMPREPLY=($(compgen -W "config job request team worker status explain bench completion
+            --callers --admin --team --token --admin-token --key --body --param --json --wait --timeout-ms --help" -- "$word")) ;;
+    esac
+}
+complete -F _papayactl papayactl
+)";
+    return ExitCode::Done;
+}
+
 ExitCode explainCommand(const Options &options, const Words &words)
 {
     if (words.size() != 1) {
--- a/packages/connection/hostlist.cpp
+++ b/packages/connection/hostlist.cpp
@@ -11,6 +11,7 @@
 
 using Json = nlohmann::json;
 
+constexpr int STATUS_NOT_MODIFIED = 304;
 constexpr std::int64_t MAX_AMOUNT = 1'000'000'000;
 const std::vector<std::string_view> KIND_NAMES {"entry", "minion", "worker"};
 const std::vector<std::string_view> STATE_NAMES {"live", "leaving"};
@@ -57,8 +58,16 @@
 
     Asio::awaitable<HostSnapshot> fetch(TimePoint deadline) override
     {
-        HttpRequest request {"GET", "/v1/hosts", {}, ""};
+        HttpRequest request;
+        request.method = "GET";
+        request.target = "/v1/hosts";
+        if (!m_tag.empty()) {
+            request.fields.set(Field::IF_NONE_MATCH, m_tag);
+        }
         const HttpResponse response = co_await m_pool.exchange(m_endpoint, std::move(request), deadline);
+        if (response.status == STATUS_NOT_MODIFIED && !m_tag.empty()) {
+            co_return m_last;
+        }
         if (response.status != 200) {
             throw std::runtime_error("host list: status " + std::to_string(response.status));
         }
@@ -67,12 +76,17 @@
             const Error &first = snapshot.errors().front();
             throw std::runtime_error("host list: " + first.path + " " + first.message);
         }
+        m_tag = response.fields.get(Field::ETAG);
+        m_last = *snapshot;
         co_return std::move(*snapshot);
     }
 
 private:
     HttpPool &m_pool;
     const Endpoint m_endpoint;
+    // A list that has not changed is not sent again, if the platform knows entity tags.
+    std::string m_tag;
+    HostSnapshot m_last;
 };
 
 } // namespace
--- a/packages/connection/hostlist.h
+++ b/packages/connection/hostlist.h
@@ -46,6 +46,7 @@
     virtual ~HostList() = default;
 
     /**
+     * Fetches the list; only one call may be under way.
      * @return the current list
      * @throws HttpError; std::runtime_error for a malformed answer
      */
--- a/packages/connection/http.h
+++ b/packages/connection/http.h
@@ -72,6 +72,8 @@
 constexpr std::string_view RETRY_AFTER = "Retry-After";
 constexpr std::string_view CONTENT_TYPE = "Content-Type";
 constexpr std::string_view IF_MATCH = "If-Match";
+constexpr std::string_view IF_NONE_MATCH = "If-None-Match";
+constexpr std::string_view ETAG = "ETag";
 } // namespace Field
 
 } // namespace Papaya
--- a/packages/process/configservice.cpp
+++ b/packages/process/configservice.cpp
@@ -188,6 +188,9 @@
 
 void ConfigService::adopt(const std::string &recordText)
 {
+    if (recordText.empty()) {
+        return;
+    }
     auto record = ConfigRecord::fromText(recordText);
     if (!record) {
         return;
--- a/packages/process/gangrunner.cpp
+++ b/packages/process/gangrunner.cpp
@@ -20,7 +20,7 @@
 constexpr Millis STOP_LIMIT {500};
 constexpr Millis STOP_RETRY_PAUSE {300};
 constexpr Millis CHECKPOINT_GRACE {1'000};
-constexpr Millis WATCH_INTERVAL {200};
+constexpr Millis WATCH_INTERVAL {500};
 constexpr Millis LEASE_MARGIN {300};      // for a worker whose clock runs slower
 constexpr std::uint32_t MAX_FAILURES = 3; // attempts that may end by a failed part
 
@@ -318,7 +318,7 @@
 {
     const auto executor = co_await Asio::this_coro::executor;
     while (true) {
-        auto reported = m_book.changed().subscribe(executor);
+        auto reported = m_book.changed(m_attempt.spec.job).subscribe(executor);
         if (m_book.superseded()) {
             m_owner.superseded();
             co_return GangEvent::Superseded;
@@ -356,7 +356,7 @@
             co_return;
         }
         const auto executor = co_await Asio::this_coro::executor;
-        co_await m_book.changed().subscribe(executor)->wait(until);
+        co_await m_book.changed(m_attempt.spec.job).subscribe(executor)->wait(until);
     }
 }
 
--- a/packages/process/membership.cpp
+++ b/packages/process/membership.cpp
@@ -22,7 +22,8 @@
 constexpr Millis RECONNECT_PAUSE {250};
 constexpr Millis MANAGE_INTERVAL {250};
 constexpr Millis PEER_LIFE {2'500};     // a peer not heard from for longer is taken as gone
-constexpr std::size_t MAX_SESSIONS = 8; // opened by one instance; bounds traffic when there are dozens
+constexpr std::size_t MAX_SESSIONS = 6; // opened by one instance; bounds traffic when there are dozens
+constexpr std::uint64_t PAIR_SEED = 1;
 constexpr const char *GOSSIP_PATH = "/gossip";
 constexpr const char *CONFIG_PATH = "/config";
 
@@ -62,7 +63,9 @@
     const auto hosts = m_hosts.hosts();
     for (std::size_t i = 0; hosts && i < hosts->hosts.size(); ++i) {
         const Host &host = hosts->hosts[i];
-        if (host.kind == HostKind::Entry && host.id != m_self.value()) {
+        // One session serves both ends of a pair; the one with the lower rank opens it.
+        const bool opens = stableHash(m_self.value(), PAIR_SEED) < stableHash(host.id, PAIR_SEED);
+        if (host.kind == HostKind::Entry && host.id != m_self.value() && opens) {
             peers[InstanceId(host.id)] = host.address;
         }
     }
@@ -148,6 +151,8 @@
     if (gossip->config > m_config.version()) {
         const std::string record = co_await session.exchange(CONFIG_PATH, "", Clock::now() + ANSWER_LIMIT);
         m_config.adopt(record);
+    } else if (gossip->config < m_config.version()) {
+        co_await session.exchange(CONFIG_PATH, m_config.recordText(), Clock::now() + ANSWER_LIMIT);
     }
 }
 
@@ -168,6 +173,7 @@
 std::string Membership::onPeerRequest(const std::string &path, const std::string &body)
 {
     if (path == CONFIG_PATH) {
+        m_config.adopt(body);
         return m_config.recordText();
     }
     const auto gossip = Gossip::fromBytes(body);
@@ -193,7 +199,9 @@
 
 bool Membership::cutOff(Duration limit) const
 {
-    if (chosenPeers().empty()) {
+    const auto hosts = m_hosts.hosts();
+    const auto isPeer = [this](const Host &host) { return host.kind == HostKind::Entry && host.id != m_self.value(); };
+    if (!hosts || std::none_of(hosts->hosts.begin(), hosts->hosts.end(), isPeer)) {
         return false;
     }
     const std::lock_guard lock(m_mutex);
--- a/packages/process/planner.cpp
+++ b/packages/process/planner.cpp
@@ -20,12 +20,12 @@
 
 constexpr Millis TICK {100};
 constexpr Millis PAUSE_NOTICED {600}; // a longer gap between two ticks means that this process stood still
-constexpr Millis BEAT_INTERVAL {300};
+constexpr Millis BEAT_INTERVAL {400};
 constexpr Millis BEAT_LIMIT {2'000};
 constexpr Millis SUSPICION {1'000}; // silence of the planner before another instance claims the role
 constexpr int SUSPICION_APPEND_FACTOR = 3;
-constexpr Millis RANK_DELAY {250}; // between the claims of two candidates
-constexpr Millis READ_FRESH {700}; // a candidate must have read the journal to its end this recently
+constexpr Millis RANK_DELAY {250};   // between the claims of two candidates
+constexpr Millis READ_FRESH {1'300}; // a candidate must have read the journal to its end this recently
 constexpr Millis CLAIM_LIMIT {3'000};
 constexpr Millis RAISE_LIMIT {400};
 constexpr Millis RAISE_RETRY {1'000};
@@ -33,6 +33,7 @@
 constexpr Millis ISOLATED_RENEWALS {30'000}; // an old planner that is cut off may renew leases this long
 constexpr Millis STRAY_LIMIT {500};
 constexpr Millis PLAN_INTERVAL {500};
+constexpr int PLAN_REST_FACTOR = 60; // keeps passes that nothing asks for below 2 % of a core
 
 Asio::awaitable<void> stopStray(WorkerClient &client, Endpoint address, Epoch epoch, TaskId task)
 {
@@ -125,6 +126,13 @@
     }
 }
 
+std::size_t Planner::workerCount() const
+{
+    const auto hosts = m_hosts.hosts();
+    const auto isWorker = [](const Host &host) { return host.kind == HostKind::Worker; };
+    return hosts ? static_cast<std::size_t>(std::count_if(hosts->hosts.begin(), hosts->hosts.end(), isWorker)) : 0;
+}
+
 void Planner::applyHealth()
 {
     const auto append = [](Planner &self, WorkerStanding record) -> Asio::awaitable<void> {
@@ -133,13 +141,8 @@
             self.m_metrics.count(Counter::WorkersQuarantined);
         }
     };
-    const auto hosts = m_hosts.hosts();
-    std::size_t workers = 0;
-    for (std::size_t i = 0; hosts && i < hosts->hosts.size(); ++i) {
-        workers += hosts->hosts[i].kind == HostKind::Worker ? 1U : 0U;
-    }
     const auto standings = m_journal.read([](const Ledger &ledger) { return ledger.standings(); });
-    for (const HealthChange &change : m_health.changes(standings, workers, Clock::now())) {
+    for (const HealthChange &change : m_health.changes(standings, workerCount(), Clock::now())) {
         logEvent(LogLevel::Warning, "worker-standing",
                  {{"worker", change.worker.value()}, {"standing", toString(change.standing)}});
         Asio::co_spawn(m_strand, append(*this, {m_epoch, change.worker, change.standing}), Asio::detached);
@@ -174,6 +177,7 @@
     if (!m_active) {
         co_await takeOver();
     }
+    m_book.setFleetSize(workerCount());
     // 3. Plans.
     beat();
     co_await raiseWorkers();
@@ -228,6 +232,7 @@
     m_epoch = role.epoch;
     m_raised.clear();
     m_book.clear();
+    m_book.setFleetSize(workerCount());
     m_active = true;
     beat();
     m_lastRaise = {};
@@ -487,7 +492,7 @@
     // A pass is made when the ledger has changed, and now and then for hosts, leases and the passing of time.
     const std::uint64_t revision = m_journal.read([](const Ledger &ledger) { return ledger.revision(); });
     const auto hosts = m_hosts.hosts();
-    if (!hosts || !m_config.config() || (revision == m_plannedRevision && Clock::now() - m_lastPlan < PLAN_INTERVAL)) {
+    if (!hosts || !m_config.config() || (revision == m_plannedRevision && Clock::now() - m_lastPlan < m_planInterval)) {
         return;
     }
     m_plannedRevision = revision;
@@ -496,6 +501,7 @@
     adoptGangs();
     const PlanningView view = planningView();
     const ScheduleDecision decision = m_scheduling.plan(view);
+    m_planInterval = std::max<Duration>(PLAN_INTERVAL, (Clock::now() - m_lastPlan) * PLAN_REST_FACTOR);
     for (const StopDecision &stop : decision.stops) {
         stopGang(stop);
     }
--- a/packages/process/planner.h
+++ b/packages/process/planner.h
@@ -71,6 +71,7 @@
     void launch(GangAttempt attempt, GangState entry);
     void stopCancelled();
     void applyHealth();
+    [[nodiscard]] std::size_t workerCount() const;
     void updateStatus();
     [[nodiscard]] FleetModel fleet() const;
     void addGangs(const Ledger &ledger, PlanningView &view) const;
@@ -112,6 +113,7 @@
     std::vector<std::string> m_brokenGuarantees;
     std::uint64_t m_plannedRevision = 0; ///< of the ledger, when the last pass was made
     TimePoint m_lastPlan;
+    Duration m_planInterval {0};
 
     mutable std::mutex m_statusMutex;
     PlannerStatus m_status;
--- a/packages/process/streamtail.cpp
+++ b/packages/process/streamtail.cpp
@@ -14,7 +14,7 @@
 {
 
 constexpr std::size_t PAGE_RECORDS = 500;
-constexpr Millis POLL_WAIT {500};
+constexpr Millis POLL_WAIT {1'000};
 constexpr Millis MIN_SLACK {700}; // beyond the poll's own wait; a silent connection is dropped after both
 constexpr Millis MAX_SLACK {8'000};
 constexpr Millis RETRY_PAUSE {100};
--- a/packages/process/taskbook.cpp
+++ b/packages/process/taskbook.cpp
@@ -14,15 +14,24 @@
 {
 
 constexpr Millis SHORT_RENEWAL {400};
-constexpr Millis LONG_RENEWAL {3'000};
+constexpr Millis MIN_RENEWAL {3'000};
 constexpr Millis MIN_REPORT_INTERVAL {500};
-constexpr Millis REPORT_INTERVAL_PER_WORKER {10}; // keeps the planner's cost flat as the fleet grows
+constexpr Millis INTERVAL_PER_WORKER {20}; // at most 50 renewals and 50 reports a second, whatever the fleet
 constexpr Millis REPORT_LAG_ALLOWED {5'000};
 constexpr Millis CALL_LIMIT {1'000};
 constexpr Millis SILENCE_ALLOWED {2'500}; // beyond the interval between two contacts
 
 } // namespace
 
+LeaseTimes LeaseTimes::forFleet(std::size_t workers)
+{
+    const Millis interval = INTERVAL_PER_WORKER * static_cast<std::int64_t>(workers);
+    LeaseTimes times;
+    times.renewal = std::max(MIN_RENEWAL, interval);
+    times.report = std::max(MIN_REPORT_INTERVAL, interval);
+    return times;
+}
+
 TaskBook::TaskBook(Asio::any_io_executor strand, WorkerClient &client, Metrics &metrics)
     : m_strand(std::move(strand))
     , m_client(client)
@@ -38,7 +47,7 @@
     task.worker = worker;
     task.address = address;
     task.mode = mode;
-    task.leaseUntil = sent + (mode == LeaseMode::Long ? LONG_LEASE : SHORT_LEASE);
+    task.leaseUntil = sent + (mode == LeaseMode::Long ? m_times.longLease() : SHORT_LEASE);
     task.lastContact = Clock::now();
     task.endsDoubtfulUntil = repeated ? task.lastContact + REPORT_LAG_ALLOWED : TimePoint {};
     WorkerState &state = m_workers[worker];
@@ -72,6 +81,10 @@
         }
     }
     m_tasks.erase(found);
+    const auto next = m_tasks.lower_bound({id.job, PartIndex(0)});
+    if (next == m_tasks.end() || next->first.job != id.job) {
+        m_changed.erase(id.job);
+    }
 }
 
 void TaskBook::clear()
@@ -79,7 +92,19 @@
     m_tasks.clear();
     m_workers.clear();
     m_superseded = false;
-    m_changed.notifyAll();
+    notifyAll();
+}
+
+void TaskBook::setFleetSize(std::size_t workers)
+{
+    m_times = LeaseTimes::forFleet(workers);
+}
+
+void TaskBook::notifyAll()
+{
+    for (auto &[job, changed] : m_changed) {
+        changed.notifyAll();
+    }
 }
 
 const HeldTask *TaskBook::find(const TaskId &id) const
@@ -90,7 +115,7 @@
 
 void TaskBook::epochRaised(const WorkerId &worker)
 {
-    const TimePoint latest = Clock::now() + LONG_LEASE;
+    const TimePoint latest = Clock::now() + m_times.longLease();
     for (auto &[id, task] : m_tasks) {
         if (task.worker == worker) {
             task.leaseUntil = std::min(task.leaseUntil, latest);
@@ -126,14 +151,9 @@
     }
 }
 
-Duration TaskBook::reportInterval() const
-{
-    return std::max<Duration>(MIN_REPORT_INTERVAL, REPORT_INTERVAL_PER_WORKER * m_workers.size());
-}
-
 bool TaskBook::silent(const HeldTask &task, TimePoint now) const
 {
-    const Duration interval = std::min<Duration>(LONG_RENEWAL, reportInterval());
+    const Duration interval = std::min<Duration>(m_times.renewal, m_times.report);
     return now - task.lastContact > interval + SILENCE_ALLOWED;
 }
 
@@ -165,8 +185,12 @@
 
 void TaskBook::refresh(Epoch epoch)
 {
+    const TimePoint now = Clock::now();
     for (auto &[id, state] : m_workers) {
-        if (!state.busy) {
+        const bool shortDue = now - state.shortRenewedAt >= SHORT_RENEWAL && !tasksIn(id, LeaseMode::Short).empty();
+        const bool due =
+            shortDue || now - state.longRenewedAt >= m_times.renewal || now - state.reportReadAt >= m_times.report;
+        if (!state.busy && due) {
             state.busy = true;
             Asio::co_spawn(m_strand, refreshWorker(*this, id, epoch), Asio::detached);
         }
@@ -182,8 +206,8 @@
     const Endpoint address = state->second.address;
     const TimePoint now = Clock::now();
     const bool shortDue = now - state->second.shortRenewedAt >= SHORT_RENEWAL;
-    const bool longDue = now - state->second.longRenewedAt >= LONG_RENEWAL;
-    const bool reportDue = now - state->second.reportReadAt >= book.reportInterval();
+    const bool longDue = now - state->second.longRenewedAt >= book.m_times.renewal;
+    const bool reportDue = now - state->second.reportReadAt >= book.m_times.report;
     if (shortDue) {
         co_await book.renew(worker, address, epoch, LeaseMode::Short);
     }
@@ -206,7 +230,7 @@
         co_return;
     }
     const TimePoint sent = Clock::now();
-    const Millis lease = mode == LeaseMode::Long ? LONG_LEASE : SHORT_LEASE;
+    const Millis lease = mode == LeaseMode::Long ? m_times.longLease() : SHORT_LEASE;
     std::optional<std::vector<TaskId>> lapsed;
     // Whether or not the worker answers, it may have renewed the leases, so they count from this sending.
     for (const TaskId &id : ids) {
@@ -220,7 +244,7 @@
     }
     if (!lapsed) {
         m_superseded = true;
-        m_changed.notifyAll();
+        notifyAll();
         co_return;
     }
     heardFrom(worker, Clock::now());
@@ -233,11 +257,9 @@
         // A task that has ended is not running under a lease either.
         if (found != m_tasks.end() && found->second.state != TaskState::Succeeded) {
             found->second.lost = true;
+            m_changed[id.job].notifyAll();
         }
     }
-    if (!lapsed->empty()) {
-        m_changed.notifyAll();
-    }
 }
 
 Asio::awaitable<void> TaskBook::readReport(WorkerId worker, Endpoint address)
@@ -259,9 +281,9 @@
         const auto found = m_tasks.find(task.id);
         if (found != m_tasks.end() && found->second.worker == worker) {
             note(task);
+            m_changed[task.id.job].notifyAll();
         }
     }
-    m_changed.notifyAll();
 }
 
 } // namespace Papaya
--- a/packages/process/taskbook.h
+++ b/packages/process/taskbook.h
@@ -23,8 +23,20 @@
 
 /** First and short leases; a start that is cut in the middle ends itself within this. */
 constexpr Millis SHORT_LEASE {1'500};
-/** Leases of running gangs; they outlive a change of planners. */
-constexpr Millis LONG_LEASE {12'000};
+
+/** Times that grow with the fleet, so that the planner's cost does not. */
+struct LeaseTimes {
+    Millis renewal {3'000}; ///< between two renewals for one worker
+    Millis report {500};    ///< between two reports of one worker
+    /** Leases of running gangs outlive a change of planners and some lost renewals. */
+    [[nodiscard]] Millis longLease() const
+    {
+        return renewal * 4;
+    }
+
+    /** @return the times for a fleet of @p workers. */
+    static LeaseTimes forFleet(std::size_t workers);
+};
 
 /** A task held on a worker. */
 struct HeldTask {
@@ -54,6 +66,8 @@
               bool repeated);
     /** Changes how the lease is renewed. */
     void setMode(const TaskId &id, LeaseMode mode);
+    /** Adapts the times to the number of listed workers. */
+    void setFleetSize(std::size_t workers);
     void forget(const TaskId &id);
     void clear();
 
@@ -83,10 +97,10 @@
         return m_superseded;
     }
 
-    /** @return the broadcast that is notified when a task's state has changed. */
-    Broadcast &changed()
+    /** @return the broadcast that is notified when something is learned of a task of @p job. */
+    Broadcast &changed(const JobId &job)
     {
-        return m_changed;
+        return m_changed[job];
     }
 
 private:
@@ -103,7 +117,7 @@
     Asio::awaitable<void> renew(WorkerId worker, Endpoint address, Epoch epoch, LeaseMode mode);
     Asio::awaitable<void> readReport(WorkerId worker, Endpoint address);
     [[nodiscard]] std::vector<TaskId> tasksIn(const WorkerId &worker, LeaseMode mode) const;
-    [[nodiscard]] Duration reportInterval() const;
+    void notifyAll();
     void heardFrom(const WorkerId &worker, TimePoint when);
 
     Asio::any_io_executor m_strand;
@@ -112,7 +126,8 @@
     std::map<TaskId, HeldTask> m_tasks;
     std::map<WorkerId, WorkerState> m_workers;
     bool m_superseded = false;
-    Broadcast m_changed;
+    LeaseTimes m_times;
+    std::map<JobId, Broadcast> m_changed;
 };
 
 } // namespace Papaya
--- a/tests/integration/cluster.cpp
+++ b/tests/integration/cluster.cpp
@@ -161,6 +161,7 @@
     instances.clear();
     minionProxies.clear();
     logProxies.clear();
+    hostsProxies.clear();
     peerProxies.clear();
     m_work.reset();
     io.stop();
@@ -210,6 +211,11 @@
         logProxies.push_back(Standins::FaultProxy::create(io, any, logAddress));
         logAddress = logProxies.back()->address();
     }
+    Endpoint hostsAddress = hosts.address();
+    if (m_options.proxyHosts) {
+        hostsProxies.push_back(Standins::FaultProxy::create(io, any, hostsAddress));
+        hostsAddress = hostsProxies.back()->address();
+    }
     Endpoint peerAddress = m_peers.back();
     if (m_options.proxyPeers) {
         peerProxies.push_back(Standins::FaultProxy::create(io, any, peerAddress));
@@ -220,7 +226,7 @@
                     {{"callers", m_callers.back().toString()},
                      {"admin", m_admin.back().toString()},
                      {"peers", m_peers.back().toString()}}},
-                   {"platform", {{"log", logAddress.toString()}, {"hosts", hosts.address().toString()}}},
+                   {"platform", {{"log", logAddress.toString()}, {"hosts", hostsAddress.toString()}}},
                    {"threads", 2},
                    {"drainNoticeMs", 200},
                    {"logLevel", "debug"}};
--- a/tests/integration/cluster.h
+++ b/tests/integration/cluster.h
@@ -80,6 +80,7 @@
     Resources workerCapacity {64, 128'000, 8};
     std::size_t workersPerRack = 6;
     bool proxyLog = false;          ///< a proxy between each instance and the log
+    bool proxyHosts = false;        ///< a proxy between each instance and the host list
     bool proxyMinions = false;      ///< one proxy in front of each minion
     bool proxyPeers = false;        ///< a proxy in front of each instance's peer listener
     Json settings = Json::object(); ///< merged into each instance's settings
@@ -144,6 +145,7 @@
     std::vector<std::unique_ptr<Standins::WorkerStandin>> workers;
     std::vector<std::unique_ptr<InstanceProcess>> instances;
     std::vector<std::unique_ptr<Standins::FaultProxy>> logProxies;
+    std::vector<std::unique_ptr<Standins::FaultProxy>> hostsProxies;
     std::vector<std::unique_ptr<Standins::FaultProxy>> minionProxies;
     std::vector<std::unique_ptr<Standins::FaultProxy>> peerProxies;
 
--- a/tests/load/loadbench.cpp
+++ b/tests/load/loadbench.cpp
@@ -9,7 +9,11 @@
 #include <fstream>
 #include <iomanip>
 #include <iostream>
+#include <iterator>
 #include <random>
+#include <sstream>
+
+#include <unistd.h>
 
 // Open-loop load on real processes: requests go out when they are due, and a late answer counts from when its request
 // was due. Prints one line of key=value pairs for each run.
@@ -261,13 +265,80 @@
               << static_cast<double>(runs) / static_cast<double>(result.sent) << "\n";
 }
 
+/** @return processor time of a process, in seconds. */
+double processorSeconds(int pid)
+{
+    std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+    std::string text((std::istreambuf_iterator<char>(stat)), std::istreambuf_iterator<char>());
+    std::istringstream fields(text.substr(text.rfind(')') + 2));
+    std::vector<std::string> values((std::istream_iterator<std::string>(fields)), std::istream_iterator<std::string>());
+    constexpr std::size_t USER_TIME = 11;
+    return (std::stod(values[USER_TIME]) + std::stod(values[USER_TIME + 1]))
+           / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+std::size_t residentKb(int pid)
+{
+    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+    std::string line;
+    while (std::getline(status, line)) {
+        if (line.starts_with("VmRSS:")) {
+            return std::stoul(line.substr(6));
+        }
+    }
+    return 0;
+}
+
+/** What each instance costs at rest, and with running jobs that only have to be kept up. */
+void restScenario(const Sizes &sizes, std::size_t workers, std::size_t jobs)
+{
+    ClusterOptions options;
+    options.instances = sizes.instances;
+    options.minions = sizes.minions;
+    options.workers = workers;
+    options.proxyLog = true;
+    options.proxyHosts = true;
+    options.settings = {{"logLevel", "warning"}};
+    Cluster cluster(options);
+    cluster.start(loadConfig(100));
+    Standins::WorkerFaults faults;
+    faults.neverFinish = true;
+    for (const auto &worker : cluster.workers) {
+        worker->setFaults(faults);
+    }
+    for (std::size_t i = 0; i < jobs; ++i) {
+        cluster.submitJob(i % sizes.instances, "small-study", Json::object());
+    }
+    std::this_thread::sleep_for(Millis(4'000 + 30 * static_cast<std::int64_t>(jobs)));
+    const auto planner = cluster.planner();
+    std::vector<double> processor;
+    std::vector<double> bytes;
+    const auto trafficOf = [&](std::size_t i) {
+        return static_cast<double>(cluster.logProxies[i]->bytes() + cluster.hostsProxies[i]->bytes())
+               + cluster.metric(i, "papayahall_peer_bytes_sent") + cluster.metric(i, "papayahall_peer_bytes_received");
+    };
+    for (std::size_t i = 0; i < sizes.instances; ++i) {
+        processor.push_back(processorSeconds(cluster.instances[i]->pid()));
+        bytes.push_back(trafficOf(i));
+    }
+    const double seconds = std::chrono::duration<double>(sizes.duration).count();
+    std::this_thread::sleep_for(sizes.duration);
+    for (std::size_t i = 0; i < sizes.instances; ++i) {
+        const double used = processorSeconds(cluster.instances[i]->pid()) - processor[i];
+        std::cout << std::fixed << std::setprecision(3) << "scenario=rest workers=" << workers << " tasks=" << jobs
+                  << " instance=" << i << " planner=" << (planner == i ? 1 : 0)
+                  << " core_percent=" << 100 * used / seconds << " rss_kb=" << residentKb(cluster.instances[i]->pid())
+                  << " control_bytes_per_s=" << (trafficOf(i) - bytes[i]) / seconds << "\n";
+    }
+}
+
 } // namespace
 
 int runLoadBench(int argc, char **argv)
 {
     TCLAP::CmdLine line("Open-loop load on real processes.");
-    const TCLAP::ValueArg<std::string> only("s", "scenario", "choice, flood, urgent-flood, caller or failing", false,
-                                            "", "NAME", line);
+    const TCLAP::ValueArg<std::string> only("s", "scenario", "choice, flood, urgent-flood, caller, failing or rest",
+                                            false, "", "NAME", line);
     const TCLAP::ValueArg<std::size_t> instances("i", "instances", "Instances", false, 7, "N", line);
     const TCLAP::ValueArg<std::size_t> minions("m", "minions", "Minions of 8 slots", false, 50, "N", line);
     const TCLAP::ValueArg<std::int64_t> duration("d", "duration-ms", "Time of a run", false, 4'000, "MS", line);
@@ -290,6 +361,12 @@
     if (wanted("failing")) {
         failingScenario(sizes);
     }
+    if (wanted("rest")) {
+        restScenario(sizes, 0, 0);
+        restScenario(sizes, 50, 0);
+        restScenario(sizes, 50, 200);
+        restScenario(sizes, 100, 400);
+    }
     return 0;
 }
 
--- a/tests/standins/faultproxy.cpp
+++ b/tests/standins/faultproxy.cpp
@@ -85,6 +85,7 @@
     std::atomic<bool> m_silent {false};
     std::atomic<bool> m_refuse {false};
     std::atomic<std::uint64_t> m_accepted {0};
+    std::atomic<std::uint64_t> m_bytes {0};
     Asio::strand<Asio::io_context::executor_type> strand()
     {
         return m_strand;
@@ -147,6 +148,7 @@
             if (self->m_delayMs > 0) {
                 co_await sleepFor(Millis(self->m_delayMs));
             }
+            self->m_bytes += size;
             std::size_t pass = size;
             const std::int64_t cutAfter = self->m_cutAfter;
             if (answers && cutAfter >= 0) {
@@ -235,6 +237,11 @@
     m_state->m_refuse = refuse;
 }
 
+std::uint64_t FaultProxy::bytes() const
+{
+    return m_state->m_bytes;
+}
+
 std::uint64_t FaultProxy::accepted() const
 {
     return m_state->m_accepted;
--- a/tests/standins/faultproxy.h
+++ b/tests/standins/faultproxy.h
@@ -39,6 +39,8 @@
     void cutAnswersAfter(std::int64_t bytes);
     /** Refuses new connections by closing them at once. */
     void setRefuse(bool refuse);
+    /** @return bytes relayed in both directions since the start. */
+    [[nodiscard]] std::uint64_t bytes() const;
     /** @return connections accepted since the start. */
     [[nodiscard]] std::uint64_t accepted() const;
 
--- a/tests/standins/hostsstandin.cpp
+++ b/tests/standins/hostsstandin.cpp
@@ -66,7 +66,7 @@
     m_outage = outage;
 }
 
-Asio::awaitable<HttpResponse> HostsStandin::serve(HttpRequest /*request*/)
+Asio::awaitable<HttpResponse> HostsStandin::serve(HttpRequest request)
 {
     const std::lock_guard lock(m_mutex);
     if (m_outage) {
@@ -76,12 +76,20 @@
     while (m_versions.size() > 1 && m_versions[1].since <= asOf) {
         m_versions.pop_front();
     }
+    const std::string tag = "\"" + std::to_string(m_versions.front().since.time_since_epoch().count()) + "\"";
+    if (request.fields.get(Field::IF_NONE_MATCH) == tag) {
+        HttpResponse unchanged;
+        unchanged.status = 304;
+        co_return unchanged;
+    }
     Json hosts = Json::array();
     for (const auto &[id, host] : m_versions.front().hosts) {
         hosts.push_back(describe(host));
     }
     const std::int64_t lagMs = toMillis(m_lag);
-    co_return jsonAnswer(200, Json {{"asOfMs", nowMs() - lagMs}, {"hosts", hosts}});
+    HttpResponse answer = jsonAnswer(200, Json {{"asOfMs", nowMs() - lagMs}, {"hosts", hosts}});
+    answer.fields.set(Field::ETAG, tag);
+    co_return answer;
 }
 
 HttpResponse HostsStandin::control(const HttpRequest &request)
