--- a/bench/day.cpp
+++ b/bench/day.cpp
@@ -37,7 +37,7 @@
     }
 
     /** Adds @p count jobs like @p like that arrive between two hours of the day. */
-    void add(DayJob like, std::size_t count, double fromHour, double toHour, double medianHours,
+    void add(const DayJob &like, std::size_t count, double fromHour, double toHour, double medianHours,
              const std::vector<Shape> &shapes, std::size_t callers)
     {
         std::uniform_real_distribution<double> hour(fromHour, toHour);
--- a/bench/signature.cpp
+++ b/bench/signature.cpp
@@ -76,8 +76,10 @@
 void minionScenario(Digest &digest)
 {
     MinionSet minions(std::make_unique<HomeMinion>(), SEED);
+    constexpr std::size_t MINIONS = 20;
     std::vector<MinionInfo> infos;
-    for (int i = 0; i < 20; ++i) {
+    infos.reserve(MINIONS);
+    for (std::size_t i = 0; i < MINIONS; ++i) {
         infos.push_back({MinionId("minion-" + std::to_string(i)), 8, 64});
     }
     minions.update(infos, {InstanceId("entry-1"), InstanceId("entry-2"), InstanceId("entry-3")}, InstanceId("entry-1"));
--- a/packages/connection/peersession.cpp
+++ b/packages/connection/peersession.cpp
@@ -99,7 +99,7 @@
             m_connections.push_back({strand, connection});
         }
         std::weak_ptr<Http2Connection> weak = connection;
-        connection->onMessage = [self = shared_from_this(), weak](std::int32_t stream, Http2Message message) {
+        connection->onMessage = [self = shared_from_this(), weak](std::int32_t stream, const Http2Message &message) {
             if (const auto open = weak.lock()) {
                 open->sendAnswer(stream, self->m_handler.onPeerRequest(message.path, message.body));
             }
--- a/packages/process/jobservice.cpp
+++ b/packages/process/jobservice.cpp
@@ -3,7 +3,6 @@
 #include "base/codec.h"
 #include "base/digest.h"
 #include "base/objectreader.h"
-#include "process/callerauth.h"
 #include "process/logging.h"
 #include "version/placement.h"
 
@@ -77,6 +76,30 @@
     return refusalResponse(refusal, detail, path);
 }
 
+std::optional<CallerIdentity> JobService::admit(const HttpRequest &request, HttpResponse &refusal)
+{
+    const FleetConfigPtr config = m_config.config();
+    if (config == nullptr || !m_journal.tail().caughtUp()) {
+        refusal = refuse(Refusal::NotReady);
+        return std::nullopt;
+    }
+    CallerIdentity identity = identifyCaller(request, *config);
+    if (identity.refusal) {
+        refusal = refuse(*identity.refusal);
+        return std::nullopt;
+    }
+    return identity;
+}
+
+std::optional<Job> JobService::ownJob(const TeamName &team, const std::string &id) const
+{
+    return m_journal.read([&](const Ledger &ledger) -> std::optional<Job> {
+        const Job *found = ledger.job(JobId(id));
+        const bool own = found != nullptr && found->spec.team == team;
+        return own ? std::optional<Job>(*found) : std::nullopt;
+    });
+}
+
 bool JobService::everFits(const Shape &shape) const
 {
     const auto hosts = m_hosts.hosts();
@@ -194,13 +217,10 @@
 
 Asio::awaitable<HttpResponse> JobService::status(const HttpRequest &request, const std::string &id)
 {
-    const FleetConfigPtr config = m_config.config();
-    if (config == nullptr || !m_journal.tail().caughtUp()) {
-        co_return refuse(Refusal::NotReady);
-    }
-    const CallerIdentity identity = identifyCaller(request, *config);
-    if (identity.refusal) {
-        co_return refuse(*identity.refusal);
+    HttpResponse refusal;
+    const auto identity = admit(request, refusal);
+    if (!identity) {
+        co_return refusal;
     }
     const std::int64_t waitMs = std::clamp<std::int64_t>(toNumber(request.query("waitMs")).value_or(0), 0, MAX_WAIT_MS);
     const TimePoint until = Clock::now() + Millis(waitMs);
@@ -208,11 +228,7 @@
     std::optional<JobState> first;
     while (true) {
         auto waiter = m_journal.progress().subscribe(executor);
-        const auto job = m_journal.read([&](const Ledger &ledger) -> std::optional<Job> {
-            const Job *found = ledger.job(JobId(id));
-            const bool own = found != nullptr && found->spec.team == identity.team;
-            return own ? std::optional<Job>(*found) : std::nullopt;
-        });
+        const auto job = ownJob(identity->team, id);
         if (!job) {
             co_return refuse(Refusal::NoSuchJob);
         }
@@ -227,20 +243,17 @@
 
 HttpResponse JobService::list(const HttpRequest &request)
 {
-    const FleetConfigPtr config = m_config.config();
-    if (config == nullptr || !m_journal.tail().caughtUp()) {
-        return refuse(Refusal::NotReady);
-    }
-    const CallerIdentity identity = identifyCaller(request, *config);
-    if (identity.refusal) {
-        return refuse(*identity.refusal);
+    HttpResponse refusal;
+    const auto identity = admit(request, refusal);
+    if (!identity) {
+        return refusal;
     }
     const JobId after {std::string(request.query("after"))};
     Json jobs = Json::array();
     Json next;
     m_journal.read([&](const Ledger &ledger) {
         for (auto entry = ledger.jobs().upper_bound(after); entry != ledger.jobs().end(); ++entry) {
-            if (entry->second.spec.team != identity.team) {
+            if (entry->second.spec.team != identity->team) {
                 continue;
             }
             if (jobs.size() == PAGE_JOBS) {
@@ -255,20 +268,12 @@
 
 Asio::awaitable<HttpResponse> JobService::cancel(const HttpRequest &request, const std::string &id)
 {
-    const FleetConfigPtr config = m_config.config();
-    if (config == nullptr || !m_journal.tail().caughtUp()) {
-        co_return refuse(Refusal::NotReady);
-    }
-    const CallerIdentity identity = identifyCaller(request, *config);
-    if (identity.refusal) {
-        co_return refuse(*identity.refusal);
+    HttpResponse refusal;
+    const auto identity = admit(request, refusal);
+    if (!identity) {
+        co_return refusal;
     }
-    const auto find = [&](const Ledger &ledger) -> std::optional<Job> {
-        const Job *found = ledger.job(JobId(id));
-        const bool own = found != nullptr && found->spec.team == identity.team;
-        return own ? std::optional<Job>(*found) : std::nullopt;
-    };
-    const auto job = m_journal.read(find);
+    const auto job = ownJob(identity->team, id);
     if (!job) {
         co_return refuse(Refusal::NoSuchJob);
     }
@@ -281,7 +286,7 @@
             co_return refuse(status == AppendStatus::Unknown ? Refusal::AppendUnknown : Refusal::LogOut);
         }
     }
-    const auto after = m_journal.read(find);
+    const auto after = ownJob(identity->team, id);
     co_return done(202, describe(after ? *after : *job));
 }
 
--- a/packages/process/jobservice.h
+++ b/packages/process/jobservice.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "connection/http.h"
+#include "process/callerauth.h"
 #include "process/configservice.h"
 #include "process/hostdirectory.h"
 #include "process/journal.h"
 
+#include <optional>
 #include <string>
 
 // Serves the callers' calls on jobs: submission, state, listing and cancellation.
@@ -28,6 +30,10 @@
     Asio::awaitable<HttpResponse> cancel(const HttpRequest &request, const std::string &id);
 
 private:
+    /** @return the caller of a call on jobs; nothing if it is refused, with the answer in @p refusal. */
+    std::optional<CallerIdentity> admit(const HttpRequest &request, HttpResponse &refusal);
+    /** @return the team's own job. */
+    [[nodiscard]] std::optional<Job> ownJob(const TeamName &team, const std::string &id) const;
     HttpResponse refuse(Refusal refusal, const std::string &detail = "", const std::string &path = "");
     Result<JobSubmitted> parseSubmission(const HttpRequest &request, const FleetConfig &config, Refusal &refusal);
     [[nodiscard]] bool everFits(const Shape &shape) const;
--- a/packages/process/planner.cpp
+++ b/packages/process/planner.cpp
@@ -390,101 +390,39 @@
     Asio::co_spawn(m_strand, upkeep(*this), Asio::detached);
 }
 
-FleetModel Planner::fleet() const
+FleetModel Planner::fleet(const Ledger &ledger) const
 {
     FleetModel model;
     const auto hosts = m_hosts.hosts();
-    if (!hosts) {
-        return model;
-    }
-    const auto standings = m_journal.read([](const Ledger &ledger) { return ledger.standings(); });
-    for (const Host &host : hosts->hosts) {
+    for (std::size_t i = 0; hosts && i < hosts->hosts.size(); ++i) {
+        const Host &host = hosts->hosts[i];
         if (host.kind != HostKind::Worker) {
             continue;
         }
-        const WorkerIndex index = model.add(WorkerId(host.id), host.place, host.rack, host.resources);
-        const bool good = !standings.contains(WorkerId(host.id));
-        model.setUsable(index, good && host.state == HostState::Live && m_raised.contains(WorkerId(host.id)));
+        const WorkerId id(host.id);
+        const WorkerIndex index = model.add(id, host.place, host.rack, host.resources);
+        const bool good = ledger.standing(id) == Standing::Good;
+        model.setUsable(index, good && host.state == HostState::Live && m_raised.contains(id));
     }
     return model;
 }
 
-void Planner::addGangs(const Ledger &ledger, PlanningView &view) const
-{
-    for (const auto &[order, id] : ledger.active()) {
-        const Job &job = *ledger.job(id);
-        const auto runner = m_runners.find(id);
-        const std::int64_t runMs = m_runTimes.expectedMs(job.spec.templateName, job.spec.run.count());
-        if (!job.placed() && runner == m_runners.end()) {
-            WaitingGang gang {id,
-                              job.spec.team,
-                              job.spec.caller,
-                              job.spec.urgency,
-                              job.spec.restart,
-                              job.spec.shape,
-                              job.submittedMs,
-                              runMs,
-                              {}};
-            for (const WorkerId &culprit : job.culprits) {
-                if (const auto index = view.fleet.find(culprit)) {
-                    gang.avoid.insert(*index);
-                }
-            }
-            // A gang that has failed nearly everywhere is let in again.
-            if (!gang.avoid.empty() && !FirstFit().place(view.fleet.emptied(), gang.shape, gang.avoid)) {
-                gang.avoid.clear();
-            }
-            view.waiting.push_back(std::move(gang));
-            continue;
-        }
-        // A placement under way is not in the ledger yet; its workers are taken all the same.
-        RunningGang gang;
-        gang.job = id;
-        gang.team = job.spec.team;
-        gang.caller = job.spec.caller;
-        gang.urgency = job.spec.urgency;
-        gang.restart = job.spec.restart;
-        gang.shape = job.spec.shape;
-        gang.startedMs = job.startedMs > 0 ? job.startedMs : view.nowMs;
-        gang.runMs = runMs;
-        gang.guaranteed = job.guaranteed;
-        gang.stopping = runner != m_runners.end() && runner->second->stopping();
-        std::vector<WorkerId> workers = job.workers;
-        if (!job.placed()) {
-            gang.guaranteed = runner->second->attempt().guaranteed;
-            for (const PartHost &host : runner->second->attempt().parts) {
-                workers.push_back(host.worker);
-            }
-        }
-        for (const WorkerId &worker : workers) {
-            if (const auto index = view.fleet.find(worker)) {
-                gang.workers.push_back(*index);
-            }
-        }
-        view.running.push_back(std::move(gang));
-    }
-}
-
 PlanningView Planner::planningView()
 {
-    PlanningView view;
-    view.fleet = fleet();
-    view.nowMs = wallClockMs();
-    const FleetConfigPtr config = m_config.config();
-    view.floors = config->floors();
-    for (const auto &[name, team] : config->teams()) {
-        view.weights[name] = team.weight;
-        for (const Guarantee &guarantee : team.guarantees) {
-            if (guarantee.count > 0) {
-                view.guarantees.push_back({name, guarantee.shape, guarantee.count});
-            }
+    ActiveAttempts attempts;
+    for (const auto &[id, runner] : m_runners) {
+        ActiveAttempt &attempt = attempts[id];
+        attempt.guaranteed = runner->attempt().guaranteed;
+        attempt.stopping = runner->stopping();
+        for (const PartHost &host : runner->attempt().parts) {
+            attempt.workers.push_back(host.worker);
         }
     }
-    m_journal.read([&](const Ledger &ledger) {
+    const FleetConfigPtr config = m_config.config();
+    return m_journal.read([&](const Ledger &ledger) {
         m_runTimes.learn(ledger);
-        addGangs(ledger, view);
+        return makePlanningView(fleet(ledger), *config, ledger, attempts, m_runTimes, wallClockMs());
     });
-    return view;
 }
 
 void Planner::plan()
--- a/packages/process/planner.h
+++ b/packages/process/planner.h
@@ -5,7 +5,7 @@
 #include "process/guaranteescheduling.h"
 #include "process/hostdirectory.h"
 #include "process/journal.h"
-#include "process/runtimebook.h"
+#include "process/planningview.h"
 #include "process/taskbook.h"
 #include "process/workerhealth.h"
 
@@ -73,8 +73,7 @@
     void applyHealth();
     [[nodiscard]] std::size_t workerCount() const;
     void updateStatus();
-    [[nodiscard]] FleetModel fleet() const;
-    void addGangs(const Ledger &ledger, PlanningView &view) const;
+    [[nodiscard]] FleetModel fleet(const Ledger &ledger) const;
     [[nodiscard]] Duration suspicionLimit(const PlannerRole &role) const;
     [[nodiscard]] bool holdsRole() const;
 
--- a/tests/integration/gangs.cpp
+++ b/tests/integration/gangs.cpp
@@ -195,6 +195,7 @@
     cluster.start(sampleConfig());
     setWorkers(cluster, 1'000, true);
     std::vector<std::string> jobs;
+    jobs.reserve(40);
     for (int i = 0; i < 40; ++i) {
         jobs.push_back(submit(cluster, static_cast<std::size_t>(i % 2), "small-study"));
     }
@@ -226,6 +227,7 @@
     faults.failing = true;
     cluster.workers[0]->setFaults(faults);
     std::vector<std::string> jobs;
+    jobs.reserve(40);
     for (int i = 0; i < 24; ++i) {
         jobs.push_back(submit(cluster, 0, "small-study"));
     }
@@ -247,6 +249,7 @@
     cluster.start(config);
     setWorkers(cluster, 1'000, true);
     std::vector<std::string> borrowers;
+    borrowers.reserve(16);
     for (int i = 0; i < 16; ++i) {
         borrowers.push_back(submit(cluster, 0, "small-study"));
     }
--- a/tests/integration/truth.cpp
+++ b/tests/integration/truth.cpp
@@ -1,5 +1,7 @@
 #include "cluster.h"
 
+#include "base/digest.h"
+
 #include <gtest/gtest.h>
 
 // Every caller gets the whole answer to its own request or the truth about why not.
@@ -186,6 +188,41 @@
     EXPECT_EQ(1U, cluster.runsOfBody("c"));
 }
 
+TEST(Truth, LetsNoTeamSeeOrTouchAnothersJobsAndKeptAnswers)
+{
+    Cluster cluster;
+    Json config = sampleConfig();
+    // The digests of "secret-one" and "secret-two".
+    config["teams"]["bookings"]["tokenDigests"] = {"sha256:" + sha256Hex("secret-one")};
+    config["teams"]["archive"]["tokenDigests"] = {"sha256:" + sha256Hex("secret-two")};
+    config["templates"]["archive-once"] = {
+        {"team", "archive"}, {"kind", "request"}, {"idempotent", false}, {"deadlineMs", 4'000}};
+    cluster.start(config);
+    const auto call = [&](const std::string &method, const std::string &path, const std::string &token,
+                          const std::string &body, const std::string &key = "") {
+        HttpRequest request {method, path, {}, body};
+        request.fields.set(Field::AUTHORIZATION, "Bearer " + token);
+        if (!key.empty()) {
+            request.fields.set(Field::IDEMPOTENCY_KEY, key);
+        }
+        return cluster.call(cluster.callers(0), request);
+    };
+    const Answer job = call("POST", "/v1/jobs", "secret-one", R"({"template": "small-study"})");
+    ASSERT_EQ(202, job.status) << job.body;
+    const std::string path = "/v1/jobs/" + job.json()["job"].get<std::string>();
+    EXPECT_EQ(200, call("GET", path, "secret-one", "").status);
+    EXPECT_EQ(404, call("GET", path, "secret-two", "").status);
+    EXPECT_EQ(404, call("DELETE", path, "secret-two", "").status);
+    EXPECT_EQ(401, call("GET", path, "secret-three", "").status);
+    EXPECT_EQ(0U, call("GET", "/v1/jobs", "secret-two", "").json()["jobs"].size());
+    // The same key of another team is another key.
+    const Answer first = call("POST", "/v1/requests/book-table", "secret-one", "mine", "key");
+    const Answer second = call("POST", "/v1/requests/archive-once", "secret-two", "mine", "key");
+    EXPECT_EQ(200, first.status) << first.body;
+    EXPECT_EQ(200, second.status) << second.body;
+    EXPECT_EQ("", second.fields.get(Field::REPLAYED));
+}
+
 TEST(Truth, RefusesBadInputWithACodeAndHarmsNothing)
 {
     Cluster cluster;
--- a/tests/load/loadbench.cpp
+++ b/tests/load/loadbench.cpp
@@ -223,6 +223,7 @@
         Load load(*cluster, sizes.seed);
         const double small = rateFor(sizes, 1.6) / 70;
         std::vector<Stream> streams;
+        streams.reserve(21);
         for (int i = 0; i < 20; ++i) {
             streams.push_back({"small", "bookings", "small-" + std::to_string(i), "phone-check", small, Millis(800)});
         }
--- a/tests/property/scheduling.cpp
+++ b/tests/property/scheduling.cpp
@@ -174,7 +174,7 @@
     /** Submits a gang of a guaranteed shape. */
     JobId ask(const GuaranteedGang &gang)
     {
-        const JobId job("asked");
+        JobId job("asked");
         m_view.waiting.push_back({job,
                                   gang.team,
                                   CallerName(),
--- a/tests/standins/minionstandin.cpp
+++ b/tests/standins/minionstandin.cpp
@@ -94,9 +94,10 @@
         const auto jitter = static_cast<std::int64_t>(m_random % static_cast<std::uint64_t>(m_faults.jitterMs + 1));
         failing = m_faults.failing;
         delayMs = failing ? 0 : m_faults.delayMs + jitter;
+        // One fault a run, so that none hides another.
         cross = take(m_faults.crossAnswers);
-        die = take(m_faults.dieAfterRun);
-        late = take(m_faults.lateAnswers);
+        die = !cross && take(m_faults.dieAfterRun);
+        late = !cross && !die && take(m_faults.lateAnswers);
     }
     if (delayMs > 0) {
         co_await sleepFor(Millis(delayMs));
@@ -112,10 +113,11 @@
     response.status = die ? 0 : (failing ? 500 : 200);
     response.fields.set(Field::SLOTS_BUSY, std::to_string(busy));
     response.fields.set(Field::CONTENT_TYPE, "application/json");
+    response.body = Json {{"minion", m_id}, {"request", id}, {"echo", request.body}}.dump();
     if (cross) {
         response.fields.set(Field::REQUEST, "r-of-somebody-else");
+        response.body = Json {{"minion", m_id}, {"request", "r-of-somebody-else"}, {"echo", "not yours"}}.dump();
     }
-    response.body = Json {{"minion", m_id}, {"request", id}, {"echo", request.body}}.dump();
     co_return response;
 }
 
