Read the version once a round in the test of reverting configurations

Configuration.NeverRevertsAcrossRestartsAndLogOutages failed in one of two parallel runs. Cause, by the instance's log: it had taken version 3 from a peer at once; the test asked twice a round, noted the first answer (none yet) and stopped on the second. It now notes the answer that it stops on. Ruled out: a revert, and an instance without a version.

--- a/tests/integration/configuration.cpp
+++ b/tests/integration/configuration.cpp
@@ -89,8 +89,9 @@
     cluster.startInstance(1);
     std::set<std::uint64_t> seen;
     EXPECT_TRUE(Cluster::eventually([&] {
-        seen.insert(versionAt(cluster, 1));
-        return versionAt(cluster, 1) == 3;
+        const std::uint64_t version = versionAt(cluster, 1);
+        seen.insert(version);
+        return version == 3;
     }));
     seen.erase(0);
     EXPECT_EQ((std::set<std::uint64_t> {3}), seen);
