Give guarantees that are asked for where the fleet cannot give all

Red: scripts/demo from a fresh clone left its route plan queued; reproduced by Scheduling.GivesWhatIsAskedForWhereTheFleetCannotGiveAllGuarantees. Cause: with more guarantees than the fleet can give, a guaranteed gang was placed only if as few as now stayed broken, not counting its own, which was asked for and one of them; so none was ever placed. Its own now counts on the side before.

--- a/packages/process/guaranteescheduling.cpp
+++ b/packages/process/guaranteescheduling.cpp
@@ -74,13 +74,18 @@
         callerGpus[{team, caller}] += gpus;
     }
 
-    /** @return true if the guarantees that nothing uses can still be had with @p workers taken for good. */
-    [[nodiscard]] bool keepsGuarantees(const PartWorkers &workers, const Resources &part) const
+    /** @return how many of the guarantees that nothing uses cannot be had. */
+    [[nodiscard]] std::size_t broken() const
+    {
+        return assignGuarantees(reclaimable, unused).broken.size();
+    }
+
+    /** @return true if, with @p workers taken for good, no more than @p allowed guarantees cannot be had. */
+    [[nodiscard]] bool keepsGuarantees(const PartWorkers &workers, const Resources &part, std::size_t allowed) const
     {
         FleetModel fleet = reclaimable;
         fleet.takeAll(workers, part);
-        const std::size_t broken = assignGuarantees(fleet, unused).broken.size();
-        return broken == 0 || broken <= assignGuarantees(reclaimable, unused).broken.size();
+        return assignGuarantees(fleet, unused).broken.size() <= allowed;
     }
 
     /** @return the share that decides between two queues of a band. */
@@ -301,17 +306,19 @@
     const auto own = std::find_if(pass.unused.begin(), pass.unused.end(), [&](const GuaranteedGang &unused) {
         return unused.team == gang.team && unused.shape == guaranteed;
     });
+    // Where the fleet cannot give all guarantees, one that is asked for goes before those that are not.
+    const std::size_t allowed = pass.broken();
     const GuaranteedGang entry = *own;
     pass.unused.erase(own);
     WaitingGang tight = gang;
     tight.shape.adjacency = guaranteed.adjacency;
     // 2. Free workers, if the guarantees of others can still be had then; else those of borrowers.
     const auto workers = m_placement.place(pass.free, tight.shape, gang.avoid);
-    if (workers && pass.keepsGuarantees(*workers, gang.shape.part)) {
+    if (workers && pass.keepsGuarantees(*workers, gang.shape.part, allowed)) {
         accept(pass, gang, *workers, true);
         return true;
     }
-    const bool reclaimed = reclaim(pass, tight, true);
+    const bool reclaimed = reclaim(pass, tight, true, allowed);
     if (!reclaimed) {
         pass.unused.push_back(entry);
     }
@@ -319,7 +326,7 @@
     return false;
 }
 
-bool GuaranteeScheduling::reclaim(Pass &pass, const WaitingGang &gang, bool guaranteed)
+bool GuaranteeScheduling::reclaim(Pass &pass, const WaitingGang &gang, bool guaranteed, std::size_t allowedBroken)
 {
     // A guaranteed gang may take from any borrower; an urgent one only from less urgent borrowers.
     const auto mayStop = [&](std::size_t index) {
@@ -389,7 +396,7 @@
     std::stable_sort(options.begin(), options.end(),
                      [](const ReclaimOption &a, const ReclaimOption &b) { return a.cost < b.cost; });
     for (ReclaimOption &option : options) {
-        if (guaranteed && !pass.keepsGuarantees(option.workers, gang.shape.part)) {
+        if (guaranteed && !pass.keepsGuarantees(option.workers, gang.shape.part, allowedBroken)) {
             continue;
         }
         for (const std::size_t index : option.victims) {
@@ -457,7 +464,7 @@
     }
     auto workers = m_placement.place(pass.free, gang.shape, avoid);
     const bool fixed = gang.restart == RestartRule::Never;
-    if (workers && fixed && !pass.keepsGuarantees(*workers, gang.shape.part)) {
+    if (workers && fixed && !pass.keepsGuarantees(*workers, gang.shape.part, pass.broken())) {
         wait(pass, gang, WaitCause::WouldBreakGuarantee);
         return;
     }
@@ -473,7 +480,7 @@
         pass.failed.push_back({gang.shape, gang.runMs});
     }
     // 3. Urgent work takes from less urgent borrowers; other work gets a reservation.
-    if (gang.urgency == Urgency::Urgent && !fixed && reclaim(pass, gang, false)) {
+    if (gang.urgency == Urgency::Urgent && !fixed && reclaim(pass, gang, false, 0)) {
         wait(pass, gang, WaitCause::Reclaiming);
         return;
     }
--- a/packages/process/guaranteescheduling.h
+++ b/packages/process/guaranteescheduling.h
@@ -46,7 +46,7 @@
     bool placeGuaranteed(Pass &pass, const WaitingGang &gang, const Shape &guaranteed);
     bool takeHeld(Pass &pass, const WaitingGang &gang, bool guaranteed);
     void hold(Pass &pass, const WaitingGang &gang, PartWorkers workers, bool guaranteed);
-    bool reclaim(Pass &pass, const WaitingGang &gang, bool guaranteed);
+    bool reclaim(Pass &pass, const WaitingGang &gang, bool guaranteed, std::size_t allowedBroken);
     void placeBorrowing(Pass &pass);
     void placeBorrower(Pass &pass, const WaitingGang &gang);
     bool reserve(Pass &pass, const WaitingGang &gang);
--- a/tests/property/scheduling.cpp
+++ b/tests/property/scheduling.cpp
@@ -381,6 +381,24 @@
     EXPECT_TRUE(reclaimed.placements[0].guaranteed);
 }
 
+TEST(Scheduling, GivesWhatIsAskedForWhereTheFleetCannotGiveAllGuarantees)
+{
+    PlanningView view;
+    const Shape pair {2, {0, 0, 8}, Adjacency::Rack};
+    view.fleet.add(WorkerId("w1"), PlaceName("a"), RackName("r"), {64, 1000, 8});
+    view.fleet.add(WorkerId("w2"), PlaceName("a"), RackName("r"), {64, 1000, 8});
+    view.guarantees = {{TeamName("bergen"), pair, 2}, {TeamName("forde"), pair, 1}};
+    WaitingGang gang;
+    gang.job = JobId("plan");
+    gang.team = TeamName("bergen");
+    gang.shape = pair;
+    view.waiting = {gang};
+    const ScheduleDecision decision = GuaranteeScheduling().plan(view);
+    ASSERT_EQ(1U, decision.placements.size());
+    EXPECT_TRUE(decision.placements[0].guaranteed);
+    EXPECT_EQ(2U, decision.brokenGuarantees.size());
+}
+
 TEST(Scheduling, AJobThatCanNeverRunDelaysNobody)
 {
     PlanningView view;
