Renew a task's lease only once its worker has taken it

Cause: a task was entered for short renewals before the call that prepares it. A renewal that overtook that call named a task which the worker did not have; the worker answered that it had lapsed, the task was marked lost, and the gang was broken off when it was first inspected. Now a task is renewed only after the worker's answer, and an answer to a renewal that was sent before the present holding is not taken to be of it.

Found on the way: a lagging report that showed the former attempt running, and the next one that showed its end, made the end count for the new attempt. The end of a repeated attempt is now doubted for as long as reports may lag, counted from when this worker last had the task.

A lost part is now logged with its cause, which will tell if it comes again.

--- a/packages/process/gangrunner.cpp
+++ b/packages/process/gangrunner.cpp
@@ -159,9 +159,13 @@
     }
     const TimePoint sent = Clock::now();
     try {
-        // The worker may take the task even if its answer is lost, so the lease is entered before the call.
-        m_book.hold(spec.id, host.worker, host.address, LeaseMode::Short, sent, m_attempt.attempt > 1);
+        // The worker may take the task even if its answer is lost, so the lease is entered before the call. It is
+        // renewed only after the answer: a renewal that overtook the call would name a task that the worker lacks.
+        m_book.hold(spec.id, host.worker, host.address, LeaseMode::None, sent, m_attempt.attempt > 1);
         results[part] = co_await m_client.prepare(host.address, m_attempt.epoch, spec, sent + PREPARE_LIMIT);
+        if (results[part] == CommandResult::Done) {
+            m_book.setMode(spec.id, LeaseMode::Short);
+        }
     } catch (const HttpError &) {
         results[part] = CommandResult::Refused;
     }
@@ -298,8 +302,15 @@
             ++succeeded;
             continue;
         }
-        if (task->lost || task->state == TaskState::Stopped || m_book.silent(*task, now)) {
+        const bool silent = m_book.silent(*task, now);
+        if (task->lost || task->state == TaskState::Stopped || silent) {
             m_metrics.count(Counter::PartsLost);
+            logEvent(LogLevel::Warning, "part-lost",
+                     {{"job", m_attempt.spec.job.value()},
+                      {"attempt", std::uint64_t(m_attempt.attempt)},
+                      {"part", std::uint64_t(part)},
+                      {"worker", worker.value()},
+                      {"cause", task->lost ? "lease lapsed" : (silent ? "worker silent" : "stopped by the worker")}});
             breakOff(ReleaseReason::PartLost);
             return GangEvent::Broken;
         }
--- a/packages/process/taskbook.cpp
+++ b/packages/process/taskbook.cpp
@@ -48,13 +48,20 @@
     task.address = address;
     task.mode = mode;
     task.leaseUntil = sent + (mode == LeaseMode::Long ? m_times.longLease() : SHORT_LEASE);
-    task.lastContact = Clock::now();
-    task.endsDoubtfulUntil = repeated ? task.lastContact + REPORT_LAG_ALLOWED : TimePoint {};
+    task.heldSince = Clock::now();
+    task.lastContact = task.heldSince;
+    task.endsDoubtfulUntil = repeated ? doubtfulUntil(id, worker) : TimePoint {};
     WorkerState &state = m_workers[worker];
     state.address = address;
     state.tasks.insert(id);
 }
 
+TimePoint TaskBook::doubtfulUntil(const TaskId &id, const WorkerId &worker) const
+{
+    const auto forgotten = m_forgottenAt.find({id, worker});
+    return REPORT_LAG_ALLOWED + (forgotten == m_forgottenAt.end() ? m_clearedAt : forgotten->second);
+}
+
 void TaskBook::setMode(const TaskId &id, LeaseMode mode)
 {
     const auto found = m_tasks.find(id);
@@ -73,6 +80,9 @@
     if (found == m_tasks.end()) {
         return;
     }
+    const TimePoint now = Clock::now();
+    std::erase_if(m_forgottenAt, [&](const auto &entry) { return now - entry.second > REPORT_LAG_ALLOWED; });
+    m_forgottenAt[{id, found->second.worker}] = now;
     const auto worker = m_workers.find(found->second.worker);
     if (worker != m_workers.end()) {
         worker->second.tasks.erase(id);
@@ -91,6 +101,8 @@
 {
     m_tasks.clear();
     m_workers.clear();
+    m_forgottenAt.clear();
+    m_clearedAt = Clock::now();
     m_superseded = false;
     notifyAll();
 }
@@ -140,9 +152,7 @@
     HeldTask &task = found->second;
     const bool ended =
         report.state == TaskState::Succeeded || report.state == TaskState::Failed || report.state == TaskState::Stopped;
-    if (!ended) {
-        task.endsDoubtfulUntil = {};
-    } else if (Clock::now() < task.endsDoubtfulUntil) {
+    if (ended && Clock::now() < task.endsDoubtfulUntil) {
         return;
     }
     task.state = report.state;
@@ -255,7 +265,8 @@
     for (const TaskId &id : *lapsed) {
         const auto found = m_tasks.find(id);
         // A task that has ended is not running under a lease either.
-        if (found != m_tasks.end() && found->second.state != TaskState::Succeeded) {
+        const bool known = found != m_tasks.end() && found->second.heldSince <= sent;
+        if (known && found->second.state != TaskState::Succeeded) {
             found->second.lost = true;
             m_changed[id.job].notifyAll();
         }
--- a/packages/process/taskbook.h
+++ b/packages/process/taskbook.h
@@ -44,11 +44,12 @@
     Endpoint address;
     LeaseMode mode = LeaseMode::None;
     TimePoint leaseUntil;  ///< counted from when the last renewal was sent
+    TimePoint heldSince;   ///< answers to calls sent earlier are not of this holding
     TimePoint lastContact; ///< last successful exchange about this task
     bool lost = false;     ///< the worker no longer has it
     TaskState state = TaskState::Prepared;
     std::string checkpoint;
-    /** Until then a report of the task's end may be of an earlier attempt, unless one has shown it held before. */
+    /** Until then a report of the task's end may be of an earlier attempt. */
     TimePoint endsDoubtfulUntil;
 };
 
@@ -119,6 +120,7 @@
     [[nodiscard]] std::vector<TaskId> tasksIn(const WorkerId &worker, LeaseMode mode) const;
     void notifyAll();
     void heardFrom(const WorkerId &worker, TimePoint when);
+    [[nodiscard]] TimePoint doubtfulUntil(const TaskId &id, const WorkerId &worker) const;
 
     Asio::any_io_executor m_strand;
     WorkerClient &m_client;
@@ -128,6 +130,8 @@
     bool m_superseded = false;
     LeaseTimes m_times;
     std::map<JobId, Broadcast> m_changed;
+    std::map<std::pair<TaskId, WorkerId>, TimePoint> m_forgottenAt; ///< as long as reports may still show them
+    TimePoint m_clearedAt;                                          ///< holdings before this are not known
 };
 
 } // namespace Papaya
--- a/tests/integration/gangs.cpp
+++ b/tests/integration/gangs.cpp
@@ -159,6 +159,21 @@
     }
 }
 
+TEST(Gangs, StartsOnceWhenRenewalsOvertakeAPrepare)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    Standins::WorkerFaults faults;
+    faults.runMs = 2'000;
+    faults.prepareDelayMs = 500; // longer than the pause between two short renewals
+    for (const auto &worker : cluster.workers) {
+        worker->setFaults(faults);
+    }
+    const std::string job = submit(cluster, 0, "route-plan");
+    EXPECT_EQ("succeeded", cluster.endOfJob(1, job, Millis(20'000)));
+    EXPECT_EQ(2U, spansOf(cluster, job).size());
+}
+
 TEST(Gangs, StartsNothingWhenOnePartRefusesToRun)
 {
     ClusterOptions options;
--- a/tests/standins/workerstandin.cpp
+++ b/tests/standins/workerstandin.cpp
@@ -147,6 +147,10 @@
 
 Asio::awaitable<HttpResponse> WorkerStandin::serve(HttpRequest request)
 {
+    const std::int64_t delayMs = request.path() == "/v1/tasks" ? faults().prepareDelayMs : 0;
+    if (delayMs > 0) {
+        co_await sleepFor(Millis(delayMs));
+    }
     co_return dispatch(request);
 }
 
--- a/tests/standins/workerstandin.h
+++ b/tests/standins/workerstandin.h
@@ -18,7 +18,8 @@
     std::int64_t reportLagMs = 100;
     bool failing = false; ///< every task fails soon after it starts
     bool neverFinish = false;
-    bool refuseRun = false; ///< refuses to run what it has prepared
+    bool refuseRun = false;          ///< refuses to run what it has prepared
+    std::int64_t prepareDelayMs = 0; ///< before a task is taken, while other calls are served
 };
 
 /** A stretch of time during which a part ran. */
