Let a guaranteed gang have workers that are kept for a borrower

Cause: workers that an urgent borrower's victims were being stopped on, or that moved gangs left, were taken from what a guaranteed gang could reclaim until the borrower had started, up to a minute. Ruled out: the map of guarantees (none was broken in the scenario) and the order of victims. Now what is kept for borrowers is given back if a guaranteed gang finds neither free nor reclaimable workers.

--- a/packages/process/guaranteescheduling.cpp
+++ b/packages/process/guaranteescheduling.cpp
@@ -222,6 +222,7 @@
         kept.ids.push_back(pass.view.fleet.id(worker));
     }
     kept.workers = std::move(workers);
+    kept.part = gang.shape.part;
     kept.sinceMs = pass.view.nowMs;
     kept.guaranteed = guaranteed;
     m_holds[gang.job] = std::move(kept);
@@ -312,13 +313,17 @@
     pass.unused.erase(own);
     WaitingGang tight = gang;
     tight.shape.adjacency = guaranteed.adjacency;
-    // 2. Free workers, if the guarantees of others can still be had then; else those of borrowers.
-    const auto workers = m_placement.place(pass.free, tight.shape, gang.avoid);
-    if (workers && pass.keepsGuarantees(*workers, gang.shape.part, allowed)) {
-        accept(pass, gang, *workers, true);
-        return true;
-    }
-    const bool reclaimed = reclaim(pass, tight, true, allowed);
+    // 2. Free workers, if the guarantees of others can still be had then; else those of borrowers, and at last those
+    //    that are kept for borrowers.
+    bool reclaimed = false;
+    do {
+        const auto workers = m_placement.place(pass.free, tight.shape, gang.avoid);
+        if (workers && pass.keepsGuarantees(*workers, gang.shape.part, allowed)) {
+            accept(pass, gang, *workers, true);
+            return true;
+        }
+        reclaimed = reclaim(pass, tight, true, allowed);
+    } while (!reclaimed && dropBorrowersHolds(pass));
     if (!reclaimed) {
         pass.unused.push_back(entry);
     }
@@ -326,6 +331,18 @@
     return false;
 }
 
+bool GuaranteeScheduling::dropBorrowersHolds(Pass &pass)
+{
+    const std::size_t dropped = std::erase_if(m_holds, [&](const auto &entry) {
+        const Hold &hold = entry.second;
+        if (!hold.guaranteed) {
+            pass.free.giveAll(hold.workers, hold.part);
+        }
+        return !hold.guaranteed;
+    });
+    return dropped > 0;
+}
+
 bool GuaranteeScheduling::reclaim(Pass &pass, const WaitingGang &gang, bool guaranteed, std::size_t allowedBroken)
 {
     // A guaranteed gang may take from any borrower; an urgent one only from less urgent borrowers.
--- a/packages/process/guaranteescheduling.h
+++ b/packages/process/guaranteescheduling.h
@@ -28,6 +28,7 @@
     struct Hold {
         std::vector<WorkerId> ids;
         PartWorkers workers; ///< indices of this pass
+        Resources part;      ///< what each part takes
         std::int64_t sinceMs = 0;
         bool guaranteed = false;
     };
@@ -44,6 +45,8 @@
     void keepHolds(Pass &pass);
     void matchGuarantees(Pass &pass);
     bool placeGuaranteed(Pass &pass, const WaitingGang &gang, const Shape &guaranteed);
+    /** Gives back what is kept for borrowers. @return true if anything was */
+    bool dropBorrowersHolds(Pass &pass);
     bool takeHeld(Pass &pass, const WaitingGang &gang, bool guaranteed);
     void hold(Pass &pass, const WaitingGang &gang, PartWorkers workers, bool guaranteed);
     bool reclaim(Pass &pass, const WaitingGang &gang, bool guaranteed, std::size_t allowedBroken);
--- a/tests/property/scheduling.cpp
+++ b/tests/property/scheduling.cpp
@@ -381,6 +381,46 @@
     EXPECT_TRUE(reclaimed.placements[0].guaranteed);
 }
 
+TEST(Scheduling, GivesAGuaranteedGangWhatIsKeptForABorrower)
+{
+    PlanningView view;
+    const Shape whole {1, {0, 0, 8}, Adjacency::Worker};
+    view.fleet.add(WorkerId("w"), PlaceName("a"), RackName("r"), {64, 1000, 8});
+    view.guarantees = {{TeamName("bergen"), whole, 1}};
+    view.nowMs = 1'000;
+    RunningGang background;
+    background.job = JobId("background");
+    background.team = TeamName("hygiene");
+    background.urgency = Urgency::Background;
+    background.restart = RestartRule::Checkpoint;
+    background.shape = whole;
+    background.workers = {0};
+    view.running = {background};
+    WaitingGang urgent;
+    urgent.job = JobId("urgent");
+    urgent.team = TeamName("hygiene");
+    urgent.urgency = Urgency::Urgent;
+    urgent.restart = RestartRule::Checkpoint;
+    urgent.shape = whole;
+    urgent.runMs = 1'000;
+    view.waiting = {urgent};
+    GuaranteeScheduling policy;
+    ASSERT_EQ(1U, policy.plan(view).stops.size());
+    // The worker is kept for the urgent borrower when the guaranteed team asks for it.
+    view.running[0].stopping = true;
+    WaitingGang guaranteed = urgent;
+    guaranteed.job = JobId("guaranteed");
+    guaranteed.team = TeamName("bergen");
+    guaranteed.urgency = Urgency::Normal;
+    view.waiting.push_back(guaranteed);
+    EXPECT_TRUE(policy.plan(view).placements.empty());
+    view.running.clear();
+    const ScheduleDecision decision = policy.plan(view);
+    ASSERT_EQ(1U, decision.placements.size());
+    EXPECT_EQ(guaranteed.job, decision.placements[0].job);
+    EXPECT_TRUE(decision.placements[0].guaranteed);
+}
+
 TEST(Scheduling, GivesWhatIsAskedForWhereTheFleetCannotGiveAllGuarantees)
 {
     PlanningView view;
