Test a planner's death and freeze at each step of a gang's life

The stand-ins of log and worker call a hook at the record or call that marks a step, and the test strikes there: Takeover.*, 7 moments times killed and frozen, the frozen one woken once another plans; and PlannerRole.StartsNoPartWhileTheLogIsOutBetween... Bounds: 1.7 s for a start that is cut (lease of 1.5 s), 6 s later.

Red: with adoption of placed gangs taken out KilledAtCommitted and FrozenAtRun fail; with a commit that had no answer taken as applied the log's test fails. The other 12 cases were not seen red.

What the gang tests share moves to gangchecks.

--- a/tests/integration/gangs.cpp
+++ b/tests/integration/gangs.cpp
@@ -1,4 +1,4 @@
-#include "cluster.h"
+#include "gangchecks.h"
 
 #include "process/journalrecord.h"
 
@@ -16,90 +16,6 @@
 
 constexpr Millis URGENT_START {2'800};
 
-/** Longest time that some parts may run without the others: finding out, stopping, and a lease that must lapse. */
-constexpr Millis PARTIAL_LIMIT {6'000};
-
-void setWorkers(Cluster &cluster, std::int64_t runMs, bool neverFinish = false)
-{
-    Standins::WorkerFaults faults;
-    faults.runMs = runMs;
-    faults.neverFinish = neverFinish;
-    for (const auto &worker : cluster.workers) {
-        worker->setFaults(faults);
-    }
-}
-
-std::vector<Standins::WorkerSpan> spansOf(const Cluster &cluster, const std::string &job)
-{
-    std::vector<Standins::WorkerSpan> spans;
-    for (const auto &worker : cluster.workers) {
-        for (const Standins::WorkerSpan &span : worker->spans()) {
-            if (span.job == job) {
-                spans.push_back(span);
-            }
-        }
-    }
-    return spans;
-}
-
-/** @return the longest time during which between one and @p parts - 1 parts of the job ran. */
-Duration longestPartialRun(const Cluster &cluster, const std::string &job, std::size_t parts)
-{
-    std::vector<std::pair<TimePoint, int>> changes;
-    for (const Standins::WorkerSpan &span : spansOf(cluster, job)) {
-        changes.emplace_back(span.begin, 1);
-        changes.emplace_back(std::min(span.end, Clock::now()), -1);
-    }
-    std::sort(changes.begin(), changes.end());
-    Duration longest {0};
-    int running = 0;
-    TimePoint since;
-    for (const auto &[when, change] : changes) {
-        const bool wasPartial = running > 0 && running < static_cast<int>(parts);
-        if (wasPartial) {
-            longest = std::max(longest, when - since);
-        }
-        running += change;
-        since = when;
-    }
-    return longest;
-}
-
-std::size_t runningParts(const Cluster &cluster, const std::string &job)
-{
-    std::size_t count = 0;
-    for (const Standins::WorkerSpan &span : spansOf(cluster, job)) {
-        count += span.end == TimePoint::max() ? 1U : 0U;
-    }
-    return count;
-}
-
-std::string submit(Cluster &cluster, std::size_t instance, const std::string &work, const std::string &key = "")
-{
-    const Json parameters = work == "route-plan" ? Json {{"depot", "bergen"}} : Json::object();
-    const Answer answer = cluster.submitJob(instance, work, parameters, key);
-    EXPECT_EQ(202, answer.status) << answer.body;
-    return answer.status == 202 ? answer.json().value("job", "") : "";
-}
-
-std::string stateOf(Cluster &cluster, std::size_t instance, const std::string &job)
-{
-    const Json status = cluster.jobStatus(instance, job);
-    return status.is_object() ? status.value("state", "") : "";
-}
-
-/** @return true if the ledgers of all running instances have the same digest. */
-bool ledgersAgree(Cluster &cluster)
-{
-    std::set<std::string> digests;
-    for (std::size_t i = 0; i < cluster.instances.size(); ++i) {
-        if (cluster.instances[i]->running()) {
-            digests.insert(cluster.adminStatus(i)["ledger"].value("digest", ""));
-        }
-    }
-    return digests.size() == 1;
-}
-
 Standing standingOf(Cluster &cluster, const std::string &worker)
 {
     const Json workers = cluster.call(cluster.admin(0), {"GET", "/admin/workers", {}, ""}).json();
--- /dev/null
+++ b/tests/integration/takeover.cpp
@@ -0,0 +1,202 @@
+#include "gangchecks.h"
+
+#include "process/journalrecord.h"
+#include "process/streambatch.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+
+#include <signal.h>
+
+// The planner is killed or frozen in each state that a gang goes through, at the very call or record of that state.
+
+namespace Papaya::Testing
+{
+
+namespace
+{
+
+constexpr std::size_t PARTS = 2;
+
+/** Longest partial run of a start that is cut: the short lease, and a margin for the worker to notice. */
+constexpr Millis CUT_START_LIMIT {1'700};
+
+/** The planner's last sign of life before the fault. */
+enum class Moment { Placed, Prepare, Committed, Run, Started, Stop, Finished };
+
+enum class Fault { Killed, Frozen };
+
+struct TakeoverCase {
+    Moment moment = Moment::Placed;
+    Fault fault = Fault::Killed;
+    const char *name = "";
+};
+
+/** @return the call to a worker that marks @p moment; empty if a record marks it. */
+std::string_view callOf(Moment moment)
+{
+    switch (moment) {
+    case Moment::Prepare:
+        return "/v1/tasks";
+    case Moment::Run:
+        return "/run";
+    case Moment::Stop:
+        return "/stop";
+    default:
+        return {};
+    }
+}
+
+bool marks(const JournalRecord &record, Moment moment)
+{
+    switch (moment) {
+    case Moment::Placed:
+        return std::holds_alternative<Placed>(record);
+    case Moment::Committed:
+        return std::holds_alternative<Committed>(record);
+    case Moment::Started:
+        return std::holds_alternative<Started>(record);
+    case Moment::Finished:
+        return std::holds_alternative<Finished>(record);
+    default:
+        return false;
+    }
+}
+
+/** @return true if the data of a log record holds a journal record that marks @p moment. */
+bool holds(const std::string &data, Moment moment)
+{
+    const auto batch = StreamBatch::fromText(data);
+    if (!batch) {
+        return false;
+    }
+    return std::any_of(batch->items.begin(), batch->items.end(), [&](const BatchItem &item) {
+        const auto record = parseJournalRecord(item.payload);
+        return record && marks(*record, moment);
+    });
+}
+
+/** Calls @p action once, at the first sign of @p moment. */
+void atMoment(Cluster &cluster, Moment moment, const std::function<void()> &action)
+{
+    const auto once = [action, fired = std::make_shared<std::atomic<bool>>(false)] {
+        if (!fired->exchange(true)) {
+            action();
+        }
+    };
+    const std::string_view call = callOf(moment);
+    if (call.empty()) {
+        cluster.log.setAppendHook([once, moment](const std::string &stream, const std::string &data) {
+            if (stream == "journal" && holds(data, moment)) {
+                once();
+            }
+        });
+        return;
+    }
+    for (const auto &worker : cluster.workers) {
+        worker->setCallHook([once, call](std::string_view path) {
+            if (path.ends_with(call)) {
+                once();
+            }
+        });
+    }
+}
+
+void cancel(Cluster &cluster, std::size_t instance, const std::string &job)
+{
+    HttpRequest request {"DELETE", "/v1/jobs/" + job, {}, ""};
+    request.fields.set(Field::TEAM, "bookings");
+    EXPECT_EQ(202, cluster.call(cluster.callers(instance), request).status);
+}
+
+class Takeover : public testing::TestWithParam<TakeoverCase>
+{
+};
+
+TEST_P(Takeover, LeavesNoPartialGangAndLosesNoJob)
+{
+    const auto [moment, fault, name] = GetParam();
+    ClusterOptions options;
+    options.instances = 3;
+    options.workers = 4;
+    Cluster cluster(options);
+    cluster.start(sampleConfig());
+    setWorkers(cluster, 2'000);
+    const auto planner = cluster.planner();
+    ASSERT_TRUE(planner);
+    const std::size_t other = (*planner + 1) % 3;
+    // 1. The fault strikes at the moment itself; stopping is brought about by a cancellation.
+    std::atomic<bool> struck {false};
+    const int pid = cluster.instances[*planner]->pid();
+    const int number = fault == Fault::Killed ? SIGKILL : SIGSTOP;
+    atMoment(cluster, moment, [&struck, pid, number] {
+        ::kill(pid, number);
+        struck = true;
+    });
+    const std::string job = submit(cluster, other, "route-plan");
+    if (moment == Moment::Stop) {
+        ASSERT_TRUE(Cluster::eventually([&] { return stateOf(cluster, other, job) == "running"; }));
+        cancel(cluster, other, job);
+    }
+    ASSERT_TRUE(Cluster::eventually([&] { return struck.load(); }));
+    // 2. Another instance plans; a frozen planner wakes after that.
+    ASSERT_TRUE(cluster.planner(Millis(5'000), *planner));
+    const std::uint64_t epoch = cluster.workers[0]->epoch();
+    if (fault == Fault::Killed) {
+        cluster.instances[*planner]->kill();
+    } else {
+        cluster.instances[*planner]->signal(SIGCONT);
+    }
+    // 3. The job ends as it should, and never ran in part for longer than the bound, nor twice at once.
+    EXPECT_EQ(moment == Moment::Stop ? "cancelled" : "succeeded", cluster.endOfJob(other, job, Millis(30'000)));
+    EXPECT_EQ(0U, runningParts(cluster, job));
+    const bool cutStart = moment <= Moment::Run;
+    EXPECT_LE(longestPartialRun(cluster, job, PARTS), cutStart ? CUT_START_LIMIT : PARTIAL_LIMIT);
+    EXPECT_FALSE(anyPartRanTwiceAtOnce(cluster, job));
+    EXPECT_GE(cluster.workers[0]->epoch(), epoch);
+    EXPECT_TRUE(Cluster::eventually([&] { return ledgersAgree(cluster); }));
+}
+
+INSTANTIATE_TEST_SUITE_P(Moments, Takeover,
+                         testing::Values(TakeoverCase {Moment::Placed, Fault::Killed, "KilledAtPlaced"},
+                                         TakeoverCase {Moment::Placed, Fault::Frozen, "FrozenAtPlaced"},
+                                         TakeoverCase {Moment::Prepare, Fault::Killed, "KilledAtPrepare"},
+                                         TakeoverCase {Moment::Prepare, Fault::Frozen, "FrozenAtPrepare"},
+                                         TakeoverCase {Moment::Committed, Fault::Killed, "KilledAtCommitted"},
+                                         TakeoverCase {Moment::Committed, Fault::Frozen, "FrozenAtCommitted"},
+                                         TakeoverCase {Moment::Run, Fault::Killed, "KilledAtRun"},
+                                         TakeoverCase {Moment::Run, Fault::Frozen, "FrozenAtRun"},
+                                         TakeoverCase {Moment::Started, Fault::Killed, "KilledAtStarted"},
+                                         TakeoverCase {Moment::Started, Fault::Frozen, "FrozenAtStarted"},
+                                         TakeoverCase {Moment::Stop, Fault::Killed, "KilledAtStop"},
+                                         TakeoverCase {Moment::Stop, Fault::Frozen, "FrozenAtStop"},
+                                         TakeoverCase {Moment::Finished, Fault::Killed, "KilledAtFinished"},
+                                         TakeoverCase {Moment::Finished, Fault::Frozen, "FrozenAtFinished"}),
+                         [](const testing::TestParamInfo<TakeoverCase> &tested) {
+                             return std::string(tested.param.name);
+                         });
+
+TEST(PlannerRole, StartsNoPartWhileTheLogIsOutBetweenPlacedAndCommitted)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    atMoment(cluster, Moment::Placed, [&cluster] {
+        Standins::LogFaults faults;
+        faults.outage = true;
+        cluster.log.setFaults(faults);
+    });
+    const std::string job = submit(cluster, 0, "route-plan");
+    ASSERT_TRUE(Cluster::eventually([&] { return cluster.log.faults().outage; }));
+    // Longer than the limit for an append, so that the start is given up and its workers are free again.
+    std::this_thread::sleep_for(Millis(8'000));
+    EXPECT_TRUE(spansOf(cluster, job).empty());
+    cluster.log.setFaults({});
+    EXPECT_EQ("succeeded", cluster.endOfJob(1, job, Millis(20'000)));
+    EXPECT_EQ(PARTS, spansOf(cluster, job).size());
+    EXPECT_TRUE(Cluster::eventually([&] { return ledgersAgree(cluster); }));
+}
+
+} // namespace
+
+} // namespace Papaya::Testing
--- a/tests/standins/logstandin.cpp
+++ b/tests/standins/logstandin.cpp
@@ -19,6 +19,12 @@
     m_faults = faults;
 }
 
+void LogStandin::setAppendHook(std::function<void(const std::string &, const std::string &)> hook)
+{
+    const std::lock_guard lock(m_mutex);
+    m_appendHook = std::move(hook);
+}
+
 LogFaults LogStandin::faults() const
 {
     const std::lock_guard lock(m_mutex);
@@ -91,8 +97,10 @@
     const Json records = body.value("records", Json::array());
     std::uint64_t first = 0;
     bool lose = false;
+    std::function<void(const std::string &, const std::string &)> hook;
     {
         const std::lock_guard lock(m_mutex);
+        hook = m_appendHook;
         Stream &stream = m_streams[name];
         first = stream.end();
         for (const Json &record : records) {
@@ -102,6 +110,9 @@
         lose = m_faults.loseAnswers > 0;
         m_faults.loseAnswers -= lose ? 1 : 0;
     }
+    for (std::size_t i = 0; hook && i < records.size(); ++i) {
+        hook(name, records[i].get<std::string>());
+    }
     m_appended.notifyAll();
     HttpResponse response = jsonAnswer(200, Json {{"offset", first}});
     response.status = lose ? 0 : response.status;
--- a/tests/standins/logstandin.h
+++ b/tests/standins/logstandin.h
@@ -3,6 +3,7 @@
 #include "standins/standinserver.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -27,6 +28,9 @@
     [[nodiscard]] LogFaults faults() const;
     /** @return the data of every record that is kept. */
     [[nodiscard]] std::vector<std::string> records(const std::string &stream) const;
+    /** Calls @p hook with the stream and the data of each record once it is kept, before the writer or a waiting reader
+     * hears of it. */
+    void setAppendHook(std::function<void(const std::string &, const std::string &)> hook);
     /** Appends directly, as an operator may. */
     void append(const std::string &stream, const std::string &data);
     /** @return appends since the start. */
@@ -58,6 +62,7 @@
     LogFaults m_faults;
     std::map<std::string, Stream> m_streams;
     std::uint64_t m_appends = 0;
+    std::function<void(const std::string &, const std::string &)> m_appendHook;
     Broadcast m_appended;
 };
 
--- a/tests/standins/workerstandin.cpp
+++ b/tests/standins/workerstandin.cpp
@@ -31,6 +31,12 @@
     m_faults = faults;
 }
 
+void WorkerStandin::setCallHook(std::function<void(std::string_view)> hook)
+{
+    const std::lock_guard lock(m_mutex);
+    m_callHook = std::move(hook);
+}
+
 WorkerFaults WorkerStandin::faults() const
 {
     const std::lock_guard lock(m_mutex);
@@ -147,6 +153,14 @@
 
 Asio::awaitable<HttpResponse> WorkerStandin::serve(HttpRequest request)
 {
+    std::function<void(std::string_view)> hook;
+    {
+        const std::lock_guard lock(m_mutex);
+        hook = m_callHook;
+    }
+    if (hook) {
+        hook(request.path());
+    }
     const std::int64_t delayMs = request.path() == "/v1/tasks" ? faults().prepareDelayMs : 0;
     if (delayMs > 0) {
         co_await sleepFor(Millis(delayMs));
--- a/tests/standins/workerstandin.h
+++ b/tests/standins/workerstandin.h
@@ -4,6 +4,7 @@
 #include "standins/standinserver.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -52,6 +53,8 @@
     {
         return m_capacity;
     }
+    /** Calls @p hook with the path of each call before it takes effect. */
+    void setCallHook(std::function<void(std::string_view)> hook);
     /** Ends every task, as the host's death does. */
     void loseTasks();
 
@@ -88,6 +91,7 @@
     const Resources m_capacity;
     mutable std::mutex m_mutex;
     WorkerFaults m_faults;
+    std::function<void(std::string_view)> m_callHook;
     std::uint64_t m_epoch = 0;
     std::uint64_t m_stale = 0;
     std::map<TaskKey, Task> m_tasks;
