Wake a gang's watcher on news instead of twice a second

Cause: the planner's cost by task. Each gang's watcher woke every 500 ms, and at each report of each of its workers, whether or not that held news; and each tick listed the short-lease tasks of every worker to find that there were none. Now the book notifies a gang when a report is news, a lease has lapsed or a worker is silent; a stop that is asked for wakes it at once, and short tasks are counted. Ruled out as the cost: planning passes, which the interval between passes bounds.

--- a/packages/process/gangrunner.cpp
+++ b/packages/process/gangrunner.cpp
@@ -20,7 +20,7 @@
 constexpr Millis STOP_LIMIT {500};
 constexpr Millis STOP_RETRY_PAUSE {300};
 constexpr Millis CHECKPOINT_GRACE {1'000};
-constexpr Millis WATCH_INTERVAL {500};
+constexpr Millis WATCH_INTERVAL {10'000}; // in case a notification is missed; the book tells all that matters
 constexpr Millis LEASE_MARGIN {300};      // for a worker whose clock runs slower
 constexpr std::uint32_t MAX_FAILURES = 3; // attempts that may end by a failed part
 
@@ -55,7 +55,7 @@
     if (!m_stop || cause == StopCause::Cancelled) {
         m_stop = cause;
     }
-    m_wake.notifyAll();
+    m_book.changed(m_attempt.spec.job).notifyAll();
 }
 
 void GangRunner::breakOff(ReleaseReason reason, const WorkerId &culprit)
--- a/packages/process/gangrunner.h
+++ b/packages/process/gangrunner.h
@@ -107,7 +107,6 @@
     Metrics &m_metrics;
     GangAttempt m_attempt;
     GangMachine m_machine;
-    Broadcast m_wake;
     std::optional<StopCause> m_stop;
     std::optional<ReleaseReason> m_broken;
     WorkerId m_culprit;
--- a/packages/process/taskbook.cpp
+++ b/packages/process/taskbook.cpp
@@ -42,18 +42,29 @@
 void TaskBook::hold(const TaskId &id, const WorkerId &worker, const Endpoint &address, LeaseMode mode, TimePoint sent,
                     bool repeated)
 {
+    forget(id);
     HeldTask &task = m_tasks[id];
-    task = {};
     task.worker = worker;
     task.address = address;
-    task.mode = mode;
     task.leaseUntil = sent + (mode == LeaseMode::Long ? m_times.longLease() : SHORT_LEASE);
     task.heldSince = Clock::now();
     task.lastContact = task.heldSince;
     task.endsDoubtfulUntil = repeated ? doubtfulUntil(id, worker) : TimePoint {};
     WorkerState &state = m_workers[worker];
+    if (state.tasks.empty()) {
+        state.heardAt = task.heldSince;
+    }
     state.address = address;
     state.tasks.insert(id);
+    changeMode(task, mode);
+}
+
+void TaskBook::changeMode(HeldTask &task, LeaseMode mode)
+{
+    WorkerState &state = m_workers[task.worker];
+    state.shortTasks -= task.mode == LeaseMode::Short ? 1U : 0U;
+    state.shortTasks += mode == LeaseMode::Short ? 1U : 0U;
+    task.mode = mode;
 }
 
 TimePoint TaskBook::doubtfulUntil(const TaskId &id, const WorkerId &worker) const
@@ -68,7 +79,7 @@
     if (found == m_tasks.end()) {
         return;
     }
-    found->second.mode = mode;
+    changeMode(found->second, mode);
     if (mode == LeaseMode::Long) {
         m_workers[found->second.worker].longRenewedAt = {};
     }
@@ -85,6 +96,7 @@
     m_forgottenAt[{id, found->second.worker}] = now;
     const auto worker = m_workers.find(found->second.worker);
     if (worker != m_workers.end()) {
+        changeMode(found->second, LeaseMode::None);
         worker->second.tasks.erase(id);
         if (worker->second.tasks.empty()) {
             m_workers.erase(worker);
@@ -155,16 +167,32 @@
     if (ended && Clock::now() < task.endsDoubtfulUntil) {
         return;
     }
+    const bool newCheckpoint = !report.checkpoint.empty() && report.checkpoint != task.checkpoint;
+    const bool news = report.state != task.state || newCheckpoint;
     task.state = report.state;
-    if (!report.checkpoint.empty()) {
+    if (newCheckpoint) {
         task.checkpoint = report.checkpoint;
     }
+    if (news) {
+        m_changed[report.id.job].notifyAll();
+    }
 }
 
 bool TaskBook::silent(const HeldTask &task, TimePoint now) const
 {
-    const Duration interval = std::min<Duration>(m_times.renewal, m_times.report);
-    return now - task.lastContact > interval + SILENCE_ALLOWED;
+    return now - task.lastContact > silenceLimit();
+}
+
+Duration TaskBook::silenceLimit() const
+{
+    return std::min<Duration>(m_times.renewal, m_times.report) + SILENCE_ALLOWED;
+}
+
+void TaskBook::notifyJobsOf(const WorkerState &worker)
+{
+    for (const TaskId &id : worker.tasks) {
+        m_changed[id.job].notifyAll();
+    }
 }
 
 std::vector<TaskId> TaskBook::tasksIn(const WorkerId &worker, LeaseMode mode) const
@@ -188,6 +216,7 @@
     if (state == m_workers.end()) {
         return;
     }
+    state->second.heardAt = when;
     for (const TaskId &id : state->second.tasks) {
         m_tasks.at(id).lastContact = when;
     }
@@ -197,7 +226,10 @@
 {
     const TimePoint now = Clock::now();
     for (auto &[id, state] : m_workers) {
-        const bool shortDue = now - state.shortRenewedAt >= SHORT_RENEWAL && !tasksIn(id, LeaseMode::Short).empty();
+        if (now - state.heardAt > silenceLimit()) {
+            notifyJobsOf(state);
+        }
+        const bool shortDue = state.shortTasks > 0 && now - state.shortRenewedAt >= SHORT_RENEWAL;
         const bool due =
             shortDue || now - state.longRenewedAt >= m_times.renewal || now - state.reportReadAt >= m_times.report;
         if (!state.busy && due) {
@@ -292,7 +324,6 @@
         const auto found = m_tasks.find(task.id);
         if (found != m_tasks.end() && found->second.worker == worker) {
             note(task);
-            m_changed[task.id.job].notifyAll();
         }
     }
 }
--- a/packages/process/taskbook.h
+++ b/packages/process/taskbook.h
@@ -83,10 +83,11 @@
 
     /** Notes a checkpoint that a worker named at once. */
     void noteCheckpoint(const TaskId &id, const std::string &checkpoint);
-    /** Notes what a worker said of a task. */
+    /** Notes what a worker said of a task, and notifies its job if that is news. */
     void note(const TaskReport &report);
 
-    /** Renews the leases that are due and reads the reports that are due, without waiting for the workers. */
+    /** Renews the leases that are due and reads the reports that are due, without waiting for the workers. Notifies the
+     *  jobs of workers that have gone silent. */
     void refresh(Epoch epoch);
 
     /** @return true if the worker of @p task has not been heard from for longer than a healthy one ever is. */
@@ -108,6 +109,8 @@
     struct WorkerState {
         Endpoint address;
         std::set<TaskId> tasks;
+        std::size_t shortTasks = 0; ///< of these, those in short mode
+        TimePoint heardAt;          ///< last successful exchange
         TimePoint shortRenewedAt;
         TimePoint longRenewedAt;
         TimePoint reportReadAt;
@@ -118,6 +121,9 @@
     Asio::awaitable<void> renew(WorkerId worker, Endpoint address, Epoch epoch, LeaseMode mode);
     Asio::awaitable<void> readReport(WorkerId worker, Endpoint address);
     [[nodiscard]] std::vector<TaskId> tasksIn(const WorkerId &worker, LeaseMode mode) const;
+    void changeMode(HeldTask &task, LeaseMode mode);
+    void notifyJobsOf(const WorkerState &worker);
+    [[nodiscard]] Duration silenceLimit() const;
     void notifyAll();
     void heardFrom(const WorkerId &worker, TimePoint when);
     [[nodiscard]] TimePoint doubtfulUntil(const TaskId &id, const WorkerId &worker) const;
