Share one listener between callers' and peers' servers, and split big files

Logic that stood twice: both servers opened and accepted on their own. The peers' server ended its accept loop at the first error, for good, so that an instance that once ran out of descriptors was never heard by peers again. Both now use Listener, which pauses and goes on.

Before: Listener.AcceptsAgainAfterDescriptorsHaveRunOut red with the end of the loop at an error put back; after: green.

No decision changes.

--- a/packages/connection/hostlist.cpp
+++ b/packages/connection/hostlist.cpp
@@ -3,6 +3,8 @@
 #include "base/codec.h"
 #include "base/objectreader.h"
 
+#include <algorithm>
+
 namespace Papaya
 {
 
@@ -116,4 +118,12 @@
     return std::make_unique<HttpHostList>(pool, endpoint);
 }
 
+const Host *HostSnapshot::findWorker(const WorkerId &id) const
+{
+    const auto found = std::find_if(hosts.begin(), hosts.end(), [&](const Host &host) {
+        return host.kind == HostKind::Worker && host.id == id.value();
+    });
+    return found == hosts.end() ? nullptr : &*found;
+}
+
 } // namespace Papaya
--- a/packages/connection/hostlist.h
+++ b/packages/connection/hostlist.h
@@ -37,6 +37,9 @@
 struct HostSnapshot {
     std::int64_t asOfMs = 0;
     std::vector<Host> hosts;
+
+    /** @return the worker @p id, or null if it is not listed. */
+    [[nodiscard]] const Host *findWorker(const WorkerId &id) const;
 };
 
 /** The platform's host list. */
--- a/packages/connection/httpserver.cpp
+++ b/packages/connection/httpserver.cpp
@@ -1,11 +1,11 @@
 #include "connection/httpserver.h"
 
+#include "connection/listener.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -30,8 +30,7 @@
 constexpr Millis DISCARD_LIMIT {2'000};
 constexpr std::size_t DISCARD_BYTES = 16UL * 1024 * 1024;
 constexpr std::size_t FIRST_READ_BYTES = 4096;
-constexpr int EVICTION_TRIES = 4;   // a connection that is to be evicted may have begun a request meanwhile
-constexpr Millis ACCEPT_PAUSE {50}; // gives descriptors time to come free when accept() fails
+constexpr int EVICTION_TRIES = 4; // a connection that is to be evicted may have begun a request meanwhile
 
 using Parser = Http::request_parser<Http::string_body>;
 
@@ -96,32 +95,22 @@
 class HttpServer::State : public std::enable_shared_from_this<State>
 {
 public:
-    State(Asio::io_context &io, const HttpLimits &limits, HttpHandler &handler)
-        : m_io(io)
-        , m_limits(limits)
+    State(Asio::io_context &io, const Endpoint &address, const HttpLimits &limits, HttpHandler &handler)
+        : m_limits(limits)
         , m_handler(handler)
-        , m_acceptor(Asio::make_strand(io))
+        , m_listener(Listener::open(io, address))
     {
     }
 
-    void open(const Endpoint &address)
+    void start()
     {
-        const Tcp::endpoint endpoint(Asio::ip::make_address(address.ip), address.port);
-        m_acceptor.open(endpoint.protocol());
-        m_acceptor.set_option(Tcp::acceptor::reuse_address(true));
-        m_acceptor.bind(endpoint);
-        m_acceptor.listen(Asio::socket_base::max_listen_connections);
-        m_address = {address.ip, m_acceptor.local_endpoint().port()};
-        Asio::co_spawn(m_acceptor.get_executor(), acceptLoop(shared_from_this()), Asio::detached);
+        Asio::co_spawn(m_listener->strand(), acceptLoop(shared_from_this()), Asio::detached);
     }
 
     void drain()
     {
         m_draining = true;
-        Asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
-            error_code ignored;
-            self->m_acceptor.close(ignored);
-        });
+        m_listener->close();
     }
 
     void close()
@@ -144,7 +133,7 @@
     }
     [[nodiscard]] const Endpoint &address() const
     {
-        return m_address;
+        return m_listener->address();
     }
 
 private:
@@ -165,24 +154,14 @@
 
     static Asio::awaitable<void> acceptLoop(std::shared_ptr<State> self)
     {
-        while (!self->m_draining) {
-            error_code error;
-            auto socket = co_await self->m_acceptor.async_accept(Asio::make_strand(self->m_io),
-                                                                 Asio::redirect_error(Asio::use_awaitable, error));
-            if (!error) {
-                co_await self->admit(std::move(socket));
-            } else if (!self->m_draining) {
-                Asio::steady_timer timer(self->m_acceptor.get_executor(), ACCEPT_PAUSE);
-                co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
-            }
+        while (auto socket = co_await self->m_listener->accept()) {
+            co_await self->admit(std::move(*socket));
         }
     }
 
     /** Takes a new connection; at the limit the one that has kept the server waiting for longest makes way. */
     Asio::awaitable<void> admit(Tcp::socket socket)
     {
-        error_code ignored;
-        socket.set_option(Tcp::no_delay(true), ignored);
         for (int i = 0; full() && i < EVICTION_TRIES; ++i) {
             if (const ConnectionPtr oldest = oldestWaiting()) {
                 co_await Asio::co_spawn(oldest->stream.get_executor(), evict(*this, oldest), Asio::use_awaitable);
@@ -417,11 +396,9 @@
         std::atomic<std::size_t> &m_count;
     };
 
-    Asio::io_context &m_io;
     const HttpLimits m_limits;
     HttpHandler &m_handler;
-    Tcp::acceptor m_acceptor;
-    Endpoint m_address;
+    const std::shared_ptr<Listener> m_listener;
     std::atomic<bool> m_draining {false};
     std::atomic<std::size_t> m_inProgress {0};
     std::mutex m_mutex;
@@ -434,8 +411,8 @@
 std::unique_ptr<HttpServer> HttpServer::listen(Asio::io_context &io, const Endpoint &address, const HttpLimits &limits,
                                                HttpHandler &handler)
 {
-    auto state = std::make_shared<State>(io, limits, handler);
-    state->open(address);
+    auto state = std::make_shared<State>(io, address, limits, handler);
+    state->start();
     return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
 }
 
--- /dev/null
+++ b/packages/connection/listener.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "base/endpoint.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <memory>
+#include <optional>
+
+// A listening TCP socket that goes on accepting through errors, such as a lack of descriptors, until it is closed.
+
+namespace Papaya
+{
+
+namespace Asio = boost::asio;
+
+/** The listening socket. */
+class Listener : public std::enable_shared_from_this<Listener>
+{
+public:
+    using Socket = Asio::ip::tcp::socket;
+    using Strand = Asio::strand<Asio::io_context::executor_type>;
+
+    /**
+     * Binds and listens.
+     * @param address its port may be 0, which takes a free one
+     * @throws boost::system::system_error if the address cannot be bound
+     */
+    static std::shared_ptr<Listener> open(Asio::io_context &io, const Endpoint &address);
+
+    /** Waits for a connection; called on strand(). @return a socket on a strand of its own, or nothing once closed */
+    Asio::awaitable<std::optional<Socket>> accept();
+    /** Stops listening; may be called from any thread. */
+    void close();
+
+    [[nodiscard]] const Strand &strand() const
+    {
+        return m_strand;
+    }
+    /** @return the bound address with its real port. */
+    [[nodiscard]] const Endpoint &address() const
+    {
+        return m_address;
+    }
+
+private:
+    explicit Listener(Asio::io_context &io);
+
+    Asio::io_context &m_io;
+    Strand m_strand;
+    Asio::ip::tcp::acceptor m_acceptor;
+    Endpoint m_address;
+    bool m_closed = false;
+};
+
+} // namespace Papaya
--- a/packages/connection/peersession.cpp
+++ b/packages/connection/peersession.cpp
@@ -1,6 +1,7 @@
 #include "connection/peersession.h"
 
 #include "connection/http2stream.h"
+#include "connection/listener.h"
 #include "connection/waiter.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -28,32 +29,23 @@
 class PeerServer::State : public std::enable_shared_from_this<State>
 {
 public:
-    State(Asio::io_context &io, PeerHandler &handler, PeerTraffic &traffic)
-        : m_io(io)
-        , m_handler(handler)
+    State(Asio::io_context &io, const Endpoint &address, PeerHandler &handler, PeerTraffic &traffic)
+        : m_handler(handler)
         , m_traffic(traffic)
-        , m_acceptor(Asio::make_strand(io))
+        , m_listener(Listener::open(io, address))
     {
     }
 
-    void open(const Endpoint &address)
+    void start()
     {
-        const Tcp::endpoint endpoint(Asio::ip::make_address(address.ip), address.port);
-        m_acceptor.open(endpoint.protocol());
-        m_acceptor.set_option(Tcp::acceptor::reuse_address(true));
-        m_acceptor.bind(endpoint);
-        m_acceptor.listen();
-        Asio::co_spawn(m_acceptor.get_executor(), accept(shared_from_this()), Asio::detached);
+        Asio::co_spawn(m_listener->strand(), accept(shared_from_this()), Asio::detached);
     }
 
     void close()
     {
-        Asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
-            error_code ignored;
-            self->m_closed = true;
-            self->m_acceptor.close(ignored);
-        });
+        m_listener->close();
         const std::lock_guard lock(m_mutex);
+        m_closed = true;
         for (const auto &connection : m_connections) {
             Asio::post(connection.strand, [weak = connection.weak] {
                 if (const auto open = weak.lock()) {
@@ -72,28 +64,19 @@
 
     static Asio::awaitable<void> accept(std::shared_ptr<State> self)
     {
-        while (!self->m_closed) {
-            error_code error;
-            auto strand = Asio::make_strand(self->m_io);
-            Tcp::socket socket =
-                co_await self->m_acceptor.async_accept(strand, Asio::redirect_error(Asio::use_awaitable, error));
-            if (error) {
-                co_return;
-            }
-            self->serve(std::move(socket));
+        while (auto socket = co_await self->m_listener->accept()) {
+            self->serve(std::move(*socket));
         }
     }
 
     void serve(Tcp::socket socket)
     {
-        error_code ignored;
-        socket.set_option(Tcp::no_delay(true), ignored);
         const Asio::any_io_executor strand = socket.get_executor();
         auto connection = Http2Connection::create(std::move(socket), Http2Side::Server, m_traffic);
         {
             const std::lock_guard lock(m_mutex);
             std::erase_if(m_connections, [](const Open &open) { return open.weak.expired(); });
-            if (m_connections.size() >= MAX_PEER_CONNECTIONS) {
+            if (m_closed || m_connections.size() >= MAX_PEER_CONNECTIONS) {
                 return;
             }
             m_connections.push_back({strand, connection});
@@ -107,20 +90,19 @@
         Asio::post(strand, [connection] { connection->start(); });
     }
 
-    Asio::io_context &m_io;
     PeerHandler &m_handler;
     PeerTraffic &m_traffic;
-    Tcp::acceptor m_acceptor;
-    std::atomic<bool> m_closed {false};
+    const std::shared_ptr<Listener> m_listener;
     std::mutex m_mutex;
+    bool m_closed = false;
     std::vector<Open> m_connections;
 };
 
 std::unique_ptr<PeerServer> PeerServer::listen(Asio::io_context &io, const Endpoint &address, PeerHandler &handler,
                                                PeerTraffic &traffic)
 {
-    auto state = std::make_shared<State>(io, handler, traffic);
-    state->open(address);
+    auto state = std::make_shared<State>(io, address, handler, traffic);
+    state->start();
     return std::unique_ptr<PeerServer>(new PeerServer(std::move(state)));
 }
 
--- a/packages/process/guaranteescheduling.h
+++ b/packages/process/guaranteescheduling.h
@@ -41,6 +41,7 @@
     };
 
     struct Pass;
+    struct ReclaimOption;
 
     void keepHolds(Pass &pass);
     void matchGuarantees(Pass &pass);
@@ -50,6 +51,11 @@
     bool takeHeld(Pass &pass, const WaitingGang &gang, bool guaranteed);
     void hold(Pass &pass, const WaitingGang &gang, PartWorkers workers, bool guaranteed);
     bool reclaim(Pass &pass, const WaitingGang &gang, bool guaranteed, std::size_t allowedBroken);
+    static std::optional<ReclaimOption> reclaimIn(const Pass &pass, const FleetModel &base, const WorkerGroup &group,
+                                                  const WaitingGang &gang, bool guaranteed);
+    static void chooseVictims(const Pass &pass, const WaitingGang &gang, bool guaranteed, ReclaimOption &option);
+    [[nodiscard]] std::optional<ReclaimOption> consolidateIn(const Pass &pass, const WorkerGroup &group,
+                                                             const WaitingGang &gang) const;
     void placeBorrowing(Pass &pass);
     void placeBorrower(Pass &pass, const WaitingGang &gang);
     bool reserve(Pass &pass, const WaitingGang &gang);
--- /dev/null
+++ b/packages/process/schedulingreclaim.cpp
@@ -0,0 +1,238 @@
+#include "process/schedulingpass.h"
+
+#include <algorithm>
+#include <optional>
+
+// How running borrowers make room for a gang: by being stopped, or by being moved.
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr std::array<std::int64_t, URGENCY_COUNT> VICTIM_WEIGHT {64, 8, 1};
+constexpr std::int64_t VICTIM_BASE_MS = 60'000; // cost of a restart, whatever work is lost
+constexpr std::int64_t CRUMB_DIVISOR = 4;       // a crumb has at most this part of the gang that it is moved for
+
+/** @return what stopping @p gang costs: the work that is lost, weighed by its urgency. */
+std::int64_t victimCost(const RunningGang &gang, std::int64_t nowMs)
+{
+    const std::int64_t ranMs = std::max<std::int64_t>(0, nowMs - gang.startedMs);
+    const std::int64_t lostMs = gang.restart == RestartRule::Checkpoint ? 0 : ranMs;
+    const std::int64_t gpus = std::max<std::int64_t>(1, gang.shape.totalGpus());
+    return VICTIM_WEIGHT[static_cast<std::size_t>(gang.urgency)] * (VICTIM_BASE_MS + lostMs) * gpus;
+}
+
+} // namespace
+
+/** Workers that could be had for a gang, and the gangs that would have to go. */
+struct GuaranteeScheduling::ReclaimOption {
+    PartWorkers workers;
+    std::set<std::size_t> victims; ///< indices into the running gangs
+    std::int64_t cost = 0;
+};
+
+bool GuaranteeScheduling::dropBorrowersHolds(Pass &pass)
+{
+    const std::size_t dropped = std::erase_if(m_holds, [&](const auto &entry) {
+        const Hold &hold = entry.second;
+        if (!hold.guaranteed) {
+            pass.free.giveAll(hold.workers, hold.part);
+        }
+        return !hold.guaranteed;
+    });
+    return dropped > 0;
+}
+
+std::int64_t GuaranteeScheduling::Pass::stopCost(std::size_t index) const
+{
+    const RunningGang &victim = view.running[index];
+    return victim.stopping || stopped.contains(index) ? 0 : victimCost(victim, view.nowMs);
+}
+
+bool GuaranteeScheduling::Pass::mayStopFor(std::size_t index, const WaitingGang &gang, bool guaranteed) const
+{
+    const RunningGang &victim = view.running[index];
+    return victim.preemptible() && (guaranteed || victim.urgency > gang.urgency);
+}
+
+const std::set<std::size_t> &GuaranteeScheduling::Pass::gangsOn(WorkerIndex worker) const
+{
+    static const std::set<std::size_t> NONE;
+    const auto gangs = gangsOf.find(worker);
+    return gangs == gangsOf.end() ? NONE : gangs->second;
+}
+
+bool GuaranteeScheduling::reclaim(Pass &pass, const WaitingGang &gang, bool guaranteed, std::size_t allowedBroken)
+{
+    // 1. What could be had in each group, and from whom.
+    FleetModel base = pass.free;
+    for (std::size_t i = 0; i < pass.view.running.size(); ++i) {
+        if (pass.mayStopFor(i, gang, guaranteed)) {
+            base.giveAll(pass.view.running[i].workers, pass.view.running[i].shape.part);
+        }
+    }
+    std::vector<ReclaimOption> options;
+    for (const WorkerGroup &group : pass.view.fleet.groups(gang.shape.adjacency)) {
+        if (auto option = reclaimIn(pass, base, group, gang, guaranteed)) {
+            options.push_back(std::move(*option));
+        }
+    }
+    // 2. The cheapest that leaves the guarantees of others intact: its workers are kept, its victims stopped.
+    std::stable_sort(options.begin(), options.end(),
+                     [](const ReclaimOption &a, const ReclaimOption &b) { return a.cost < b.cost; });
+    for (ReclaimOption &option : options) {
+        if (guaranteed && !pass.keepsGuarantees(option.workers, gang.shape.part, allowedBroken)) {
+            continue;
+        }
+        for (const std::size_t index : option.victims) {
+            if (pass.stopped.insert(index).second && !pass.view.running[index].stopping) {
+                pass.decision.stops.push_back({pass.view.running[index].job, gang.job, false});
+            }
+        }
+        hold(pass, gang, std::move(option.workers), guaranteed);
+        return true;
+    }
+    return false;
+}
+
+std::optional<GuaranteeScheduling::ReclaimOption>
+GuaranteeScheduling::reclaimIn(const Pass &pass, const FleetModel &base, const WorkerGroup &group,
+                               const WaitingGang &gang, bool guaranteed)
+{
+    // 1. Free workers come first, then those whose gangs cost the least.
+    std::vector<std::pair<std::int64_t, WorkerIndex>> order;
+    order.reserve(group.size());
+    for (const WorkerIndex worker : group) {
+        std::int64_t cost = 0;
+        if (pass.free.partsThatFit(worker, gang.shape.part) == 0) {
+            for (const std::size_t index : pass.gangsOn(worker)) {
+                cost += pass.mayStopFor(index, gang, guaranteed) ? pass.stopCost(index) : 0;
+            }
+        }
+        order.emplace_back(cost, worker);
+    }
+    std::stable_sort(order.begin(), order.end());
+    // 2. Places the parts as if all that may be stopped were gone.
+    ReclaimOption option;
+    FleetModel trial = base;
+    for (const auto &[cost, worker] : order) {
+        while (option.workers.size() < gang.shape.parts && !gang.avoid.contains(worker)
+               && trial.partsThatFit(worker, gang.shape.part) > 0) {
+            trial.take(worker, gang.shape.part);
+            option.workers.push_back(worker);
+        }
+    }
+    if (option.workers.size() < gang.shape.parts) {
+        return std::nullopt;
+    }
+    chooseVictims(pass, gang, guaranteed, option);
+    return option;
+}
+
+void GuaranteeScheduling::chooseVictims(const Pass &pass, const WaitingGang &gang, bool guaranteed,
+                                        ReclaimOption &option)
+{
+    // The cheapest go first, until the parts fit.
+    FleetModel room = pass.free;
+    room.takeAll(option.workers, gang.shape.part);
+    for (const WorkerIndex worker : option.workers) {
+        std::vector<std::pair<std::int64_t, std::size_t>> here;
+        for (const std::size_t index : pass.gangsOn(worker)) {
+            if (pass.mayStopFor(index, gang, guaranteed)) {
+                here.emplace_back(pass.stopCost(index), index);
+            }
+        }
+        std::sort(here.begin(), here.end());
+        for (const auto &[cost, index] : here) {
+            if (room.overdrawn(worker) && option.victims.insert(index).second) {
+                room.giveAll(pass.view.running[index].workers, pass.view.running[index].shape.part);
+                option.cost += cost;
+            }
+        }
+    }
+}
+
+bool GuaranteeScheduling::consolidate(Pass &pass, const WaitingGang &gang)
+{
+    const std::int64_t need = gang.shape.totalGpus();
+    if (gang.shape.parts < 2 || gang.restart == RestartRule::Never || pass.free.freeGpus() < need) {
+        return false;
+    }
+    std::optional<ReclaimOption> best;
+    for (const WorkerGroup &group : pass.view.fleet.groups(gang.shape.adjacency)) {
+        auto option = consolidateIn(pass, group, gang);
+        if (option && (!best || option->cost < best->cost)) {
+            best = std::move(option);
+        }
+    }
+    if (!best || static_cast<double>(best->victims.size()) > m_moveTokens) {
+        return false;
+    }
+    m_moveTokens -= static_cast<double>(best->victims.size());
+    for (const std::size_t index : best->victims) {
+        pass.stopped.insert(index);
+        pass.decision.stops.push_back({pass.view.running[index].job, gang.job, true});
+    }
+    hold(pass, gang, std::move(best->workers), false);
+    return true;
+}
+
+std::optional<GuaranteeScheduling::ReclaimOption>
+GuaranteeScheduling::consolidateIn(const Pass &pass, const WorkerGroup &group, const WaitingGang &gang) const
+{
+    // 1. Only crumbs are moved: checkpointed borrowers that are small beside the gang, and have room elsewhere.
+    const auto isCrumb = [&](std::size_t index) {
+        const RunningGang &running = pass.view.running[index];
+        return running.preemptible() && running.restart == RestartRule::Checkpoint && !running.stopping
+               && !pass.stopped.contains(index) && running.shape.totalGpus() * CRUMB_DIVISOR <= gang.shape.totalGpus();
+    };
+    std::set<std::size_t> crumbs;
+    FleetModel room = pass.free;
+    for (const WorkerIndex worker : group) {
+        for (const std::size_t index : pass.gangsOn(worker)) {
+            if (isCrumb(index) && crumbs.insert(index).second) {
+                room.giveAll(pass.view.running[index].workers, pass.view.running[index].shape.part);
+            }
+        }
+    }
+    if (crumbs.empty()) {
+        return std::nullopt;
+    }
+    // 2. Where the gang would go in this group without them.
+    std::set<WorkerIndex> outside = gang.avoid;
+    const std::set<WorkerIndex> members(group.begin(), group.end());
+    for (WorkerIndex i = 0; i < pass.view.fleet.size(); ++i) {
+        if (!members.contains(i)) {
+            outside.insert(i);
+        }
+    }
+    auto workers = m_placement.place(room, gang.shape, outside);
+    if (!workers) {
+        return std::nullopt;
+    }
+    // 3. Those that are in its way must all find room elsewhere.
+    ReclaimOption option;
+    option.workers = std::move(*workers);
+    const std::set<WorkerIndex> chosen(option.workers.begin(), option.workers.end());
+    FleetModel elsewhere = pass.free;
+    for (const std::size_t index : crumbs) {
+        const RunningGang &running = pass.view.running[index];
+        const bool inTheWay = std::any_of(running.workers.begin(), running.workers.end(),
+                                          [&](WorkerIndex worker) { return chosen.contains(worker); });
+        if (!inTheWay) {
+            continue;
+        }
+        const auto target = m_placement.place(elsewhere, running.shape, chosen);
+        if (!target) {
+            return std::nullopt;
+        }
+        elsewhere.takeAll(*target, running.shape.part);
+        option.victims.insert(index);
+        option.cost += running.shape.totalGpus();
+    }
+    return option.victims.empty() ? std::nullopt : std::optional<ReclaimOption>(std::move(option));
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/tests/unit/listener.cpp
@@ -0,0 +1,68 @@
+#include "connection/listener.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <gtest/gtest.h>
+
+#include <unistd.h>
+
+// The listener outlives errors of accept().
+
+namespace Papaya
+{
+
+namespace
+{
+
+/** Takes every descriptor that the process may have. */
+class AllDescriptors
+{
+public:
+    AllDescriptors()
+    {
+        for (int copy = ::dup(STDERR_FILENO); copy >= 0; copy = ::dup(STDERR_FILENO)) {
+            m_copies.push_back(copy);
+        }
+    }
+    ~AllDescriptors()
+    {
+        giveBack();
+    }
+    AllDescriptors(const AllDescriptors &) = delete;
+    AllDescriptors &operator=(const AllDescriptors &) = delete;
+
+    void giveBack()
+    {
+        for (const int copy : m_copies) {
+            ::close(copy);
+        }
+        m_copies.clear();
+    }
+
+private:
+    std::vector<int> m_copies;
+};
+
+TEST(Listener, AcceptsAgainAfterDescriptorsHaveRunOut)
+{
+    Asio::io_context io;
+    const auto listener = Listener::open(io, {"127.0.0.1", 0});
+    Asio::ip::tcp::socket client(io);
+    client.open(Asio::ip::tcp::v4());
+    bool accepted = false;
+    const auto acceptOne = [&]() -> Asio::awaitable<void> { accepted = (co_await listener->accept()).has_value(); };
+    AllDescriptors all;
+    client.connect({Asio::ip::address_v4::loopback(), listener->address().port});
+    Asio::co_spawn(listener->strand(), acceptOne(), Asio::detached);
+    io.run_for(std::chrono::milliseconds(200));
+    EXPECT_FALSE(accepted);
+    all.giveBack();
+    io.restart();
+    io.run_for(std::chrono::seconds(2));
+    EXPECT_TRUE(accepted);
+}
+
+} // namespace
+
+} // namespace Papaya
