Tell operators the version of every instance, not only of one's own

Cause: the admin API was handed a map of this instance alone since the first version, while the map with the peers was built and used by nobody. Now the answer holds every live instance of the host list; one that is not heard from is null and counts as lagging.

--- a/apps/papayactl/configcommands.cpp
+++ b/apps/papayactl/configcommands.cpp
@@ -135,8 +135,10 @@
         lagging.clear();
         if (result.good()) {
             for (const auto &[instance, inForce] : result.json()["instances"].items()) {
-                if (inForce.get<std::uint64_t>() < version) {
-                    lagging += (lagging.empty() ? "" : ", ") + instance + " at " + inForce.dump();
+                const bool heard = inForce.is_number_unsigned();
+                if (!heard || inForce.get<std::uint64_t>() < version) {
+                    lagging += (lagging.empty() ? "" : ", ") + instance;
+                    lagging += heard ? " at version " + inForce.dump() : " is not heard from";
                 }
             }
             if (lagging.empty()) {
--- a/packages/process/adminapi.cpp
+++ b/packages/process/adminapi.cpp
@@ -125,17 +125,22 @@
     co_return noSuchCall(request);
 }
 
-HttpResponse AdminApi::showConfig() const
+Json AdminApi::describeInstances() const
 {
-    const std::string text = m_context.config.recordText();
-    const auto record = text.empty() ? Result<ConfigRecord>(Error {}) : ConfigRecord::fromText(text);
     Json instances = Json::object();
     for (const auto &[instance, version] : m_context.versions()) {
-        instances[instance.value()] = version.value();
+        instances[instance.value()] = version ? Json(version->value()) : Json();
     }
+    return instances;
+}
+
+HttpResponse AdminApi::showConfig() const
+{
+    const std::string text = m_context.config.recordText();
+    const auto record = text.empty() ? Result<ConfigRecord>(Error {}) : ConfigRecord::fromText(text);
     return jsonResponse(200, toJson({{"version", m_context.config.version().value()},
                                      {"config", record ? record->config : Json()},
-                                     {"instances", std::move(instances)}}));
+                                     {"instances", describeInstances()}}));
 }
 
 Asio::awaitable<HttpResponse> AdminApi::publishConfig(const HttpRequest &request)
@@ -184,11 +189,7 @@
                      {"journal", describeTail(m_context.journal.tail())},
                      {"claims", describeTail(m_context.claims.tail())}};
     status["guaranteesBroken"] = planner.brokenGuarantees;
-    Json instances = Json::object();
-    for (const auto &[instance, version] : m_context.versions()) {
-        instances[instance.value()] = version.value();
-    }
-    status["instances"] = std::move(instances);
+    status["instances"] = describeInstances();
     status["requests"] = {{"queued", m_context.gate.queued()},
                           {"inProgress", m_context.gate.inProgress()},
                           {"slots", m_context.minions.slots()},
--- a/packages/process/adminapi.h
+++ b/packages/process/adminapi.h
@@ -10,14 +10,20 @@
 #include "process/planner.h"
 #include "process/settings.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <functional>
 #include <map>
+#include <optional>
 
 // Routes of the listener for operators.
 
 namespace Papaya
 {
 
+/** Versions in force by instance; nothing for an instance that should live but is not heard from. */
+using InstanceVersions = std::map<InstanceId, std::optional<ConfigVersion>>;
+
 /** What the admin API shows and steers. */
 struct AdminContext {
     const Settings &settings;
@@ -31,8 +37,7 @@
     Metrics &metrics;
     std::function<bool()> ready;
     std::function<void()> drain;
-    /** Versions in force at the instances that are known, this one included. */
-    std::function<std::map<InstanceId, ConfigVersion>()> versions;
+    std::function<InstanceVersions()> versions;
 };
 
 /** Handler of the operators' listener. */
@@ -45,6 +50,7 @@
 private:
     [[nodiscard]] bool authorized(const HttpRequest &request) const;
     HttpResponse probe(bool good) const;
+    [[nodiscard]] nlohmann::json describeInstances() const;
     HttpResponse showConfig() const;
     Asio::awaitable<HttpResponse> publishConfig(const HttpRequest &request);
     HttpResponse showStatus() const;
--- a/packages/process/instance.cpp
+++ b/packages/process/instance.cpp
@@ -202,10 +202,18 @@
         return gossip;
     }
 
-    /** @return the version in force at each instance that is known to live. */
-    [[nodiscard]] std::map<InstanceId, ConfigVersion> versions() const
+    /** @return the version in force at each live instance; nothing for one that is listed but not heard from. */
+    [[nodiscard]] InstanceVersions versions() const
     {
-        std::map<InstanceId, ConfigVersion> all {{settings.instance, config.version()}};
+        InstanceVersions all;
+        const auto snapshot = hosts->hosts();
+        for (std::size_t i = 0; snapshot && i < snapshot->hosts.size(); ++i) {
+            const Host &host = snapshot->hosts[i];
+            if (host.kind == HostKind::Entry && host.state == HostState::Live) {
+                all[InstanceId(host.id)] = std::nullopt;
+            }
+        }
+        all[settings.instance] = config.version();
         for (const auto &[peer, view] : membership.livePeers()) {
             all[peer] = view.gossip.config;
         }
@@ -225,9 +233,7 @@
                 metrics,
                 [this] { return ready(); },
                 [this] { beginDrain(); },
-                [this] {
-                    return std::map<InstanceId, ConfigVersion> {{settings.instance, config.version()}};
-                }};
+                [this] { return versions(); }};
     }
 
     void addCuts(const char *name, HttpCut reason)
--- a/tests/integration/configuration.cpp
+++ b/tests/integration/configuration.cpp
@@ -27,10 +27,7 @@
 
 TEST(Configuration, ReachesAnInstanceThatIsCutFromTheLog)
 {
-    ClusterOptions options;
-    options.instances = 3;
-    options.proxyLog = true;
-    Cluster cluster(options);
+    Cluster cluster({.instances = 3, .proxyLog = true});
     cluster.start(sampleConfig());
     cluster.logProxies[2]->setSilent(true);
     ASSERT_EQ(200, cluster.putConfig(0, configNumber(1), 1).status);
@@ -40,6 +37,22 @@
     EXPECT_TRUE(Cluster::eventually([&] { return versionAt(cluster, 2) == 3; }, IN_FORCE_LIMIT));
 }
 
+TEST(Configuration, TellsTheVersionOfEachInstanceAndWhichIsNotHeardFrom)
+{
+    Cluster cluster({.instances = 3});
+    cluster.start(sampleConfig());
+    const auto shown = [&](const Json &expected) {
+        const Json config = cluster.call(cluster.admin(0), {"GET", "/admin/config", {}, ""}).json();
+        return config["instances"] == expected && cluster.adminStatus(0)["instances"] == expected;
+    };
+    EXPECT_TRUE(Cluster::eventually([&] { return shown({{"entry-0", 1}, {"entry-1", 1}, {"entry-2", 1}}); }));
+    cluster.instances[2]->signal(SIGSTOP);
+    ASSERT_EQ(200, cluster.putConfig(0, configNumber(1), 1).status);
+    EXPECT_TRUE(Cluster::eventually([&] { return shown({{"entry-0", 2}, {"entry-1", 2}, {"entry-2", nullptr}}); }));
+    cluster.instances[2]->signal(SIGCONT);
+    EXPECT_TRUE(Cluster::eventually([&] { return shown({{"entry-0", 2}, {"entry-1", 2}, {"entry-2", 2}}); }));
+}
+
 TEST(Configuration, LetsOneOfTwoRacingOperatorsWin)
 {
     Cluster cluster;
@@ -65,26 +78,20 @@
 {
     Cluster cluster;
     cluster.start(sampleConfig());
-    Standins::LogFaults faults;
-    faults.loseAnswers = 1;
-    cluster.log.setFaults(faults);
+    cluster.log.setFaults({.loseAnswers = 1});
     EXPECT_EQ(200, cluster.putConfig(0, configNumber(1), 1).status);
     EXPECT_TRUE(Cluster::eventually([&] { return versionAt(cluster, 1) == 2; }, IN_FORCE_LIMIT));
 }
 
 TEST(Configuration, NeverRevertsAcrossRestartsAndLogOutages)
 {
-    ClusterOptions options;
-    options.instances = 3;
-    Cluster cluster(options);
+    Cluster cluster({.instances = 3});
     cluster.start(sampleConfig());
     ASSERT_EQ(200, cluster.putConfig(0, configNumber(1), 1).status);
     ASSERT_EQ(200, cluster.putConfig(0, configNumber(2), 2).status);
     ASSERT_TRUE(Cluster::eventually([&] { return versionAt(cluster, 1) == 3 && versionAt(cluster, 2) == 3; }));
     // A restart while the log is out takes the version from a peer, and serves no older one meanwhile.
-    Standins::LogFaults faults;
-    faults.outage = true;
-    cluster.log.setFaults(faults);
+    cluster.log.setFaults({.outage = true});
     cluster.instances[1]->kill();
     cluster.startInstance(1);
     std::set<std::uint64_t> seen;
@@ -98,23 +105,30 @@
     EXPECT_EQ(200, cluster.request(1, "phone-check", "x").status);
     EXPECT_EQ(503, cluster.putConfig(1, configNumber(3), 3).status);
     cluster.log.setFaults({});
-    std::this_thread::sleep_for(Millis(1'000));
-    for (std::size_t i = 0; i < 3; ++i) {
-        EXPECT_EQ(3U, versionAt(cluster, i));
-    }
+    // The next version shows that every instance reads the log again; none goes back before.
+    std::set<std::uint64_t> later;
+    const auto inForceEverywhere = [&](std::uint64_t version) {
+        std::set<std::uint64_t> now;
+        for (std::size_t i = 0; i < 3; ++i) {
+            now.insert(versionAt(cluster, i));
+        }
+        later.insert(now.begin(), now.end());
+        return now == std::set<std::uint64_t> {version};
+    };
+    EXPECT_TRUE(inForceEverywhere(3));
+    EXPECT_TRUE(Cluster::eventually([&] { return cluster.putConfig(1, configNumber(3), 3).status == 200; }));
+    EXPECT_TRUE(Cluster::eventually([&] { return inForceEverywhere(4); }, IN_FORCE_LIMIT));
+    EXPECT_EQ((std::set<std::uint64_t> {3, 4}), later);
 }
 
 TEST(Configuration, SurvivesTheAgeingOutOfItsRecord)
 {
-    ClusterOptions options;
-    options.settings = {{"platform", {{"logRetentionMs", 3'000}}}, {"keyHorizonMs", 1'000}};
-    Cluster cluster(options);
-    Standins::LogFaults faults;
-    faults.retentionMs = 3'000;
-    cluster.log.setFaults(faults);
+    Cluster cluster({.settings = {{"platform", {{"logRetentionMs", 3'000}}}, {"keyHorizonMs", 1'000}}});
+    cluster.log.setFaults({.retentionMs = 3'000});
     cluster.start(sampleConfig());
     ASSERT_EQ(200, cluster.putConfig(0, configNumber(1), 1).status);
-    std::this_thread::sleep_for(Millis(6'000));
+    const std::uint64_t end = cluster.log.kept("config").second;
+    ASSERT_TRUE(Cluster::eventually([&] { return cluster.log.kept("config").first >= end; }));
     cluster.instances[1]->kill();
     cluster.startInstance(1);
     EXPECT_TRUE(Cluster::eventually([&] { return versionAt(cluster, 1) == 2; }, IN_FORCE_LIMIT));
