Give a request with little time left all of it, and borrow slots in parts

Cause 1: a run was limited to half of the time left, so that a second try had the other half. Under overload the heaviest caller's requests are dispatched with little more than one run's time left; half of it cut every such run after the minion had begun it. A run now gets all the time left if half of it is less than runs usually take. Cause 2: feasibility was judged by the median run, so half of the last requests were cut. It is judged by the 99th percentile now, at most twice the median. Cause 3: all instances at once took all the slots that their last gossip had shown free. Each takes its part of them now.

The open loop moves from the load program to a file that both use.

--- a/bench/signature.cpp
+++ b/bench/signature.cpp
@@ -61,6 +61,7 @@
         ticket.urgency = static_cast<Urgency>(random() % URGENCY_COUNT);
         ticket.deadline = now + Millis(50 + random() % 400);
         ticket.expected = Millis(30);
+        ticket.needed = Millis(30);
         const EnqueueResult result = admission.enqueue(ticket, now);
         digest.add(result.refusal ? infoOf(*result.refusal).code : "queued");
         while (const auto next = admission.next(now)) {
--- a/packages/process/instance.cpp
+++ b/packages/process/instance.cpp
@@ -291,8 +291,11 @@
             return found == demand.end() ? 0U : found->second;
         };
         AdmissionSetup setup;
+        // Beyond its fair part an instance takes only a part of what is free, since its peers do the same meanwhile.
         const std::uint32_t fair = (total + instances - 1) / instances;
-        setup.slots = std::max(fair, total - std::min(total, usedByPeers));
+        const std::uint32_t left = total - std::min(total, usedByPeers);
+        const std::uint32_t inProgress = std::min(left, static_cast<std::uint32_t>(gate.inProgress()));
+        setup.slots = std::max(fair, inProgress + (left - inProgress) / instances);
         setup.floors = fleet.floors();
         for (const auto &[name, team] : fleet.teams()) {
             // One is added for each instance, so that a team that has been idle here starts with a fair part.
--- a/packages/process/requestruns.cpp
+++ b/packages/process/requestruns.cpp
@@ -88,6 +88,12 @@
     return m_templates[context.templateName].latency.median(ASSUMED_RUN);
 }
 
+Duration RequestService::neededTime(const Context &context)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_templates[context.templateName].latency.ample(ASSUMED_RUN);
+}
+
 void RequestService::learn(const Context &context, Duration runTime)
 {
     const std::lock_guard lock(m_mutex);
@@ -105,8 +111,12 @@
     }
     const Duration half = (context.deadline - now) / 2;
     const std::lock_guard lock(m_mutex);
-    const Duration learned = m_templates[context.templateName].latency.p95(half) * ATTEMPT_P95_FACTOR;
-    return now + std::min(half, std::max<Duration>(MIN_ATTEMPT, learned));
+    const LatencyEstimate &latency = m_templates[context.templateName].latency;
+    // Half of the time is kept for a second try, unless that leaves too little for the first.
+    if (half < latency.ample(half)) {
+        return context.deadline;
+    }
+    return now + std::min(half, std::max<Duration>(MIN_ATTEMPT, latency.p95(half) * ATTEMPT_P95_FACTOR));
 }
 
 std::optional<TimePoint> RequestService::hedgeTime(const Context &context, TimePoint now)
--- a/packages/process/requestservice.cpp
+++ b/packages/process/requestservice.cpp
@@ -223,6 +223,7 @@
     ticket.urgency = context.work->urgency;
     ticket.deadline = context.deadline;
     ticket.expected = expectedTime(context);
+    ticket.needed = neededTime(context);
     ending.refusal = co_await m_gate.enter(ticket);
     if (ending.refusal) {
         co_return ending;
--- a/packages/process/requestservice.h
+++ b/packages/process/requestservice.h
@@ -79,6 +79,7 @@
     TimePoint attemptDeadline(const Context &context, TimePoint now);
     std::optional<TimePoint> hedgeTime(const Context &context, TimePoint now);
     Duration expectedTime(const Context &context);
+    Duration neededTime(const Context &context);
     void learn(const Context &context, Duration runTime);
     HttpResponse respond(const Context &context, Ending ending);
 
--- a/packages/request/admission.cpp
+++ b/packages/request/admission.cpp
@@ -178,7 +178,7 @@
         result.refusal = Refusal::DeadlinePassed;
         return result;
     }
-    if (now + expectedWait(team, ticket) + ticket.expected > ticket.deadline) {
+    if (now + expectedWait(team, ticket) + ticket.needed > ticket.deadline) {
         result.refusal = Refusal::DeadlineUnreachable;
         return result;
     }
@@ -340,7 +340,7 @@
     const TicketId id = band.callers.at(caller).tickets.begin()->first.second;
     const Waiting where = m_waiting.at(id);
     const Ticket ticket = remove(where, id);
-    if (now + ticket.expected > ticket.deadline) {
+    if (now + ticket.needed > ticket.deadline) {
         return {id, now >= ticket.deadline ? Refusal::DeadlinePassed : Refusal::DeadlineUnreachable};
     }
     // Virtual times follow the start tag in service; tags advance by the cost of what was served.
--- a/packages/request/admission.h
+++ b/packages/request/admission.h
@@ -31,8 +31,10 @@
     CallerName caller;
     Urgency urgency = Urgency::Normal;
     TimePoint deadline;
-    /** Expected time in the slot. */
+    /** Expected time in the slot; what fair queueing counts. */
     Duration expected {0};
+    /** Time in the slot that is rarely exceeded; a request with less left would probably be cut after it has run. */
+    Duration needed {0};
 };
 
 /** Share and limits of one team at this instance. */
--- a/packages/request/latencyestimate.cpp
+++ b/packages/request/latencyestimate.cpp
@@ -21,6 +21,7 @@
     std::sort(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(used));
     m_median = sorted[used / 2];
     m_p95 = sorted[used * 95 / 100];
+    m_p99 = sorted[used * 99 / 100];
 }
 
 Duration LatencyEstimate::median(Duration fallback) const
@@ -28,6 +29,11 @@
     return m_count < REFRESH ? fallback : m_median;
 }
 
+Duration LatencyEstimate::ample(Duration fallback) const
+{
+    return m_count < REFRESH ? fallback : std::min(m_p99, m_median * 2);
+}
+
 Duration LatencyEstimate::p95(Duration fallback) const
 {
     return m_count < REFRESH ? fallback : m_p95;
--- a/packages/request/latencyestimate.h
+++ b/packages/request/latencyestimate.h
@@ -21,6 +21,9 @@
     [[nodiscard]] Duration median(Duration fallback) const;
     /** @return the 95th percentile, or @p fallback before enough samples have come. */
     [[nodiscard]] Duration p95(Duration fallback) const;
+    /** @return a time that most runs keep to, or @p fallback before enough samples have come: the 99th percentile, but
+     *  no more than twice the median, since a long tail is better cut short by a second try. */
+    [[nodiscard]] Duration ample(Duration fallback) const;
 
 private:
     static constexpr std::size_t WINDOW = 128;
@@ -32,6 +35,7 @@
     std::size_t m_count = 0;
     Duration m_median {0};
     Duration m_p95 {0};
+    Duration m_p99 {0};
 };
 
 } // namespace Papaya
--- a/tests/integration/cluster.cpp
+++ b/tests/integration/cluster.cpp
@@ -67,8 +67,9 @@
 
 } // namespace
 
-InstanceProcess::InstanceProcess(std::string settingsPath, std::string logPath)
-    : m_settingsPath(std::move(settingsPath))
+InstanceProcess::InstanceProcess(std::string program, std::string settingsPath, std::string logPath)
+    : m_program(program.empty() ? PAPAYAHALLD_PATH : std::move(program))
+    , m_settingsPath(std::move(settingsPath))
     , m_logPath(std::move(logPath))
 {
 }
@@ -83,7 +84,7 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, m_logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    std::string program = PAPAYAHALLD_PATH;
+    std::string program = m_program;
     std::string option = "--settings";
     std::array<char *, 4> arguments {program.data(), option.data(), m_settingsPath.data(), nullptr};
     ASSERT_EQ(0, posix_spawn(&m_pid, program.c_str(), &actions, nullptr, arguments.data(), environ));
@@ -135,6 +136,10 @@
     const Endpoint any {"127.0.0.1", 0};
     log.listen(io, any);
     hosts.listen(io, any);
+    for (std::size_t i = 0; m_options.ownHostLists && i < m_options.instances; ++i) {
+        hostLists.push_back(std::make_unique<Standins::HostsStandin>());
+        hostLists.back()->listen(io, any);
+    }
     for (std::size_t i = 0; i < m_options.minions; ++i) {
         minions.push_back(std::make_unique<Standins::MinionStandin>("minion-" + std::to_string(i), m_options.slots));
         minions.back()->listen(io, any);
@@ -143,13 +148,13 @@
             minionProxies.push_back(Standins::FaultProxy::create(io, any, address));
             address = minionProxies.back()->address();
         }
-        hosts.set(hostOf(*minions.back(), address));
+        listHost(hostOf(*minions.back(), address));
     }
     for (std::size_t i = 0; i < m_options.workers; ++i) {
         workers.push_back(
             std::make_unique<Standins::WorkerStandin>("worker-" + std::to_string(i), m_options.workerCapacity));
         workers.back()->listen(io, any);
-        hosts.set(hostOf(*workers.back(), i));
+        listHost(hostOf(*workers.back(), i));
     }
     for (std::size_t i = 0; i < m_options.instances; ++i) {
         makeInstance(i);
@@ -199,6 +204,14 @@
     return host;
 }
 
+void Cluster::listHost(const Host &host)
+{
+    hosts.set(host);
+    for (const auto &list : hostLists) {
+        list->set(host);
+    }
+}
+
 void Cluster::makeInstance(std::size_t index)
 {
     const std::string id = "entry-" + std::to_string(index);
@@ -211,7 +224,7 @@
         logProxies.push_back(Standins::FaultProxy::create(io, any, logAddress));
         logAddress = logProxies.back()->address();
     }
-    Endpoint hostsAddress = hosts.address();
+    Endpoint hostsAddress = m_options.ownHostLists ? hostLists[index]->address() : hosts.address();
     if (m_options.proxyHosts) {
         hostsProxies.push_back(Standins::FaultProxy::create(io, any, hostsAddress));
         hostsAddress = hostsProxies.back()->address();
@@ -233,13 +246,13 @@
     settings.merge_patch(m_options.settings);
     const std::string path = m_directory + "/" + id + ".json";
     std::ofstream(path) << settings.dump(2);
-    instances.push_back(std::make_unique<InstanceProcess>(path, m_directory + "/" + id + ".log"));
+    instances.push_back(std::make_unique<InstanceProcess>(m_options.program, path, m_directory + "/" + id + ".log"));
     Host host;
     host.id = id;
     host.kind = HostKind::Entry;
     host.address = peerAddress;
     host.place = PlaceName("bergen");
-    hosts.set(host);
+    listHost(host);
 }
 
 void Cluster::startInstance(std::size_t index)
--- a/tests/integration/cluster.h
+++ b/tests/integration/cluster.h
@@ -27,7 +27,7 @@
 class InstanceProcess
 {
 public:
-    InstanceProcess(std::string settingsPath, std::string logPath);
+    InstanceProcess(std::string program, std::string settingsPath, std::string logPath);
     ~InstanceProcess();
     InstanceProcess(const InstanceProcess &) = delete;
     InstanceProcess &operator=(const InstanceProcess &) = delete;
@@ -48,6 +48,7 @@
     }
 
 private:
+    std::string m_program;
     std::string m_settingsPath;
     std::string m_logPath;
     int m_pid = -1;
@@ -83,7 +84,9 @@
     bool proxyHosts = false;        ///< a proxy between each instance and the host list
     bool proxyMinions = false;      ///< one proxy in front of each minion
     bool proxyPeers = false;        ///< a proxy in front of each instance's peer listener
+    bool ownHostLists = false;      ///< a host list for each instance, which may show it another address of a host
     Json settings = Json::object(); ///< merged into each instance's settings
+    std::string program {};         ///< the server to run; that of this build if empty
 };
 
 /** The cluster. */
@@ -144,6 +147,7 @@
     Asio::io_context io;
     Standins::LogStandin log;
     Standins::HostsStandin hosts;
+    std::vector<std::unique_ptr<Standins::HostsStandin>> hostLists; ///< by instance, if each has its own
     std::vector<std::unique_ptr<Standins::MinionStandin>> minions;
     std::vector<std::unique_ptr<Standins::WorkerStandin>> workers;
     std::vector<std::unique_ptr<InstanceProcess>> instances;
@@ -154,6 +158,7 @@
 
 private:
     void makeInstance(std::size_t index);
+    void listHost(const Host &host);
 
     ClusterOptions m_options;
     Asio::executor_work_guard<Asio::io_context::executor_type> m_work;
--- a/tests/load/loadbench.cpp
+++ b/tests/load/loadbench.cpp
@@ -1,8 +1,5 @@
-#include "../integration/cluster.h"
+#include "load/openloop.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/strand.hpp>
 #include <gtest/gtest.h>
 #include <tclap/CmdLine.h>
 
@@ -10,13 +7,11 @@
 #include <iomanip>
 #include <iostream>
 #include <iterator>
-#include <random>
 #include <sstream>
 
 #include <unistd.h>
 
-// Open-loop load on real processes: requests go out when they are due, and a late answer counts from when its request
-// was due. Prints one line of key=value pairs for each run.
+// Measures policies by open-loop load on real processes, and prints one line of key=value pairs for each run.
 
 namespace Papaya::Testing
 {
@@ -28,117 +23,12 @@
 constexpr Millis JITTER {40};
 constexpr double MEAN_SERVICE_SECONDS = 0.080;
 
-/** One stream of requests. */
-struct Stream {
-    std::string name;
-    std::string team;
-    std::string caller;
-    std::string work;
-    double perSecond = 0;
-    Millis deadline {800};
-};
-
-/** What came of a stream. */
-struct StreamResult {
-    std::vector<double> milliseconds; ///< of answers in time
-    std::size_t sent = 0;
-    std::size_t good = 0;
-};
-
-/** Sends streams at a cluster. */
-class Load
-{
-public:
-    Load(Cluster &cluster, std::uint64_t seed)
-        : m_cluster(cluster)
-        , m_pool(cluster.io)
-        , m_random(seed)
-    {
-    }
-
-    std::vector<StreamResult> run(const std::vector<Stream> &streams, Millis duration)
-    {
-        m_results.assign(streams.size(), {});
-        std::vector<std::thread> threads;
-        const TimePoint begin = Clock::now() + Millis(50);
-        for (std::size_t i = 0; i < streams.size(); ++i) {
-            threads.emplace_back([&, i, seed = m_random()] { send(streams[i], i, begin, duration, seed); });
-        }
-        for (std::thread &thread : threads) {
-            thread.join();
-        }
-        Cluster::eventually([&] { return m_pending == 0; }, Millis(15'000));
-        const std::lock_guard lock(m_mutex);
-        return m_results;
-    }
-
-private:
-    void send(const Stream &stream, std::size_t index, TimePoint begin, Millis duration, std::uint64_t seed)
-    {
-        std::mt19937_64 random(seed);
-        std::exponential_distribution<double> gap(stream.perSecond);
-        TimePoint due = begin;
-        std::size_t count = 0;
-        while (due < begin + duration) {
-            due += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(random)));
-            std::this_thread::sleep_until(due);
-            ++m_pending;
-            const Endpoint entry = m_cluster.callers(count++ % m_cluster.instances.size());
-            Asio::co_spawn(Asio::make_strand(m_cluster.io), one(*this, stream, index, entry, due), Asio::detached);
-        }
-    }
-
-    static Asio::awaitable<void> one(Load &self, Stream stream, std::size_t index, Endpoint entry, TimePoint due)
-    {
-        HttpRequest request {"POST", "/v1/requests/" + stream.work, {}, "x"};
-        request.fields.set(Field::TEAM, stream.team);
-        request.fields.set(Field::CALLER, stream.caller);
-        int status = 0;
-        try {
-            HttpConnectionPtr connection = co_await self.m_pool.acquire(entry, Millis(20'000), due + Millis(6'000));
-            const HttpResponse response = co_await connection->exchange(request, due + Millis(6'000));
-            status = response.status;
-            self.m_pool.release(entry, std::move(connection));
-        } catch (const HttpError &) {
-            status = 0;
-        }
-        const Duration took = Clock::now() - due;
-        {
-            const std::lock_guard lock(self.m_mutex);
-            StreamResult &result = self.m_results[index];
-            ++result.sent;
-            if (status == 200 && took <= stream.deadline) {
-                ++result.good;
-                result.milliseconds.push_back(std::chrono::duration<double, std::milli>(took).count());
-            }
-        }
-        --self.m_pending;
-    }
-
-    Cluster &m_cluster;
-    HttpPool m_pool;
-    std::mt19937_64 m_random;
-    std::mutex m_mutex;
-    std::vector<StreamResult> m_results;
-    std::atomic<std::size_t> m_pending {0};
-};
-
-double quantile(std::vector<double> values, double q)
-{
-    if (values.empty()) {
-        return 0;
-    }
-    std::sort(values.begin(), values.end());
-    return values[static_cast<std::size_t>(q * static_cast<double>(values.size() - 1))];
-}
-
 void print(const std::string &scenario, const std::string &policy, const Stream &stream, const StreamResult &result)
 {
     std::cout << std::fixed << std::setprecision(3) << "scenario=" << scenario << " policy=" << policy
-              << " stream=" << stream.name << " rate=" << stream.perSecond << " sent=" << result.sent << " goodput="
-              << static_cast<double>(result.good) / static_cast<double>(std::max<std::size_t>(1, result.sent))
-              << " p50_ms=" << quantile(result.milliseconds, 0.5) << " p99_ms=" << quantile(result.milliseconds, 0.99)
-              << " p999_ms=" << quantile(result.milliseconds, 0.999) << std::endl;
+              << " stream=" << stream.name << " rate=" << stream.perSecond << " sent=" << result.sent
+              << " goodput=" << result.goodput() << " p50_ms=" << result.quantile(0.5)
+              << " p99_ms=" << result.quantile(0.99) << " p999_ms=" << result.quantile(0.999) << std::endl;
 }
 
 /** Sizes of a run. */
@@ -189,7 +79,7 @@
 {
     for (const std::string policy : {"random", "round-robin", "home"}) {
         const auto cluster = makeCluster(sizes, policy, "fair");
-        Load load(*cluster, sizes.seed);
+        OpenLoopLoad load(*cluster, sizes.seed);
         load.run({{"warm-up", "bookings", "c", "phone-check", rateFor(sizes, 0.3)}}, Millis(1'500));
         for (const double share : {0.3, 0.7, 0.95}) {
             const Stream stream {"phone-check", "bookings", "c", "phone-check", rateFor(sizes, share)};
@@ -203,7 +93,7 @@
 {
     for (const std::string policy : {"fifo", "fair"}) {
         const auto cluster = makeCluster(sizes, "home", policy);
-        Load load(*cluster, sizes.seed);
+        OpenLoopLoad load(*cluster, sizes.seed);
         const Stream own {"phone-check", "bookings", "c", "phone-check", rateFor(sizes, 0.3)};
         const Stream flooding {"flood", "archive", "f", flood, rateFor(sizes, 1.0), Millis(5'000)};
         load.run({own}, Millis(1'500));
@@ -220,7 +110,7 @@
 {
     for (const std::string policy : {"fifo", "teams-only", "fair"}) {
         const auto cluster = makeCluster(sizes, "home", policy);
-        Load load(*cluster, sizes.seed);
+        OpenLoopLoad load(*cluster, sizes.seed);
         const double small = rateFor(sizes, 1.6) / 70;
         std::vector<Stream> streams;
         streams.reserve(21);
@@ -231,10 +121,7 @@
         const auto report = [&](const std::string &name, const std::vector<StreamResult> &results) {
             StreamResult all;
             for (std::size_t i = 0; i < 20; ++i) {
-                all.sent += results[i].sent;
-                all.good += results[i].good;
-                all.milliseconds.insert(all.milliseconds.end(), results[i].milliseconds.begin(),
-                                        results[i].milliseconds.end());
+                all.add(results[i]);
             }
             print(name, policy, streams[0], all);
         };
@@ -254,7 +141,7 @@
         faults.failing = true;
         cluster->minions[i]->setFaults(faults);
     }
-    Load load(*cluster, sizes.seed);
+    OpenLoopLoad load(*cluster, sizes.seed);
     const Stream stream {"phone-check", "bookings", "c", "phone-check", rateFor(sizes, 0.3)};
     const StreamResult result = load.run({stream}, sizes.duration)[0];
     print("failing-third", "fair", stream, result);
@@ -333,17 +220,50 @@
     }
 }
 
+/** What a request costs: requests answered by processor second of the instances, and their memory. */
+void throughputScenario(const Sizes &sizes, const std::string &program, double perSecond)
+{
+    ClusterOptions options;
+    options.instances = sizes.instances;
+    options.minions = sizes.minions;
+    options.workers = 0;
+    options.settings = {{"logLevel", "warning"}};
+    options.program = program;
+    Cluster cluster(options);
+    cluster.start(loadConfig(100));
+    OpenLoopLoad load(cluster, sizes.seed);
+    const Stream stream {"phone-check", "bookings", "c", "phone-check", perSecond};
+    load.run({stream}, Millis(1'500));
+    const auto processor = [&] {
+        double seconds = 0;
+        for (const auto &instance : cluster.instances) {
+            seconds += processorSeconds(instance->pid());
+        }
+        return seconds;
+    };
+    const double before = processor();
+    const StreamResult result = load.run({stream}, sizes.duration)[0];
+    const double used = processor() - before;
+    print("throughput", program.empty() ? "this" : "other", stream, result);
+    std::cout << "scenario=throughput requests_per_core_second=" << static_cast<double>(result.good) / used
+              << " rss_kb=" << residentKb(cluster.instances[0]->pid()) << "\n";
+}
+
 } // namespace
 
 int runLoadBench(int argc, char **argv)
 {
     TCLAP::CmdLine line("Open-loop load on real processes.");
-    const TCLAP::ValueArg<std::string> only("s", "scenario", "choice, flood, urgent-flood, caller, failing or rest",
-                                            false, "", "NAME", line);
+    const TCLAP::ValueArg<std::string> only(
+        "s", "scenario", "choice, flood, urgent-flood, caller, failing, rest or throughput", false, "", "NAME", line);
     const TCLAP::ValueArg<std::size_t> instances("i", "instances", "Instances", false, 7, "N", line);
     const TCLAP::ValueArg<std::size_t> minions("m", "minions", "Minions of 8 slots", false, 50, "N", line);
     const TCLAP::ValueArg<std::int64_t> duration("d", "duration-ms", "Time of a run", false, 4'000, "MS", line);
     const TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed of the arrivals", false, 1, "N", line);
+    const TCLAP::ValueArg<std::string> program("p", "program", "Server to load instead of this build's", false, "",
+                                               "FILE", line);
+    const TCLAP::ValueArg<double> rate("r", "rate", "Requests a second of the throughput scenario", false, 3'000, "N",
+                                       line);
     line.parse(argc, argv);
     const Sizes sizes {instances.getValue(), minions.getValue(), Millis(duration.getValue()), seed.getValue()};
     const auto wanted = [&](const char *name) { return only.getValue().empty() || only.getValue() == name; };
@@ -368,6 +288,9 @@
         restScenario(sizes, 50, 200);
         restScenario(sizes, 100, 400);
     }
+    if (only.getValue() == "throughput") {
+        throughputScenario(sizes, program.getValue(), rate.getValue());
+    }
     return 0;
 }
 
--- a/tests/unit/admission.cpp
+++ b/tests/unit/admission.cpp
@@ -30,6 +30,7 @@
     ticket.urgency = urgency;
     ticket.deadline = TimePoint {} + Millis(10'000);
     ticket.expected = Millis(10);
+    ticket.needed = Millis(10);
     return ticket;
 }
 
