Learn what jobs really take, and keep workers from being overcommitted

Cause: placement went by declared sizes alone. With declared cores ten times too large two of six jobs waited beside idle workers for as long as the others ran; with sizes ten times too small workers stayed overcommitted until their tasks ended.

SizeBook learns cores and memory from the reports: of the job itself, else of the latest 16 ended jobs of its template, with a margin of a quarter, and never more than was declared for work that keeps to it. decideOverruns throttles what takes more cores than it declared on a worker that has too few, and stops gangs where memory runs short or throttling has not helped after 5 s: borrowers that overrun first, guaranteed gangs only if they overrun, never what must not restart. Both are pure code; the planner applies them once a pass.

Assumed of workers: they refuse a task (507) by accelerators declared and by cores and memory in use. A worker that goes by declared sizes refuses, and the gang is placed elsewhere.

--- a/packages/process/metrics.h
+++ b/packages/process/metrics.h
@@ -49,6 +49,8 @@
     PeerSessionsLost,
     PeerBytesSent,
     DrainCutRequests,
+    TasksThrottled,
+    GangsStoppedOverrunning,
     Count,
 };
 
--- /dev/null
+++ b/packages/process/overrun.cpp
@@ -0,0 +1,98 @@
+#include "process/overrun.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace Papaya
+{
+
+namespace
+{
+
+using PartList = std::vector<const PartUse *>;
+
+bool overruns(const PartUse &part)
+{
+    return part.used.cores > part.declared.cores || part.used.memoryMb > part.declared.memoryMb;
+}
+
+bool mayStop(const PartUse &part)
+{
+    return part.rule == StopRule::Freely || (part.rule == StopRule::IfOverrunning && overruns(part));
+}
+
+/** @return how far a part is above what it declared, in thousandths of the worker's @p capacity. */
+std::int64_t excess(const PartUse &part, const Resources &capacity)
+{
+    constexpr std::int64_t THOUSAND = 1'000;
+    const auto share = [](std::int64_t used, std::int64_t declared, std::int64_t all) {
+        return all > 0 ? std::max<std::int64_t>(0, used - declared) * THOUSAND / all : 0;
+    };
+    return std::max(share(part.used.cores, part.declared.cores, capacity.cores),
+                    share(part.used.memoryMb, part.declared.memoryMb, capacity.memoryMb));
+}
+
+/** @return the parts of a worker that may be stopped, the first to be stopped first. */
+PartList victims(const PartList &parts, const Resources &capacity)
+{
+    PartList order;
+    std::copy_if(parts.begin(), parts.end(), std::back_inserter(order),
+                 [](const PartUse *part) { return mayStop(*part); });
+    std::stable_sort(order.begin(), order.end(), [&](const PartUse *a, const PartUse *b) {
+        const bool borrowedA = a->rule == StopRule::Freely;
+        const bool borrowedB = b->rule == StopRule::Freely;
+        if (overruns(*a) != overruns(*b)) {
+            return overruns(*a);
+        }
+        return borrowedA != borrowedB ? borrowedA : excess(*a, capacity) > excess(*b, capacity);
+    });
+    return order;
+}
+
+} // namespace
+
+OverrunDecision decideOverruns(const FleetModel &fleet, const std::vector<PartUse> &parts)
+{
+    std::map<WorkerIndex, PartList> byWorker;
+    std::set<JobId> stopping;
+    for (const PartUse &part : parts) {
+        byWorker[part.worker].push_back(&part);
+        if (part.stopping) {
+            stopping.insert(part.task.job);
+        }
+    }
+    OverrunDecision decision;
+    for (const auto &[worker, list] : byWorker) {
+        // 1. What is being stopped already gives its share back.
+        const Resources &capacity = fleet.capacity(worker);
+        Resources used;
+        for (const PartUse *part : list) {
+            if (!stopping.contains(part->task.job)) {
+                used += part->used;
+            }
+        }
+        // 2. Throttles what takes more cores than it declared, and waits until that shows.
+        bool settling = false;
+        for (const PartUse *part : list) {
+            settling |= part->settling;
+            if (used.cores > capacity.cores && part->used.cores > part->declared.cores && !part->throttled) {
+                decision.throttles.push_back(part->task);
+                settling = true;
+            }
+        }
+        // 3. Stops gangs for the rest.
+        for (const PartUse *part : victims(list, capacity)) {
+            const bool coresShort = used.cores > capacity.cores && !settling;
+            if ((!coresShort && used.memoryMb <= capacity.memoryMb) || stopping.contains(part->task.job)) {
+                continue;
+            }
+            stopping.insert(part->task.job);
+            decision.stops.push_back(part->task.job);
+            used -= part->used;
+        }
+    }
+    return decision;
+}
+
+} // namespace Papaya
--- a/packages/process/planner.cpp
+++ b/packages/process/planner.cpp
@@ -228,7 +228,12 @@
     const FleetConfigPtr config = m_config.config();
     return m_journal.read([&](const Ledger &ledger) {
         m_runTimes.learn(ledger);
-        return makePlanningView(fleet(ledger), *config, ledger, attempts, m_runTimes, wallClockMs());
+        FleetModel workers = fleet(ledger);
+        const std::vector<PartUse> uses = partUses(workers);
+        controlOverruns(workers, uses);
+        learnSizes(uses);
+        m_sizes.learn(ledger);
+        return makePlanningView(std::move(workers), *config, ledger, attempts, {m_runTimes, m_sizes}, wallClockMs());
     });
 }
 
--- a/packages/process/planner.h
+++ b/packages/process/planner.h
@@ -5,6 +5,7 @@
 #include "process/guaranteescheduling.h"
 #include "process/hostdirectory.h"
 #include "process/journal.h"
+#include "process/overrun.h"
 #include "process/planningview.h"
 #include "process/taskbook.h"
 #include "process/workerhealth.h"
@@ -68,6 +69,10 @@
     void stopGang(const StopDecision &decision);
     void noteWaits(const ScheduleDecision &decision);
     [[nodiscard]] PlanningView planningView();
+    [[nodiscard]] std::vector<PartUse> partUses(const FleetModel &fleet) const;
+    void learnSizes(const std::vector<PartUse> &uses);
+    void controlOverruns(const FleetModel &fleet, const std::vector<PartUse> &uses);
+    static Asio::awaitable<void> throttle(Planner &self, TaskId task, Epoch epoch);
     void launch(GangAttempt attempt, GangState entry);
     void stopCancelled();
     void applyHealth();
@@ -93,6 +98,7 @@
     TaskBook m_book;
     GuaranteeScheduling m_scheduling;
     RunTimeBook m_runTimes;
+    SizeBook m_sizes;
     WorkerHealth m_health;
 
     bool m_stopped = false;
--- /dev/null
+++ b/packages/process/planneroverruns.cpp
@@ -0,0 +1,99 @@
+#include "process/planner.h"
+
+#include "process/logging.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+// What the planner learns of the sizes of running work, and does about workers that are overcommitted.
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr Millis THROTTLE_SHOWS {5'000}; // reports lag
+constexpr Millis THROTTLE_LIMIT {500};
+
+StopRule stopRuleOf(const GangAttempt &attempt)
+{
+    if (attempt.spec.restart == RestartRule::Never) {
+        return StopRule::Never;
+    }
+    return attempt.guaranteed ? StopRule::IfOverrunning : StopRule::Freely;
+}
+
+} // namespace
+
+std::vector<PartUse> Planner::partUses(const FleetModel &fleet) const
+{
+    std::vector<PartUse> uses;
+    const TimePoint now = Clock::now();
+    for (const auto &[job, runner] : m_runners) {
+        const GangAttempt &attempt = runner->attempt();
+        for (std::size_t part = 0; part < attempt.parts.size(); ++part) {
+            const TaskId id {job, PartIndex(static_cast<std::uint32_t>(part))};
+            const HeldTask *task = m_book.find(id);
+            const auto worker = fleet.find(attempt.parts[part].worker);
+            if (task == nullptr || !task->used || !worker) {
+                continue;
+            }
+            PartUse use;
+            use.task = id;
+            use.worker = *worker;
+            use.declared = attempt.spec.shape.part;
+            use.used = *task->used;
+            use.rule = stopRuleOf(attempt);
+            use.throttled = task->throttledAt.has_value();
+            use.settling = use.throttled && now - *task->throttledAt < THROTTLE_SHOWS;
+            use.stopping = runner->stopping();
+            uses.push_back(use);
+        }
+    }
+    return uses;
+}
+
+void Planner::learnSizes(const std::vector<PartUse> &uses)
+{
+    for (const PartUse &use : uses) {
+        m_sizes.note(use.task.job, use.used, use.throttled && !use.settling);
+    }
+}
+
+void Planner::controlOverruns(const FleetModel &fleet, const std::vector<PartUse> &uses)
+{
+    const OverrunDecision decision = decideOverruns(fleet, uses);
+    for (const TaskId &task : decision.throttles) {
+        m_book.noteThrottled(task);
+        Asio::co_spawn(m_strand, throttle(*this, task, m_epoch), Asio::detached);
+    }
+    for (const JobId &job : decision.stops) {
+        logEvent(LogLevel::Warning, "gang-stopped-overrunning", {{"job", job.value()}});
+        m_metrics.count(Counter::GangsStoppedOverrunning);
+        m_runners.at(job)->requestStop(StopCause::Preempted);
+    }
+}
+
+Asio::awaitable<void> Planner::throttle(Planner &self, TaskId task, Epoch epoch)
+{
+    const HeldTask *held = self.m_book.find(task);
+    if (held == nullptr) {
+        co_return;
+    }
+    const Endpoint worker = held->address;
+    try {
+        const TimePoint deadline = Clock::now() + THROTTLE_LIMIT;
+        const CommandReply reply = co_await self.m_client.command(worker, epoch, task, TaskCommand::Throttle, deadline);
+        if (reply.result == CommandResult::Done) {
+            self.m_metrics.count(Counter::TasksThrottled);
+            logEvent(LogLevel::Info, "task-throttled",
+                     {{"job", task.job.value()}, {"part", std::uint64_t(task.part.value())}});
+        }
+    } catch (const HttpError &error) {
+        // A throttle that has not taken effect shows in the reports, and the gang is stopped then.
+        logEvent(LogLevel::Debug, "throttle-failed", {{"job", task.job.value()}, {"error", error.what()}});
+    }
+}
+
+} // namespace Papaya
--- a/packages/process/planningview.cpp
+++ b/packages/process/planningview.cpp
@@ -1,20 +1,39 @@
 #include "process/planningview.h"
 
+#include <algorithm>
+
 namespace Papaya
 {
 
 namespace
 {
 
-GangDemand demandOf(const JobSubmitted &spec)
+/** @return the most that any worker has of each resource. */
+Resources largestWorker(const FleetModel &fleet)
+{
+    Resources largest;
+    for (WorkerIndex worker = 0; worker < fleet.size(); ++worker) {
+        const Resources &capacity = fleet.capacity(worker);
+        largest.cores = std::max(largest.cores, capacity.cores);
+        largest.memoryMb = std::max(largest.memoryMb, capacity.memoryMb);
+    }
+    return largest;
+}
+
+GangDemand demandOf(const JobSubmitted &spec, const SizeBook &sizes, const Resources &largest)
 {
-    return {spec.job, spec.team, spec.caller, spec.urgency, spec.restart, spec.shape};
+    GangDemand demand {spec.job, spec.team, spec.caller, spec.urgency, spec.restart, spec.shape};
+    // The margin alone never keeps a job from the workers that it was let in for.
+    const Resources expected = sizes.expected(spec);
+    demand.shape.part.cores = std::min(expected.cores, std::max(largest.cores, spec.shape.part.cores));
+    demand.shape.part.memoryMb = std::min(expected.memoryMb, std::max(largest.memoryMb, spec.shape.part.memoryMb));
+    return demand;
 }
 
-WaitingGang waitingGang(const Job &job, const FleetModel &fleet, std::int64_t runMs)
+WaitingGang waitingGang(const Job &job, GangDemand demand, const FleetModel &fleet, std::int64_t runMs)
 {
     WaitingGang gang;
-    static_cast<GangDemand &>(gang) = demandOf(job.spec);
+    static_cast<GangDemand &>(gang) = std::move(demand);
     gang.submittedMs = job.submittedMs;
     gang.runMs = runMs;
     for (const WorkerId &culprit : job.culprits) {
@@ -29,11 +48,11 @@
     return gang;
 }
 
-RunningGang runningGang(const Job &job, const ActiveAttempt *attempt, const FleetModel &fleet, std::int64_t runMs,
-                        std::int64_t nowMs)
+RunningGang runningGang(const Job &job, GangDemand demand, const ActiveAttempt *attempt, const FleetModel &fleet,
+                        std::int64_t runMs, std::int64_t nowMs)
 {
     RunningGang gang;
-    static_cast<GangDemand &>(gang) = demandOf(job.spec);
+    static_cast<GangDemand &>(gang) = std::move(demand);
     gang.startedMs = job.startedMs > 0 ? job.startedMs : nowMs;
     gang.runMs = runMs;
     gang.guaranteed = job.placed() ? job.guaranteed : attempt->guaranteed;
@@ -49,7 +68,7 @@
 } // namespace
 
 PlanningView makePlanningView(FleetModel fleet, const FleetConfig &config, const Ledger &ledger,
-                              const ActiveAttempts &attempts, const RunTimeBook &runTimes, std::int64_t nowMs)
+                              const ActiveAttempts &attempts, const LearnedDemand &learned, std::int64_t nowMs)
 {
     PlanningView view;
     view.fleet = std::move(fleet);
@@ -63,15 +82,17 @@
             }
         }
     }
+    const Resources largest = largestWorker(view.fleet);
     for (const auto &[order, id] : ledger.active()) {
         const Job &job = *ledger.job(id);
         const auto found = attempts.find(id);
         const ActiveAttempt *attempt = found == attempts.end() ? nullptr : &found->second;
-        const std::int64_t runMs = runTimes.expectedMs(job.spec.templateName, job.spec.run.count());
+        const std::int64_t runMs = learned.runTimes.expectedMs(job.spec.templateName, job.spec.run.count());
+        GangDemand demand = demandOf(job.spec, learned.sizes, largest);
         if (!job.placed() && attempt == nullptr) {
-            view.waiting.push_back(waitingGang(job, view.fleet, runMs));
+            view.waiting.push_back(waitingGang(job, std::move(demand), view.fleet, runMs));
         } else {
-            view.running.push_back(runningGang(job, attempt, view.fleet, runMs, nowMs));
+            view.running.push_back(runningGang(job, std::move(demand), attempt, view.fleet, runMs, nowMs));
         }
     }
     return view;
--- a/packages/process/planningview.h
+++ b/packages/process/planningview.h
@@ -2,6 +2,7 @@
 
 #include "process/runtimebook.h"
 #include "process/schedulingpolicy.h"
+#include "process/sizebook.h"
 
 #include <map>
 
@@ -20,6 +21,12 @@
 /** Attempts by job. */
 using ActiveAttempts = std::map<JobId, ActiveAttempt>;
 
+/** What has been learned of jobs, since what they declare is far off. */
+struct LearnedDemand {
+    const RunTimeBook &runTimes;
+    const SizeBook &sizes;
+};
+
 /**
  * Makes the view of a pass.
  * @param fleet every listed worker, wholly free
@@ -27,6 +34,6 @@
  * @param nowMs by the wall clock, in milliseconds since the Unix epoch
  */
 PlanningView makePlanningView(FleetModel fleet, const FleetConfig &config, const Ledger &ledger,
-                              const ActiveAttempts &attempts, const RunTimeBook &runTimes, std::int64_t nowMs);
+                              const ActiveAttempts &attempts, const LearnedDemand &learned, std::int64_t nowMs);
 
 } // namespace Papaya
--- a/packages/process/taskbook.cpp
+++ b/packages/process/taskbook.cpp
@@ -155,6 +155,14 @@
     }
 }
 
+void TaskBook::noteThrottled(const TaskId &id)
+{
+    const auto found = m_tasks.find(id);
+    if (found != m_tasks.end()) {
+        found->second.throttledAt = Clock::now();
+    }
+}
+
 void TaskBook::note(const TaskReport &report)
 {
     const auto found = m_tasks.find(report.id);
@@ -170,6 +178,9 @@
     const bool newCheckpoint = !report.checkpoint.empty() && report.checkpoint != task.checkpoint;
     const bool news = report.state != task.state || newCheckpoint;
     task.state = report.state;
+    if (report.state == TaskState::Running) {
+        task.used = report.used;
+    }
     if (newCheckpoint) {
         task.checkpoint = report.checkpoint;
     }
--- a/packages/process/taskbook.h
+++ b/packages/process/taskbook.h
@@ -49,6 +49,8 @@
     bool lost = false;     ///< the worker no longer has it
     TaskState state = TaskState::Prepared;
     std::string checkpoint;
+    std::optional<Resources> used;        ///< by the last report of the running task
+    std::optional<TimePoint> throttledAt; ///< when the worker was told to hold the task to its declared cores
     /** Until then a report of the task's end may be of an earlier attempt. */
     TimePoint endsDoubtfulUntil;
 };
@@ -81,6 +83,8 @@
     /** The worker knows the current epoch, so that no earlier planner can renew leases there any longer. */
     void epochRaised(const WorkerId &worker);
 
+    /** Notes that the worker is told to throttle a task. */
+    void noteThrottled(const TaskId &id);
     /** Notes a checkpoint that a worker named at once. */
     void noteCheckpoint(const TaskId &id, const std::string &checkpoint);
     /** Notes what a worker said of a task, and notifies its job if that is news. */
--- /dev/null
+++ b/tests/property/overruns.cpp
@@ -0,0 +1,125 @@
+#include "process/overrun.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+// What is done about overcommitted workers, over random fleets and uses.
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr Resources CAPACITY {64, 128'000, 8};
+
+std::vector<PartUse> randomParts(std::size_t workers)
+{
+    std::vector<PartUse> parts;
+    const auto count = *rc::gen::inRange(1, 24);
+    for (int i = 0; i < count; ++i) {
+        PartUse part;
+        // Gangs of up to two parts.
+        part.task = {JobId("j" + std::to_string(i / 2)), PartIndex(static_cast<std::uint32_t>(i % 2))};
+        part.worker = *rc::gen::inRange<WorkerIndex>(0, static_cast<WorkerIndex>(workers));
+        part.declared = {*rc::gen::inRange(1, 16), *rc::gen::inRange(1, 32'000), 1};
+        part.used = {*rc::gen::inRange(0, 160), *rc::gen::inRange(0, 320'000), 1};
+        part.rule = static_cast<StopRule>(*rc::gen::inRange(0, 3));
+        part.throttled = *rc::gen::arbitrary<bool>();
+        parts.push_back(part);
+    }
+    return parts;
+}
+
+bool stops(const OverrunDecision &decision, const JobId &job)
+{
+    return std::find(decision.stops.begin(), decision.stops.end(), job) != decision.stops.end();
+}
+
+bool throttles(const OverrunDecision &decision, const TaskId &task)
+{
+    return std::find(decision.throttles.begin(), decision.throttles.end(), task) != decision.throttles.end();
+}
+
+FleetModel makeFleet(std::size_t workers)
+{
+    FleetModel fleet;
+    for (std::size_t i = 0; i < workers; ++i) {
+        fleet.add(WorkerId("w" + std::to_string(i)), PlaceName("p"), RackName("r"), CAPACITY);
+    }
+    return fleet;
+}
+
+RC_GTEST_PROP(Overruns, LeaveNoWorkerShortOfMemoryThatCouldBeRelieved, ())
+{
+    const auto workers = *rc::gen::inRange<std::size_t>(1, 4);
+    const FleetModel fleet = makeFleet(workers);
+    const std::vector<PartUse> parts = randomParts(workers);
+    const OverrunDecision decision = decideOverruns(fleet, parts);
+    for (WorkerIndex worker = 0; worker < workers; ++worker) {
+        std::int64_t memoryMb = 0;
+        bool relievable = false;
+        for (const PartUse &part : parts) {
+            if (part.worker == worker && !stops(decision, part.task.job)) {
+                memoryMb += part.used.memoryMb;
+                relievable |= part.rule == StopRule::Freely;
+            }
+        }
+        RC_ASSERT(memoryMb <= CAPACITY.memoryMb || !relievable);
+    }
+}
+
+RC_GTEST_PROP(Overruns, TouchNothingWithoutNeedAndNothingThatMustNotBeStopped, ())
+{
+    const auto workers = *rc::gen::inRange<std::size_t>(1, 4);
+    const FleetModel fleet = makeFleet(workers);
+    const std::vector<PartUse> parts = randomParts(workers);
+    const OverrunDecision decision = decideOverruns(fleet, parts);
+    std::vector<Resources> used(workers);
+    for (const PartUse &part : parts) {
+        used[part.worker] += part.used;
+    }
+    for (const PartUse &part : parts) {
+        const bool within = part.used.cores <= part.declared.cores && part.used.memoryMb <= part.declared.memoryMb;
+        if (throttles(decision, part.task)) {
+            RC_ASSERT(used[part.worker].cores > CAPACITY.cores);
+            RC_ASSERT(part.used.cores > part.declared.cores && !part.throttled);
+        }
+        if (stops(decision, part.task.job) && part.rule == StopRule::IfOverrunning) {
+            const bool otherOverruns = std::any_of(parts.begin(), parts.end(), [&](const PartUse &other) {
+                return other.task.job == part.task.job && &other != &part;
+            });
+            RC_ASSERT(!within || otherOverruns);
+        }
+    }
+    for (const JobId &job : decision.stops) {
+        const bool needed = std::any_of(parts.begin(), parts.end(), [&](const PartUse &part) {
+            return part.task.job == job && part.rule != StopRule::Never && !CAPACITY.covers(used[part.worker]);
+        });
+        RC_ASSERT(needed);
+    }
+}
+
+TEST(Overruns, StopTheWorstOfThoseThatOverrunFirst)
+{
+    const FleetModel fleet = makeFleet(1);
+    const auto part = [](const char *job, std::int64_t memoryMb, StopRule rule) {
+        PartUse use;
+        use.task = {JobId(job), PartIndex(0)};
+        use.declared = {1, 20'000, 1};
+        use.used = {1, memoryMb, 1};
+        use.rule = rule;
+        return use;
+    };
+    const OverrunDecision decision = decideOverruns(
+        fleet, {part("honest", 20'000, StopRule::Freely), part("guaranteed", 60'000, StopRule::IfOverrunning),
+                part("worst", 90'000, StopRule::Freely), part("bad", 40'000, StopRule::Freely)});
+    EXPECT_EQ((std::vector<JobId> {JobId("worst")}), decision.stops);
+    EXPECT_TRUE(decision.throttles.empty());
+}
+
+} // namespace
+
+} // namespace Papaya
--- a/tests/standins/workerstandin.cpp
+++ b/tests/standins/workerstandin.cpp
@@ -111,17 +111,52 @@
     }
 }
 
+Resources WorkerStandin::useOf(const Task &task) const
+{
+    Resources use = task.need;
+    if (task.state == "running" && m_faults.usedCores >= 0 && !task.throttled) {
+        use.cores = m_faults.usedCores;
+    }
+    if (task.state == "running" && m_faults.usedMemoryMb >= 0) {
+        use.memoryMb = m_faults.usedMemoryMb;
+    }
+    return use;
+}
+
 Resources WorkerStandin::used() const
 {
     Resources total;
     for (const auto &[key, task] : m_tasks) {
         if (!ended(task.state)) {
-            total += task.need;
+            total += useOf(task);
         }
     }
     return total;
 }
 
+void WorkerStandin::watchUse()
+{
+    const TimePoint now = Clock::now();
+    const bool over = !m_capacity.covers(used());
+    if (over && !m_overSince) {
+        m_overSince = now;
+    }
+    if (m_overSince) {
+        m_longestOver = std::max(m_longestOver, now - *m_overSince);
+    }
+    if (!over) {
+        m_overSince.reset();
+    }
+}
+
+Duration WorkerStandin::longestOvercommit()
+{
+    const std::lock_guard lock(m_mutex);
+    advance();
+    watchUse();
+    return m_longestOver;
+}
+
 Json WorkerStandin::describeTasks()
 {
     const TimePoint now = Clock::now();
@@ -130,8 +165,8 @@
         tasks.push_back({{"job", key.first},
                          {"part", key.second},
                          {"state", task.state},
-                         {"cores", task.need.cores},
-                         {"memoryMb", task.need.memoryMb},
+                         {"cores", useOf(task).cores},
+                         {"memoryMb", useOf(task).memoryMb},
                          {"gpus", task.need.gpus},
                          {"progress", progressOf(task, now)},
                          {"checkpoint", task.checkpoint},
@@ -174,6 +209,13 @@
     const Json body = bodyOf(request);
     const std::lock_guard lock(m_mutex);
     advance();
+    HttpResponse response = route(request, path, body);
+    watchUse();
+    return response;
+}
+
+HttpResponse WorkerStandin::route(const HttpRequest &request, const std::string &path, const Json &body)
+{
     if (request.method == "GET" && path == "/v1/report") {
         return report();
     }
@@ -264,7 +306,11 @@
         task.checkpoint = "p" + std::to_string(progressOf(task, now));
         return jsonAnswer(200, Json {{"checkpoint", task.checkpoint}});
     }
-    return jsonAnswer(verb == "throttle" ? 200 : 409, Json::object());
+    if (verb == "throttle") {
+        task.throttled = true;
+        return jsonAnswer(200, Json::object());
+    }
+    return jsonAnswer(409, Json::object());
 }
 
 HttpResponse WorkerStandin::renew(const Json &body)
--- a/tests/standins/workerstandin.h
+++ b/tests/standins/workerstandin.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
     bool neverFinish = false;
     bool refuseRun = false;          ///< refuses to run what it has prepared
     std::int64_t prepareDelayMs = 0; ///< before a task is taken, while other calls are served
+    std::int64_t usedCores = -1;     ///< by each running task, whatever it declared, until it is throttled
+    std::int64_t usedMemoryMb = -1;  ///< by each running task, whatever it declared
 };
 
 /** A stretch of time during which a part ran. */
@@ -53,6 +56,8 @@
     {
         return m_capacity;
     }
+    /** @return the longest time during which running tasks used more than the worker has. */
+    [[nodiscard]] Duration longestOvercommit();
     /** Calls @p hook with the path of each call before it takes effect. */
     void setCallHook(std::function<void(std::string_view)> hook);
     /** Ends every task, as the host's death does. */
@@ -70,6 +75,7 @@
         TimePoint startedAt;
         std::int64_t doneMs = 0; ///< progress before this start
         std::string checkpoint;
+        bool throttled = false;
         std::size_t span = 0;
     };
     using TaskKey = std::pair<std::string, std::uint32_t>;
@@ -78,8 +84,11 @@
     void endTask(const TaskKey &key, Task &task, const std::string &state, TimePoint when);
     [[nodiscard]] std::int64_t progressOf(const Task &task, TimePoint now) const;
     [[nodiscard]] Json describeTasks();
+    [[nodiscard]] Resources useOf(const Task &task) const;
     [[nodiscard]] Resources used() const;
+    void watchUse();
     HttpResponse dispatch(const HttpRequest &request);
+    HttpResponse route(const HttpRequest &request, const std::string &path, const Json &body);
     HttpResponse raiseEpoch(const Json &body);
     HttpResponse prepare(const Json &body);
     HttpResponse command(const std::string &path, const Json &body);
@@ -96,6 +105,8 @@
     std::uint64_t m_stale = 0;
     std::map<TaskKey, Task> m_tasks;
     std::vector<WorkerSpan> m_spans;
+    std::optional<TimePoint> m_overSince;
+    Duration m_longestOver {0};
     std::deque<std::pair<TimePoint, Json>> m_reports; ///< states by time, for the lag
 };
 
