Wait out full leases before a gang of a cut-off planner starts elsewhere

Found by a new test: a planner is cut off from the log and its peer, still reaches a worker that its successor cannot, and the fleet has 300 workers, so that leases last 24 s. The successor started the gang again after 33 s while the old planner's part ran on until 41 s: a part ran twice.

Cause: a successor takes it that a cut-off planner renews for 30 s, and added a lease to that. With up to 150 workers (leases of 12 s) the 30 s covered that; beyond, they do not.

Red: PlannerRole.ThatIsIsolatedLetsItsLeasesLapseBeforeItsGangStartsElsewhere, a part ran twice at once. Green after, 56 s. In this double fault the part that the old planner keeps alive runs without the rest for up to 20 s and a lease.

With it: Jobs.AreStartedAndKeptByOnePlannerWhileTheLogIsSlowForLong (answers 600 ms late for 15 s); it passed at once, so it was not seen red. A new planner also copies only the jobs that it must adopt.

--- a/packages/process/plannertakeover.cpp
+++ b/packages/process/plannertakeover.cpp
@@ -161,20 +161,19 @@
 void Planner::adoptGangs()
 {
     const auto hosts = m_hosts.hosts();
-    const std::vector<Job> placed = m_journal.read([](const Ledger &ledger) {
+    const std::vector<Job> orphans = m_journal.read([this](const Ledger &ledger) {
         std::vector<Job> jobs;
         for (const auto &[order, id] : ledger.active()) {
-            if (ledger.job(id)->placed()) {
-                jobs.push_back(*ledger.job(id));
+            const Job &job = *ledger.job(id);
+            if (job.placed() && !m_runners.contains(id)) {
+                jobs.push_back(job);
             }
         }
         return jobs;
     });
     static const HostSnapshot NO_HOSTS;
-    for (const Job &job : placed) {
-        if (!m_runners.contains(job.spec.job)) {
-            adopt(job, hosts ? *hosts : NO_HOSTS);
-        }
+    for (const Job &job : orphans) {
+        adopt(job, hosts ? *hosts : NO_HOSTS);
     }
 }
 
@@ -193,10 +192,12 @@
     for (std::size_t part = 0; part < job.workers.size(); ++part) {
         const Host *host = hosts.findWorker(job.workers[part]);
         attempt.parts.push_back({job.workers[part], host == nullptr ? Endpoint {} : host->address});
-        // The last planner may have renewed this lease until now, and an isolated one may go on for a while.
-        m_book.hold({job.spec.job, PartIndex(static_cast<std::uint32_t>(part))}, job.workers[part],
-                    attempt.parts.back().address, running ? LeaseMode::Long : LeaseMode::Short, now + ISOLATED_RENEWALS,
-                    job.attempt > 1 && !running);
+        const TaskId task {job.spec.job, PartIndex(static_cast<std::uint32_t>(part))};
+        m_book.hold(task, job.workers[part], attempt.parts.back().address, running ? LeaseMode::Long : LeaseMode::Short,
+                    now, job.attempt > 1 && !running);
+        // The last planner may have renewed this lease until now, and an isolated one may go on for a while. A gang
+        // that is committed may have long leases there, even if the journal does not show that it runs.
+        m_book.assumeRenewedUntil(task, now + ISOLATED_RENEWALS, job.committed ? LeaseMode::Long : LeaseMode::Short);
     }
     const GangState committed = running ? GangState::Running : GangState::Starting;
     launch(std::move(attempt), job.committed ? committed : GangState::Stopping);
--- a/packages/process/taskbook.cpp
+++ b/packages/process/taskbook.cpp
@@ -46,7 +46,7 @@
     HeldTask &task = m_tasks[id];
     task.worker = worker;
     task.address = address;
-    task.leaseUntil = sent + (mode == LeaseMode::Long ? m_times.longLease() : SHORT_LEASE);
+    task.leaseUntil = sent + leaseIn(mode);
     task.heldSince = Clock::now();
     task.lastContact = task.heldSince;
     task.endsDoubtfulUntil = repeated ? doubtfulUntil(id, worker) : TimePoint {};
@@ -59,6 +59,17 @@
     changeMode(task, mode);
 }
 
+void TaskBook::assumeRenewedUntil(const TaskId &id, TimePoint until, LeaseMode mode)
+{
+    HeldTask &task = m_tasks.at(id);
+    task.leaseUntil = std::max(task.leaseUntil, until + leaseIn(mode));
+}
+
+Millis TaskBook::leaseIn(LeaseMode mode) const
+{
+    return mode == LeaseMode::Long ? m_times.longLease() : SHORT_LEASE;
+}
+
 void TaskBook::changeMode(HeldTask &task, LeaseMode mode)
 {
     WorkerState &state = m_workers[task.worker];
@@ -283,7 +294,7 @@
         co_return;
     }
     const TimePoint sent = Clock::now();
-    const Millis lease = mode == LeaseMode::Long ? m_times.longLease() : SHORT_LEASE;
+    const Millis lease = leaseIn(mode);
     std::optional<std::vector<TaskId>> lapsed;
     // Whether or not the worker answers, it may have renewed the leases, so they count from this sending.
     for (const TaskId &id : ids) {
--- a/packages/process/taskbook.h
+++ b/packages/process/taskbook.h
@@ -67,6 +67,8 @@
      */
     void hold(const TaskId &id, const WorkerId &worker, const Endpoint &address, LeaseMode mode, TimePoint sent,
               bool repeated);
+    /** Takes it that another planner may have renewed a task's lease in mode @p mode until @p until. */
+    void assumeRenewedUntil(const TaskId &id, TimePoint until, LeaseMode mode);
     /** Changes how the lease is renewed. */
     void setMode(const TaskId &id, LeaseMode mode);
     /** Adapts the times to the number of listed workers. */
@@ -128,6 +130,7 @@
     void changeMode(HeldTask &task, LeaseMode mode);
     void notifyJobsOf(const WorkerState &worker);
     [[nodiscard]] Duration silenceLimit() const;
+    [[nodiscard]] Millis leaseIn(LeaseMode mode) const;
     void notifyAll();
     void heardFrom(const WorkerId &worker, TimePoint when);
     [[nodiscard]] TimePoint doubtfulUntil(const TaskId &id, const WorkerId &worker) const;
--- a/tests/integration/gangs.cpp
+++ b/tests/integration/gangs.cpp
@@ -337,6 +337,30 @@
     EXPECT_EQ(2U, spansOf(cluster, job).size());
 }
 
+TEST(Jobs, AreStartedAndKeptByOnePlannerWhileTheLogIsSlowForLong)
+{
+    constexpr std::int64_t LOG_DELAY_MS = 600;
+    constexpr Millis LONG {15'000};
+    Cluster cluster({.instances = 3});
+    cluster.start(sampleConfig());
+    setWorkers(cluster, 3'000);
+    ASSERT_TRUE(cluster.planner());
+    cluster.log.setFaults({.delayMs = LOG_DELAY_MS});
+    const TimePoint begin = Clock::now();
+    std::size_t jobs = 0;
+    while (Clock::now() < begin + LONG) {
+        const std::string job = submit(cluster, jobs % 3, "route-plan", "key-" + std::to_string(jobs));
+        ASSERT_FALSE(job.empty());
+        EXPECT_EQ("succeeded", cluster.endOfJob(jobs % 3, job, Millis(20'000)));
+        EXPECT_EQ(2U, spansOf(cluster, job).size());
+        ++jobs;
+    }
+    // The first answers that are slow may cost the planner its role once; it must not go round after that.
+    EXPECT_LE(cluster.workers[0]->epoch(), 2U);
+    cluster.log.setFaults({});
+    EXPECT_TRUE(Cluster::eventually([&] { return ledgersAgree(cluster); }));
+}
+
 TEST(Jobs, SurviveTheAgeingOutOfTheirRecords)
 {
     Cluster cluster({.settings = {{"platform", {{"logRetentionMs", 4'000}}}, {"keyHorizonMs", 1'000}}});
--- a/tests/integration/takeover.cpp
+++ b/tests/integration/takeover.cpp
@@ -174,6 +174,39 @@
                              return std::string(tested.param.name);
                          });
 
+TEST(PlannerRole, ThatIsIsolatedLetsItsLeasesLapseBeforeItsGangStartsElsewhere)
+{
+    // Leases grow with the fleet, so that these outlast the limits of a small one.
+    constexpr Millis LONG_LEASE {24'000};
+    constexpr Millis RESTART_LIMIT {80'000};
+    Cluster cluster({.instances = 2, .workers = 300, .proxyLog = true, .proxyPeers = true, .ownHostLists = true});
+    cluster.start(sampleConfig());
+    setWorkers(cluster, 60'000, true);
+    const auto planner = cluster.planner();
+    ASSERT_TRUE(planner);
+    const std::size_t successor = 1 - *planner;
+    const std::string job = startGang(cluster, successor, "route-plan");
+    // The successor cannot reach one of the gang's workers; the planner can, and is cut off from all else.
+    std::size_t kept = 0;
+    while (cluster.workers[kept]->spans().empty()) {
+        ++kept;
+    }
+    const auto wall = Standins::FaultProxy::create(cluster.io, {"127.0.0.1", 0}, cluster.workers[kept]->address());
+    wall->setSilent(true);
+    Host host = cluster.hostOf(*cluster.workers[kept], kept);
+    host.address = wall->address();
+    cluster.hostLists[successor]->set(host);
+    cluster.logProxies[*planner]->setSilent(true);
+    for (const auto &proxy : cluster.peerProxies) {
+        proxy->setSilent(true);
+    }
+    // The gang starts again on others, once the part that the old planner kept alive must have ended.
+    EXPECT_TRUE(Cluster::eventually([&] { return spansOf(cluster, job).size() == 4; }, RESTART_LIMIT));
+    EXPECT_FALSE(anyPartRanTwiceAtOnce(cluster, job));
+    const Standins::WorkerSpan first = cluster.workers[kept]->spans().front();
+    EXPECT_GT(first.end - first.begin, LONG_LEASE) << "the old planner has not renewed the lease";
+}
+
 TEST(PlannerRole, StartsNoPartWhileTheLogIsOutBetweenPlacedAndCommitted)
 {
     Cluster cluster;
