Do less at rest: look for cancellations and minions only when there is news

Cause: at rest an instance ranked all minions by hash ten times a second, and the planner looked up each gang's cancellation ten times a second. Both are done when the host list or the ledger has changed, and minions once a second besides, since their own words expire.

--- a/packages/process/instance.cpp
+++ b/packages/process/instance.cpp
@@ -27,6 +27,7 @@
 
 constexpr Millis ISOLATION_LIMIT {20'000}; // below what a new planner waits for leases it cannot see
 constexpr Millis ADMISSION_REFRESH {100};
+constexpr Millis MINIONS_REFRESH {1'000};
 constexpr Millis DRAIN_POLL {20};
 constexpr Millis RESIGN_LIMIT {1'500};
 constexpr Millis SETTLE_LIMIT {2'000}; // for outcomes of claims that are still to be appended
@@ -311,12 +312,18 @@
     static Asio::awaitable<void> shareSlots(Parts &parts)
     {
         const auto executor = co_await Asio::this_coro::executor;
+        HostSnapshotPtr applied;
+        TimePoint appliedAt;
         while (!parts.stopping) {
             auto changed = parts.hosts->changed().subscribe(executor);
             const auto snapshot = parts.hosts->hosts();
             const auto fleet = parts.config.config();
-            if (snapshot) {
+            const TimePoint now = Clock::now();
+            // The same list is applied again now and then, since minions' own words expire meanwhile.
+            if (snapshot && (snapshot != applied || now - appliedAt >= MINIONS_REFRESH)) {
                 parts.minions.update(*snapshot);
+                applied = snapshot;
+                appliedAt = now;
             }
             if (snapshot && fleet) {
                 parts.gate.configure(parts.admissionSetup(*fleet));
--- a/packages/process/planner.cpp
+++ b/packages/process/planner.cpp
@@ -214,7 +214,7 @@
     return model;
 }
 
-PlanningView Planner::planningView()
+PlanningView Planner::planningView(const FleetModel &workers)
 {
     ActiveAttempts attempts;
     for (const auto &[id, runner] : m_runners) {
@@ -228,12 +228,8 @@
     const FleetConfigPtr config = m_config.config();
     return m_journal.read([&](const Ledger &ledger) {
         m_runTimes.learn(ledger);
-        FleetModel workers = fleet(ledger);
-        const std::vector<PartUse> uses = partUses(workers);
-        controlOverruns(workers, uses);
-        learnSizes(uses);
         m_sizes.learn(ledger);
-        return makePlanningView(std::move(workers), *config, ledger, attempts, {m_runTimes, m_sizes}, wallClockMs());
+        return makePlanningView(workers, *config, ledger, attempts, {m_runTimes, m_sizes}, wallClockMs());
     });
 }
 
@@ -249,7 +245,11 @@
     m_lastPlan = Clock::now();
     // A placement whose append had no answer may have turned up since.
     adoptGangs();
-    const PlanningView view = planningView();
+    const FleetModel workers = m_journal.read([this](const Ledger &ledger) { return fleet(ledger); });
+    const std::vector<PartUse> uses = partUses(workers);
+    controlOverruns(workers, uses);
+    learnSizes(uses);
+    const PlanningView view = planningView(workers);
     const ScheduleDecision decision = m_scheduling.plan(view);
     m_planInterval = std::max<Duration>(PLAN_INTERVAL, (Clock::now() - m_lastPlan) * PLAN_REST_FACTOR);
     for (const StopDecision &stop : decision.stops) {
@@ -347,6 +347,10 @@
 void Planner::stopCancelled()
 {
     m_journal.read([&](const Ledger &ledger) {
+        if (ledger.revision() == m_cancelledRevision) {
+            return;
+        }
+        m_cancelledRevision = ledger.revision();
         for (const auto &entry : m_runners) {
             const Job *job = ledger.job(entry.first);
             const bool cancelled = job != nullptr && job->cancelRequested && !isFinal(job->state);
--- a/packages/process/planner.h
+++ b/packages/process/planner.h
@@ -68,7 +68,7 @@
     void startGang(const PlaceDecision &decision, const FleetModel &fleet, const HostSnapshot &hosts);
     void stopGang(const StopDecision &decision);
     void noteWaits(const ScheduleDecision &decision);
-    [[nodiscard]] PlanningView planningView();
+    [[nodiscard]] PlanningView planningView(const FleetModel &workers);
     [[nodiscard]] std::vector<PartUse> partUses(const FleetModel &fleet) const;
     void learnSizes(const std::vector<PartUse> &uses);
     void controlOverruns(const FleetModel &fleet, const std::vector<PartUse> &uses);
@@ -116,7 +116,8 @@
     std::map<JobId, std::unique_ptr<GangRunner>> m_runners;
 
     std::vector<std::string> m_brokenGuarantees;
-    std::uint64_t m_plannedRevision = 0; ///< of the ledger, when the last pass was made
+    std::uint64_t m_plannedRevision = 0;   ///< of the ledger, when the last pass was made
+    std::uint64_t m_cancelledRevision = 0; ///< of the ledger, when cancellations were last looked for
     TimePoint m_lastPlan;
     Duration m_planInterval {0};
 
--- a/packages/process/planneroverruns.cpp
+++ b/packages/process/planneroverruns.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+
 // What the planner learns of the sizes of running work, and does about workers that are overcommitted.
 
 namespace Papaya
@@ -56,8 +58,17 @@
 
 void Planner::learnSizes(const std::vector<PartUse> &uses)
 {
-    for (const PartUse &use : uses) {
-        m_sizes.note(use.task.job, use.used, use.throttled && !use.settling);
+    // The parts of a gang follow each other, and the largest counts.
+    for (auto use = uses.begin(); use != uses.end();) {
+        const JobId job = use->task.job;
+        Resources most;
+        bool throttled = false;
+        for (; use != uses.end() && use->task.job == job; ++use) {
+            most.cores = std::max(most.cores, use->used.cores);
+            most.memoryMb = std::max(most.memoryMb, use->used.memoryMb);
+            throttled |= use->throttled && !use->settling;
+        }
+        m_sizes.note(job, most, throttled);
     }
 }
 
--- a/packages/process/sizebook.h
+++ b/packages/process/sizebook.h
@@ -18,8 +18,8 @@
 {
 public:
     /**
-     * Takes what a part of @p job uses.
-     * @param throttled the worker holds the part to its declared cores, so that what it used before says nothing
+     * Takes what the largest part of @p job uses.
+     * @param throttled workers hold parts to their declared cores, so that what these used before says nothing
      */
     void note(const JobId &job, const Resources &used, bool throttled);
 
--- a/tests/load/loadbench.cpp
+++ b/tests/load/loadbench.cpp
@@ -178,7 +178,7 @@
 }
 
 /** What each instance costs at rest, and with running jobs that only have to be kept up. */
-void restScenario(const Sizes &sizes, std::size_t workers, std::size_t jobs)
+void restScenario(const Sizes &sizes, const std::string &program, std::size_t workers, std::size_t jobs)
 {
     ClusterOptions options;
     options.instances = sizes.instances;
@@ -187,6 +187,7 @@
     options.proxyLog = true;
     options.proxyHosts = true;
     options.settings = {{"logLevel", "warning"}};
+    options.program = program;
     Cluster cluster(options);
     cluster.start(loadConfig(100));
     Standins::WorkerFaults faults;
@@ -264,6 +265,8 @@
                                                "FILE", line);
     const TCLAP::ValueArg<double> rate("r", "rate", "Requests a second of the throughput scenario", false, 3'000, "N",
                                        line);
+    const TCLAP::ValueArg<std::size_t> workers("w", "workers", "Workers of the rest scenario", false, 100, "N", line);
+    const TCLAP::ValueArg<std::size_t> tasks("t", "tasks", "Tasks of the rest scenario", false, 400, "N", line);
     line.parse(argc, argv);
     const Sizes sizes {instances.getValue(), minions.getValue(), Millis(duration.getValue()), seed.getValue()};
     const auto wanted = [&](const char *name) { return only.getValue().empty() || only.getValue() == name; };
@@ -282,11 +285,13 @@
     if (wanted("failing")) {
         failingScenario(sizes);
     }
-    if (wanted("rest")) {
-        restScenario(sizes, 0, 0);
-        restScenario(sizes, 50, 0);
-        restScenario(sizes, 50, 200);
-        restScenario(sizes, 100, 400);
+    if (wanted("rest") && workers.isSet()) {
+        restScenario(sizes, program.getValue(), workers.getValue(), tasks.getValue());
+    } else if (wanted("rest")) {
+        restScenario(sizes, program.getValue(), 0, 0);
+        restScenario(sizes, program.getValue(), 50, 0);
+        restScenario(sizes, program.getValue(), 50, 200);
+        restScenario(sizes, program.getValue(), 100, 400);
     }
     if (only.getValue() == "throughput") {
         throughputScenario(sizes, program.getValue(), rate.getValue());
