--- a/apps/papayactl/configcommands.cpp
+++ b/apps/papayactl/configcommands.cpp
@@ -130,9 +130,10 @@
 {
     const TimePoint until = Clock::now() + options.timeout;
     std::string lagging;
+    std::string shown;
     while (Clock::now() < until) {
         const CallResult result = callAdmin(options, {"GET", "/admin/config", {}, ""});
-        lagging.clear();
+        lagging = result.good() ? "" : options.admin.toString() + ", which does not answer";
         if (result.good()) {
             for (const auto &[instance, inForce] : result.json()["instances"].items()) {
                 const bool heard = inForce.is_number_unsigned();
@@ -146,6 +147,10 @@
                 return ExitCode::Done;
             }
         }
+        if (!lagging.empty() && lagging != shown) {
+            std::cerr << "waiting for " << lagging << "\n";
+            shown = lagging;
+        }
         std::this_thread::sleep_for(WAIT_POLL);
     }
     std::cerr << "not in force everywhere; lagging: " << lagging << "\n";
--- /dev/null
+++ b/tests/unit/sizebook.cpp
@@ -0,0 +1,66 @@
+#include "process/sizebook.h"
+
+#include <gtest/gtest.h>
+
+// What is learned of sizes.
+
+namespace Papaya
+{
+
+namespace
+{
+
+JobSubmitted submission(const char *job)
+{
+    JobSubmitted spec;
+    spec.job = JobId(job);
+    spec.team = TeamName("bergen");
+    spec.templateName = TemplateName("route-plan");
+    spec.shape = {1, {20, 10'000, 2}, Adjacency::Any};
+    return spec;
+}
+
+TEST(SizeBook, GoesByWhatIsDeclaredBeforeTheFirstReport)
+{
+    EXPECT_EQ((Resources {20, 10'000, 2}), SizeBook().expected(submission("j-1")));
+}
+
+TEST(SizeBook, AddsAMarginToWhatWasUsedAtMost)
+{
+    SizeBook book;
+    book.note(JobId("j-1"), {4, 40'000, 2}, false);
+    book.note(JobId("j-1"), {2, 30'000, 2}, false);
+    EXPECT_EQ((Resources {5, 50'000, 2}), book.expected(submission("j-1")));
+}
+
+TEST(SizeBook, CountsNoMoreThanIsDeclaredForWhatKeepsToIt)
+{
+    SizeBook book;
+    book.note(JobId("j-1"), {19, 10'000, 2}, false);
+    EXPECT_EQ((Resources {20, 10'000, 2}), book.expected(submission("j-1")));
+}
+
+TEST(SizeBook, ForgetsTheCoresThatWereUsedBeforeAThrottle)
+{
+    SizeBook book;
+    book.note(JobId("j-1"), {40, 8'000, 2}, false);
+    book.note(JobId("j-1"), {20, 8'000, 2}, true);
+    EXPECT_EQ((Resources {20, 10'000, 2}), book.expected(submission("j-1")));
+}
+
+TEST(SizeBook, TakesEndedJobsAsTheSizeOfTheirTemplate)
+{
+    Ledger ledger;
+    const RecordOrigin origin {InstanceId("entry-1"), Incarnation(1), 1'000};
+    ledger.apply(submission("j-1"), origin);
+    SizeBook book;
+    book.note(JobId("j-1"), {4, 4'000, 2}, false);
+    ledger.apply(CancelRequested {JobId("j-1")}, origin);
+    ASSERT_TRUE(isFinal(ledger.job(JobId("j-1"))->state));
+    book.learn(ledger);
+    EXPECT_EQ((Resources {5, 5'000, 2}), book.expected(submission("j-2")));
+}
+
+} // namespace
+
+} // namespace Papaya
