Count all parts of a stopped gang as freed on its worker

Cause: with two parts of one gang on a worker that is short of memory, only the first was subtracted once the gang was to be stopped, so that a second gang could be stopped without need. Found by reading.

Red: Overruns.CountAllPartsOfAStoppedGangAsFreed stopped "single" too.

--- a/packages/process/overrun.cpp
+++ b/packages/process/overrun.cpp
@@ -89,7 +89,11 @@
             }
             stopping.insert(part->task.job);
             decision.stops.push_back(part->task.job);
-            used -= part->used;
+            for (const PartUse *freed : list) {
+                if (freed->task.job == part->task.job) {
+                    used -= freed->used;
+                }
+            }
         }
     }
     return decision;
--- a/tests/property/overruns.cpp
+++ b/tests/property/overruns.cpp
@@ -102,17 +102,27 @@
     }
 }
 
+PartUse part(const char *job, std::int64_t memoryMb, StopRule rule, std::uint32_t index = 0)
+{
+    PartUse use;
+    use.task = {JobId(job), PartIndex(index)};
+    use.declared = {1, 20'000, 1};
+    use.used = {1, memoryMb, 1};
+    use.rule = rule;
+    return use;
+}
+
+TEST(Overruns, CountAllPartsOfAStoppedGangAsFreed)
+{
+    const OverrunDecision decision = decideOverruns(
+        makeFleet(1), {part("gang", 60'000, StopRule::Freely, 0), part("gang", 60'000, StopRule::Freely, 1),
+                       part("single", 55'000, StopRule::Freely), part("honest", 20'000, StopRule::Freely)});
+    EXPECT_EQ((std::vector<JobId> {JobId("gang")}), decision.stops);
+}
+
 TEST(Overruns, StopTheWorstOfThoseThatOverrunFirst)
 {
     const FleetModel fleet = makeFleet(1);
-    const auto part = [](const char *job, std::int64_t memoryMb, StopRule rule) {
-        PartUse use;
-        use.task = {JobId(job), PartIndex(0)};
-        use.declared = {1, 20'000, 1};
-        use.used = {1, memoryMb, 1};
-        use.rule = rule;
-        return use;
-    };
     const OverrunDecision decision = decideOverruns(
         fleet, {part("honest", 20'000, StopRule::Freely), part("guaranteed", 60'000, StopRule::IfOverrunning),
                 part("worst", 90'000, StopRule::Freely), part("bad", 40'000, StopRule::Freely)});
