--- a/apps/papayahalld/main.cpp
+++ b/apps/papayahalld/main.cpp
@@ -1,3 +1,7 @@
+#include "dispatch/stepnode.h"
+#include "platformcodec.h"
+#include "platformminions.h"
+#include "platformstore.h"
 #include "process/instance.h"
 #include "process/logging.h"
 
@@ -15,15 +19,46 @@
 constexpr int EXIT_REFUSED = 1;
 constexpr int EXIT_USAGE = 2;
 
+int refuse(const std::string &path, const Papaya::Errors &errors)
+{
+    for (const Papaya::Error &error : errors) {
+        std::cerr << path << ": " << (error.path.empty() ? "settings" : error.path) << ": " << error.message << " ("
+                  << error.code << ")\n";
+    }
+    return EXIT_REFUSED;
+}
+
+/** Runs a node that schedules jobs of steps on the users' platform. */
+int runOnPlatform(const std::string &path, bool checkOnly)
+{
+    const auto settings = Papaya::NodeSettings::fromFile(path);
+    if (!settings) {
+        return refuse(path, settings.errors());
+    }
+    if (checkOnly) {
+        std::cout << path << ": ok\n";
+        return EXIT_DONE;
+    }
+    Papaya::startLogging(Papaya::LogLevel::Info, settings->node);
+    try {
+        boost::asio::io_context io(1); // the machines have one core
+        Papaya::HttpPool pool(io);
+        Papaya::Platform platform {Papaya::makePlatformStore(pool, settings->store), Papaya::makePlatformMinions(pool),
+                                   Papaya::makePlatformCodec()};
+        const auto node = Papaya::StepNode::start(io, *settings, path, std::move(platform));
+        io.run();
+    } catch (const std::exception &error) {
+        Papaya::logEvent(Papaya::LogLevel::Error, "start-failed", {{"error", error.what()}});
+        return EXIT_REFUSED;
+    }
+    return EXIT_DONE;
+}
+
 int run(const std::string &path, bool checkOnly)
 {
     const auto settings = Papaya::Settings::fromFile(path);
     if (!settings) {
-        for (const Papaya::Error &error : settings.errors()) {
-            std::cerr << path << ": " << (error.path.empty() ? "settings" : error.path) << ": " << error.message << " ("
-                      << error.code << ")\n";
-        }
-        return EXIT_REFUSED;
+        return refuse(path, settings.errors());
     }
     if (checkOnly) {
         std::cout << path << ": ok\n";
@@ -49,8 +84,10 @@
         const TCLAP::ValueArg<std::string> settings("s", "settings", "Settings of this process, JSON with comments",
                                                     true, "", "FILE", line);
         const TCLAP::SwitchArg check("c", "check", "Check the settings and exit", line);
+        const TCLAP::SwitchArg platform("p", "platform", "Schedule jobs of steps on the users' platform", line);
         line.parse(argc, argv);
-        return run(settings.getValue(), check.getValue());
+        return platform.getValue() ? runOnPlatform(settings.getValue(), check.getValue())
+                                   : run(settings.getValue(), check.getValue());
     } catch (const TCLAP::ExitException &exit) {
         return exit.getExitStatus() == 0 ? EXIT_DONE : EXIT_USAGE;
     } catch (const TCLAP::ArgException &error) {
--- /dev/null
+++ b/packages/dispatch/assignment.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "dispatch/minionorders.h"
+#include "steps/stepjob.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Papaya
+{
+
+/** Where a member of a placed unit stands. */
+enum class MemberState {
+    Ordered, ///< its start has not been answered
+    Running,
+    Gone, ///< does not run and never will under this run's number
+};
+
+/** One task of a placed unit. */
+struct Member {
+    MinionId minion;
+    MemberState state = MemberState::Ordered;
+    std::int64_t confirmedMs = 0; ///< when the start was answered
+    bool stopping = false;        ///< a loop is stopping it
+    std::int64_t stopAnsweredMs = 0;
+};
+
+/** A run of a unit from its start to the end of its last member. */
+struct Assignment {
+    UnitKey unit;
+    TeamName team;
+    std::uint32_t priority = 0;
+    StepSpec step;
+    Resources need; ///< counted for each member
+    std::uint32_t run = 0;
+    std::vector<Member> members;
+    std::optional<EndKind> outcome; ///< of the first member that ended
+    bool doneStored = false;
+    bool stopping = false;
+    std::string checkpoint;   ///< the last one heard of
+    std::int64_t savedMs = 0; ///< when it was heard of, or the start
+    std::int64_t startedMs = 0;
+    std::int64_t percent = 0;
+
+    [[nodiscard]] bool ended() const
+    {
+        return std::all_of(members.begin(), members.end(),
+                           [](const Member &member) { return member.state == MemberState::Gone; });
+    }
+};
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/dispatch/jobfront.cpp
@@ -0,0 +1,172 @@
+#include "dispatch/jobfront.h"
+
+#include "dispatch/boottime.h"
+#include "process/logging.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr Millis DEFAULT_DEADLINE {3'000};
+constexpr Millis ANSWER_MARGIN {150}; // an answer must reach the caller before it gives up
+constexpr std::size_t ID_DIGITS = 16;
+constexpr const char *RETRY_SOON = "1"; // seconds
+
+HttpResponse answer(int status, std::string body = {})
+{
+    HttpResponse response;
+    response.status = status;
+    response.body = std::move(body);
+    if (!response.body.empty()) {
+        response.fields.set(Field::CONTENT_TYPE, "application/json");
+    }
+    return response;
+}
+
+HttpResponse errorAnswer(int status, std::string_view code)
+{
+    HttpResponse response = answer(status, R"({"error":{"code":")" + std::string(code) + "\"}}");
+    if (status == 503 || status == 429) {
+        response.fields.set(Field::RETRY_AFTER, RETRY_SOON);
+    }
+    return response;
+}
+
+bool isJobId(std::string_view text)
+{
+    return text.size() == ID_DIGITS && text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
+}
+
+} // namespace
+
+JobFront::JobFront(Context context)
+    : m_context(std::move(context))
+{
+}
+
+TimePoint JobFront::deadlineOf(const HttpRequest &request) const
+{
+    const std::string &text = request.fields.get(m_context.codec.deadlineHeader());
+    std::int64_t remaining = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), remaining);
+    const Millis limit = error == std::errc() && remaining > 0 ? Millis(remaining) : DEFAULT_DEADLINE;
+    return Clock::now() + std::max(limit - ANSWER_MARGIN, limit / 2);
+}
+
+Asio::awaitable<HttpResponse> JobFront::handle(HttpRequest request)
+{
+    const DeploymentConfig *config = m_context.config();
+    if (config == nullptr) {
+        co_return errorAnswer(503, "no-configuration");
+    }
+    const std::string path(request.path());
+    const QueueConfig *queue = config->route(request.fields.get("Host"), path);
+    if (queue == nullptr) {
+        co_return errorAnswer(404, "no-such-queue");
+    }
+    TeamName team;
+    if (!queue->open) {
+        const auto found = config->teamByKey.find(request.fields.get(m_context.codec.keyHeader()));
+        if (found == config->teamByKey.end()) {
+            co_return errorAnswer(401, "unknown-key");
+        }
+        team = found->second;
+    }
+    const std::string rest = path.substr(queue->pathPrefix.size());
+    if (rest.empty() && request.method == "GET") {
+        co_return answer(200, m_context.codec.encodeWaiting(m_context.book.waiting(queue->name)));
+    }
+    if (!isJobId(rest)) {
+        co_return errorAnswer(400, "no-job-id");
+    }
+    const JobId id(rest);
+    if (request.method == "POST") {
+        co_return co_await submit(*queue, team, id, request);
+    }
+    if (request.method == "GET") {
+        co_return state(id);
+    }
+    if (request.method == "DELETE") {
+        co_return co_await cancel(id, request);
+    }
+    co_return errorAnswer(405, "method-not-allowed");
+}
+
+Asio::awaitable<HttpResponse> JobFront::submit(const QueueConfig &queue, const TeamName &team, JobId id,
+                                               const HttpRequest &request)
+{
+    if (m_context.book.find(id) != nullptr) {
+        co_return answer(200); // handed in before
+    }
+    auto spec = m_context.codec.decodeJob(request.body);
+    if (!spec) {
+        logEvent(LogLevel::Info, "job-malformed", {{"job", id.value()}, {"error", spec.errors().front().message}});
+        co_return errorAnswer(400, "malformed");
+    }
+    StepJob job;
+    job.id = id;
+    job.queue = queue.name;
+    job.service = queue.service;
+    job.team = team;
+    job.spec = std::move(*spec);
+    job.submittedMs = wallMillis();
+    job.priority = queue.priority;
+    job.attempts = queue.attempts;
+    job.stretch = queue.stretch;
+    job.targetMs = queue.targetMs;
+    JobRecord record = StepJobSubmitted {std::move(job)};
+    co_return co_await store(std::move(record), request, id, "job-submitted");
+}
+
+Asio::awaitable<HttpResponse> JobFront::cancel(JobId id, const HttpRequest &request)
+{
+    // A job that this node has not heard of may have been accepted by another one a moment ago; the record cancels it
+    // too.
+    const bool known = m_context.book.find(id) != nullptr;
+    JobRecord record = StepJobCancelled {id};
+    HttpResponse response = co_await store(std::move(record), request, id, "job-cancelled");
+    co_return response.status == 200 && !known ? errorAnswer(410, "no-such-job") : response;
+}
+
+Asio::awaitable<HttpResponse> JobFront::store(JobRecord record, const HttpRequest &request, const JobId &id,
+                                              const char *event)
+{
+    const std::int64_t begun = bootMillis();
+    std::vector<StoredRecord> records;
+    records.push_back(encodeRecord(record));
+    const AppendOutcome outcome = co_await m_context.writer->append(std::move(records), deadlineOf(request));
+    if (outcome == AppendOutcome::Stored) {
+        m_context.stored(record);
+    }
+    logEvent(LogLevel::Info, event,
+             {{"job", id.value()},
+              {"outcome", outcome == AppendOutcome::Stored      ? "stored"
+                          : outcome == AppendOutcome::NotStored ? "not-stored"
+                                                                : "unknown"},
+              {"took_ms", bootMillis() - begun}});
+    switch (outcome) {
+    case AppendOutcome::Stored:
+        co_return answer(200);
+    case AppendOutcome::NotStored:
+        co_return errorAnswer(503, "store-unavailable");
+    default:
+        co_return errorAnswer(504, "unknown-outcome");
+    }
+}
+
+HttpResponse JobFront::state(const JobId &id) const
+{
+    const JobEntry *entry = m_context.book.find(id);
+    if (entry != nullptr) {
+        return answer(200, m_context.codec.encodeState(toString(entry->state())));
+    }
+    // A node that does not read the journal cannot know that there is no such job.
+    return m_context.fresh() ? errorAnswer(410, "no-such-job") : errorAnswer(503, "journal-unread");
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/dispatch/jobfront.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "connection/httpserver.h"
+#include "dispatch/deploymentcodec.h"
+#include "dispatch/journalwriter.h"
+#include "steps/jobbook.h"
+
+#include <functional>
+#include <memory>
+
+// The callers' interface to jobs of steps: hand in, ask, cancel, count. A job is answered as accepted only once it is
+// stored, and a refusal is given only if it cannot have been stored.
+
+namespace Papaya
+{
+
+/** Handles callers' requests on one node. */
+class JobFront : public HttpHandler
+{
+public:
+    /** What the front works on; all outlive it. */
+    struct Context {
+        const DeploymentCodec &codec;
+        std::shared_ptr<JournalWriter> writer;
+        JobBook &book;
+        std::function<const DeploymentConfig *()> config;
+        std::function<bool()> fresh;                   ///< whether the book holds what was stored a moment ago
+        std::function<void(const JobRecord &)> stored; ///< called with each record that this front has stored
+    };
+
+    explicit JobFront(Context context);
+
+    Asio::awaitable<HttpResponse> handle(HttpRequest request) override;
+
+private:
+    Asio::awaitable<HttpResponse> submit(const QueueConfig &queue, const TeamName &team, JobId id,
+                                         const HttpRequest &request);
+    Asio::awaitable<HttpResponse> cancel(JobId id, const HttpRequest &request);
+    HttpResponse state(const JobId &id) const;
+    Asio::awaitable<HttpResponse> store(JobRecord record, const HttpRequest &request, const JobId &id,
+                                        const char *event);
+    TimePoint deadlineOf(const HttpRequest &request) const;
+
+    Context m_context;
+};
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/dispatch/journalwriter.cpp
@@ -0,0 +1,153 @@
+#include "dispatch/journalwriter.h"
+
+#include "dispatch/boottime.h"
+#include "process/logging.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include <algorithm>
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr std::size_t BATCH_BYTES = 512UL * 1024; // well under what the store takes in one call
+constexpr Millis CALL_LIMIT {1'200};              // one try; a slow store answers within a third of it
+constexpr Millis RETRY_PAUSE {60};
+
+std::size_t sizeOf(const std::vector<StoredRecord> &records)
+{
+    std::size_t bytes = 0;
+    for (const StoredRecord &record : records) {
+        bytes += record.key.size() + record.value.size();
+    }
+    return bytes;
+}
+
+} // namespace
+
+std::shared_ptr<JournalWriter> JournalWriter::create(Asio::io_context &io, RecordStore &store,
+                                                     std::optional<Producer> producer)
+{
+    return std::shared_ptr<JournalWriter>(new JournalWriter(io, store, std::move(producer)));
+}
+
+JournalWriter::JournalWriter(Asio::io_context &io, RecordStore &store, std::optional<Producer> producer)
+    : m_io(io)
+    , m_store(store)
+    , m_producer(std::move(producer))
+{
+}
+
+void JournalWriter::append(std::vector<StoredRecord> records, TimePoint deadline, Callback done)
+{
+    if (m_stopped) {
+        done(AppendOutcome::Unknown);
+        return;
+    }
+    m_queue.push_back({std::move(records), deadline, std::move(done)});
+    if (!m_driving) {
+        m_driving = true;
+        Asio::co_spawn(m_io, drive(shared_from_this()), Asio::detached);
+    }
+}
+
+Asio::awaitable<AppendOutcome> JournalWriter::append(std::vector<StoredRecord> records, TimePoint deadline)
+{
+    struct Wait {
+        std::shared_ptr<Waiter> waiter;
+        AppendOutcome outcome = AppendOutcome::Unknown;
+    };
+    auto wait = std::make_shared<Wait>();
+    wait->waiter = Waiter::create(co_await Asio::this_coro::executor);
+    append(std::move(records), deadline, [wait](AppendOutcome outcome) {
+        wait->outcome = outcome;
+        wait->waiter->notify();
+    });
+    co_await wait->waiter->wait(deadline + CALL_LIMIT);
+    co_return wait->outcome;
+}
+
+void JournalWriter::stop()
+{
+    m_stopped = true;
+    for (Entry &entry : m_queue) {
+        entry.done(AppendOutcome::Unknown);
+    }
+    m_queue.clear();
+}
+
+std::vector<JournalWriter::Entry> JournalWriter::takeBatch()
+{
+    std::vector<Entry> batch;
+    std::size_t bytes = 0;
+    while (!m_queue.empty() && (batch.empty() || bytes + sizeOf(m_queue.front().records) <= BATCH_BYTES)) {
+        bytes += sizeOf(m_queue.front().records);
+        batch.push_back(std::move(m_queue.front()));
+        m_queue.pop_front();
+    }
+    return batch;
+}
+
+Asio::awaitable<void> JournalWriter::drive(std::shared_ptr<JournalWriter> self)
+{
+    while (!self->m_queue.empty() && !self->m_stopped) {
+        std::vector<Entry> batch = self->takeBatch();
+        self->m_inFlight = true;
+        co_await self->send(batch);
+        self->m_inFlight = false;
+    }
+    self->m_driving = false;
+}
+
+void JournalWriter::giveUpLate(std::vector<Entry> &batch)
+{
+    const TimePoint now = Clock::now();
+    for (Entry &entry : batch) {
+        if (entry.deadline <= now) {
+            entry.done(entry.doubtful ? AppendOutcome::Unknown : AppendOutcome::NotStored);
+        }
+    }
+    std::erase_if(batch, [now](const Entry &entry) { return entry.deadline <= now; });
+}
+
+Asio::awaitable<void> JournalWriter::send(std::vector<Entry> &batch)
+{
+    if (m_producer) {
+        ++m_producer->sequence;
+    }
+    for (;;) {
+        std::vector<StoredRecord> records;
+        TimePoint limit = Clock::now() + CALL_LIMIT;
+        for (const Entry &entry : batch) {
+            records.insert(records.end(), entry.records.begin(), entry.records.end());
+        }
+        const std::int64_t sent = bootMillis();
+        const AppendOutcome outcome = co_await m_store.append(std::move(records), m_producer, limit);
+        if (outcome == AppendOutcome::Stored) {
+            m_lastStoredMs = std::max(m_lastStoredMs, sent);
+        }
+        if (outcome == AppendOutcome::Stored || outcome == AppendOutcome::Fenced || m_stopped) {
+            for (Entry &entry : batch) {
+                entry.done(outcome);
+            }
+            co_return;
+        }
+        for (Entry &entry : batch) {
+            entry.doubtful = entry.doubtful || outcome == AppendOutcome::Unknown;
+        }
+        if (!m_producer) {
+            giveUpLate(batch);
+        }
+        if (batch.empty()) {
+            co_return;
+        }
+        co_await sleepFor(RETRY_PAUSE);
+    }
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/dispatch/minionlink.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "dispatch/minionorders.h"
+#include "steps/minionclock.h"
+
+#include <cstdint>
+
+namespace Papaya
+{
+
+/** What the planner knows of one minion. */
+struct MinionLink {
+    MinionEntry entry;
+    MinionClock clock;
+    bool listed = true;               ///< its entry is still there
+    bool fenceRaised = false;         ///< it does nothing any more for earlier planners
+    bool watched = false;             ///< a loop looks at it
+    std::uint64_t endsHandled = 0;    ///< ends up to this number have been taken into the book
+    std::uint64_t endsStored = 0;     ///< and are in the journal, so that they may be acknowledged
+    std::uint64_t endsAcked = 0;      ///< and the minion has been told so
+    std::uint32_t members = 0;        ///< placed here and not known to have ended
+    Resources used;                   ///< what they take
+    Resources stopping;               ///< the part of it that is being stopped
+    std::uint32_t lookFailures = 0;   ///< in a row
+    std::uint32_t strikes = 0;        ///< failed runs without a good one between
+    std::int64_t heldBackUntilMs = 0; ///< takes nothing new before
+    std::int64_t blindUntilMs = 0;    ///< while never heard: an earlier planner's leases may last until then
+};
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/dispatch/nodesettings.cpp
@@ -0,0 +1,72 @@
+#include "dispatch/nodesettings.h"
+
+#include "base/codec.h"
+#include "base/objectreader.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr std::int64_t MAX_DRAIN_MS = 600'000;
+
+Endpoint readEndpoint(ObjectReader &reader, const char *key, Errors &errors)
+{
+    const auto text = reader.text(key, Presence::Required);
+    if (!text) {
+        return {};
+    }
+    const auto endpoint = Endpoint::parse(*text);
+    if (!endpoint) {
+        errors.push_back({"wrong-value", "must be ip:port", reader.pathOf(key)});
+        return {};
+    }
+    return *endpoint;
+}
+
+} // namespace
+
+Result<NodeSettings> NodeSettings::fromText(std::string_view text)
+{
+    const auto json = parseJson(text, Comments::Allowed);
+    if (!json) {
+        return json.errors();
+    }
+    Errors errors;
+    NodeSettings settings;
+    ObjectReader root(*json, "", errors);
+    if (const auto node = root.text("node", Presence::Required)) {
+        settings.node = InstanceId(*node);
+    }
+    if (const auto place = root.text("place", Presence::Required)) {
+        settings.place = PlaceName(*place);
+    }
+    settings.callers = readEndpoint(root, "callers", errors);
+    settings.ready = readEndpoint(root, "ready", errors);
+    settings.store = readEndpoint(root, "store", errors);
+    if (const auto limit = root.integer("drainLimitMs", 1'000, MAX_DRAIN_MS)) {
+        settings.drainLimit = Millis(*limit);
+    }
+    root.refuseUnknownKeys();
+    if (!errors.empty()) {
+        return errors;
+    }
+    return settings;
+}
+
+Result<NodeSettings> NodeSettings::fromFile(const std::string &path)
+{
+    const std::ifstream file(path);
+    if (!file) {
+        return Error {"unreadable", "cannot be opened", ""};
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return fromText(text.str());
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/dispatch/stepnode.cpp
@@ -0,0 +1,434 @@
+#include "dispatch/stepnode.h"
+
+#include "base/digest.h"
+#include "connection/httpserver.h"
+#include "dispatch/boottime.h"
+#include "dispatch/jobfront.h"
+#include "dispatch/stepplanner.h"
+#include "dispatch/topicfollower.h"
+#include "process/logging.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <random>
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr Millis JOURNAL_WAIT {1'500}; // a silent connection is noticed this much later
+constexpr Millis CONFIG_WAIT {1'200};  // below the bound for a configuration to be in force
+constexpr Millis FOLLOWER_PACE {200};  // nodes that do not lead read in batches
+constexpr Millis PLANNER_PACE {0};
+constexpr Millis MINIONS_PACE {400}; // each minion writes every second or two
+constexpr Millis MINIONS_IDLE {1'000};
+constexpr Millis TICK {100};
+constexpr std::int64_t FRESH_MS = 2'500;   // a book whose last read is older may lack accepted jobs
+constexpr std::int64_t SUSPECT_MS = 1'300; // silence of the planner; it gives a sign every 400 ms
+constexpr std::int64_t STAGGER_MS = 300;   // spread of the candidates' patience
+constexpr std::int64_t FIRST_STAGGER_MS = 120;
+constexpr unsigned EPOCH_TAG_BITS = 16; // the low bits of an epoch tell rival candidates apart
+constexpr Millis DRAIN_NOTICE {2'200};  // the balancer asks once a second and looks elsewhere after two misses
+constexpr Millis EXIT_MARGIN {1'200};   // before the platform kills
+
+std::string producerName()
+{
+    return "planner";
+}
+
+} // namespace
+
+/** The parts of a node. */
+struct StepNode::Parts : public HttpHandler {
+    /** Forwards one topic's records to a method. */
+    struct Records : public TopicHandler {
+        Records(std::function<void(const std::vector<StoredRecord> &)> onLoaded,
+                std::function<void(const std::vector<StoredRecord> &)> onReceived)
+            : m_loaded(std::move(onLoaded))
+            , m_received(std::move(onReceived))
+        {
+        }
+        void loaded(const std::vector<StoredRecord> &records) override
+        {
+            m_loaded(records);
+        }
+        void received(const std::vector<StoredRecord> &records) override
+        {
+            m_received(records);
+        }
+        std::function<void(const std::vector<StoredRecord> &)> m_loaded;
+        std::function<void(const std::vector<StoredRecord> &)> m_received;
+    };
+
+    Parts(Asio::io_context &context, const NodeSettings &nodeSettings, std::string path, Platform nodePlatform)
+        : io(context)
+        , settings(nodeSettings)
+        , settingsPath(std::move(path))
+        , platform(std::move(nodePlatform))
+        , journalRecords([this](const auto &records) { journalLoaded(records); },
+                         [this](const auto &records) { journalReceived(records); })
+        , configRecords([this](const auto &records) { configReceived(records); },
+                        [this](const auto &records) { configReceived(records); })
+        , minionRecords([this](const auto &records) { minionsReceived(records); },
+                        [this](const auto &records) { minionsReceived(records); })
+        , journal(io, *platform.store, Topic::Journal, journalRecords, JOURNAL_WAIT)
+        , configTopic(io, *platform.store, Topic::Config, configRecords, CONFIG_WAIT)
+        , writer(JournalWriter::create(io, *platform.store, std::nullopt))
+        , front({*platform.codec, writer, book, [this] { return configInForce(); }, [this] { return fresh(); },
+                 [this](const JobRecord &record) { ownRecordStored(record); }})
+        , signals(io, SIGTERM, SIGINT, SIGHUP)
+        , random(std::random_device {}())
+        , callers(HttpServer::listen(io, settings.callers, HttpLimits {}, front))
+        , readyServer(HttpServer::listen(io, settings.ready, HttpLimits {}, *this))
+    {
+        journal.setPace(FOLLOWER_PACE);
+    }
+
+    void start()
+    {
+        startedMs = bootMillis();
+        journal.start();
+        configTopic.start();
+        Asio::co_spawn(io, ticks(*this), Asio::detached);
+        awaitSignal();
+        logEvent(LogLevel::Info, "started",
+                 {{"callers", settings.callers.toString()}, {"store", settings.store.toString()}});
+    }
+
+    [[nodiscard]] const DeploymentConfig *configInForce() const
+    {
+        return config ? config.get() : nullptr;
+    }
+
+    [[nodiscard]] bool fresh() const
+    {
+        return journal.isLoaded() && bootMillis() - journal.lastSuccessMs() < FRESH_MS;
+    }
+
+    [[nodiscard]] bool ready() const
+    {
+        return !draining && config && fresh();
+    }
+
+    Asio::awaitable<HttpResponse> handle(HttpRequest) override
+    {
+        HttpResponse response;
+        response.status = ready() ? 200 : 503;
+        co_return response;
+    }
+
+    // --- Configuration ---
+
+    void configReceived(const std::vector<StoredRecord> &records)
+    {
+        for (const StoredRecord &record : records) {
+            if (!platform.codec->isConfig(record.key)) {
+                continue;
+            }
+            auto decoded = platform.codec->decodeConfig(record.value);
+            if (!decoded) {
+                logEvent(LogLevel::Warning, "config-ignored", {{"error", decoded.errors().front().message}});
+                continue;
+            }
+            if (config && decoded->version <= config->version) {
+                continue; // a version never goes back
+            }
+            config = std::make_unique<DeploymentConfig>(std::move(*decoded));
+            logEvent(LogLevel::Info, "config-in-force",
+                     {{"version", config->version.value()}, {"queues", std::uint64_t(config->queues.size())}});
+        }
+    }
+
+    // --- Journal ---
+
+    void journalLoaded(const std::vector<StoredRecord> &records)
+    {
+        if (!planner) {
+            book = JobBook();
+        }
+        applyRecords(records);
+        logEvent(LogLevel::Info, "journal-loaded",
+                 {{"records", std::uint64_t(records.size())}, {"jobs", std::uint64_t(book.size())}});
+    }
+
+    void journalReceived(const std::vector<StoredRecord> &records)
+    {
+        applyRecords(records);
+    }
+
+    void applyRecords(const std::vector<StoredRecord> &records)
+    {
+        for (const StoredRecord &record : records) {
+            const auto decoded = decodeRecord(record.key, record.value);
+            if (!decoded) {
+                logEvent(LogLevel::Warning, "record-ignored", {{"key", record.key}});
+                continue;
+            }
+            applyRecord(*decoded);
+        }
+    }
+
+    void applyRecord(const JobRecord &record)
+    {
+        const bool ofPlanner =
+            std::holds_alternative<UnitChanged>(record) || std::holds_alternative<PlannerSign>(record);
+        if (ofPlanner) {
+            plannerHeardMs = bootMillis();
+        }
+        if (planner && std::holds_alternative<UnitChanged>(record)) {
+            return; // the planner's own book is ahead of the journal
+        }
+        book.apply(record);
+        if (!planner) {
+            return;
+        }
+        if (book.planner().epoch > planner->epoch()) {
+            loseLeadership("superseded");
+        } else if (const auto *submitted = std::get_if<StepJobSubmitted>(&record)) {
+            planner->jobChanged(submitted->job.id);
+        } else if (const auto *cancelled = std::get_if<StepJobCancelled>(&record)) {
+            planner->jobChanged(cancelled->job);
+        }
+    }
+
+    void ownRecordStored(const JobRecord &record)
+    {
+        applyRecord(record);
+    }
+
+    // --- Minions ---
+
+    void minionsReceived(const std::vector<StoredRecord> &records)
+    {
+        for (const StoredRecord &record : records) {
+            const MinionId id(record.key);
+            if (record.value.empty()) {
+                minions.erase(id);
+                if (planner) {
+                    planner->minionUnlisted(id);
+                }
+                continue;
+            }
+            auto decoded = platform.codec->decodeMinion(record.key, record.value);
+            if (!decoded) {
+                if (badEntries.insert(record.key).second) {
+                    logEvent(LogLevel::Warning, "minion-entry-ignored",
+                             {{"key", record.key}, {"error", decoded.errors().front().message}});
+                }
+                continue;
+            }
+            minions[id] = *decoded;
+            if (planner) {
+                planner->minionListed(*decoded);
+            }
+        }
+        minionsLoaded = true;
+    }
+
+    // --- Leadership ---
+
+    static Asio::awaitable<void> ticks(Parts &parts)
+    {
+        for (;;) {
+            co_await sleepFor(TICK);
+            if (parts.planner) {
+                parts.planner->tick();
+            } else if (!parts.claiming && parts.shouldClaim()) {
+                parts.claiming = true;
+                co_await parts.claim();
+                parts.claiming = false;
+            }
+        }
+    }
+
+    /** Silence counts only while this node reads the journal without failures. */
+    [[nodiscard]] bool shouldClaim() const
+    {
+        if (!ready()) {
+            return false;
+        }
+        const std::int64_t now = bootMillis();
+        const std::int64_t share = static_cast<std::int64_t>(stableHash(settings.node.value()) % 1000);
+        const bool vacant = book.planner().resigned || book.planner().epoch.value() == 0;
+        if (vacant) {
+            return now - std::max(startedMs, plannerHeardMs) >= share * FIRST_STAGGER_MS / 1000;
+        }
+        const std::int64_t quietSince = std::max({startedMs, plannerHeardMs, journal.steadySinceMs()});
+        const std::int64_t patience = SUSPECT_MS + 3 * journal.lastDelay().count() + share * STAGGER_MS / 1000;
+        return now - quietSince >= patience;
+    }
+
+    Asio::awaitable<void> claim()
+    {
+        const std::uint64_t term = (book.planner().epoch.value() >> EPOCH_TAG_BITS) + 1;
+        const std::uint64_t tag = random() & ((1U << EPOCH_TAG_BITS) - 1);
+        const Epoch epoch(term << EPOCH_TAG_BITS | tag);
+        logEvent(LogLevel::Info, "planner-claim",
+                 {{"epoch", epoch.value()},
+                  {"previous", book.planner().epoch.value()},
+                  {"previous_node", book.planner().node},
+                  {"silent_ms", bootMillis() - plannerHeardMs}});
+        auto claimWriter = JournalWriter::create(io, *platform.store, Producer {producerName(), epoch});
+        std::vector<StoredRecord> records;
+        records.push_back(encodeRecord(PlannerSign {epoch, settings.node.value(), false}));
+        const AppendOutcome outcome = co_await claimWriter->append(std::move(records), Clock::now() + CLAIM_LIMIT);
+        if (outcome != AppendOutcome::Stored || draining) {
+            claimWriter->stop();
+            logEvent(LogLevel::Info, "planner-claim-failed", {{"epoch", epoch.value()}});
+            co_return;
+        }
+        // Everything that was journaled before the claim must be in the book.
+        const TimePoint limit = Clock::now() + CLAIM_LIMIT;
+        journal.setPace(PLANNER_PACE);
+        while (book.planner().epoch < epoch && Clock::now() < limit) {
+            co_await sleepFor(Millis(5));
+        }
+        if (book.planner().epoch != epoch || !co_await loadMinions()) {
+            journal.setPace(FOLLOWER_PACE);
+            claimWriter->stop();
+            logEvent(LogLevel::Info, "planner-claim-failed", {{"epoch", epoch.value()}});
+            co_return;
+        }
+        planner = StepPlanner::begin({io, *platform.store, *platform.orders, book, [this] { return configInForce(); },
+                                      settings.node.value(), [this](const char *reason) { loseLeadership(reason); }},
+                                     claimWriter, epoch, minions);
+    }
+
+    /** Only the planner follows the minions' entries, which change all the time. */
+    Asio::awaitable<bool> loadMinions()
+    {
+        if (!minionTopic) {
+            minionTopic =
+                std::make_unique<TopicFollower>(io, *platform.store, Topic::Minions, minionRecords, MINIONS_IDLE);
+            minionTopic->setPace(MINIONS_PACE);
+            minionTopic->start();
+        }
+        const TimePoint limit = Clock::now() + CLAIM_LIMIT;
+        while (!minionsLoaded && Clock::now() < limit) {
+            co_await sleepFor(Millis(5));
+        }
+        co_return minionsLoaded;
+    }
+
+    void loseLeadership(const char *reason)
+    {
+        if (!planner) {
+            return;
+        }
+        logEvent(LogLevel::Warning, "leadership-lost", {{"reason", reason}});
+        planner->stop();
+        planner.reset();
+        journal.setPace(FOLLOWER_PACE);
+        // The book may hold decisions that never became records.
+        journal.reload();
+    }
+
+    // --- Signals ---
+
+    void awaitSignal()
+    {
+        signals.async_wait([this](const boost::system::error_code &error, int signal) {
+            if (error) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                reloadSettings();
+            } else {
+                drain();
+            }
+            awaitSignal();
+        });
+    }
+
+    void reloadSettings()
+    {
+        const auto reread = NodeSettings::fromFile(settingsPath);
+        if (!reread) {
+            logEvent(LogLevel::Error, "settings-refused",
+                     {{"path", reread.errors().front().path}, {"error", reread.errors().front().message}});
+            return;
+        }
+        settings.drainLimit = reread->drainLimit;
+        logEvent(LogLevel::Info, "settings-reloaded", {{"drain_limit_ms", std::int64_t(settings.drainLimit.count())}});
+    }
+
+    void drain()
+    {
+        if (draining) {
+            return;
+        }
+        draining = true;
+        logEvent(LogLevel::Info, "drain-begun", {{"leading", planner ? "yes" : "no"}});
+        Asio::co_spawn(io, drainAndStop(*this), Asio::detached);
+    }
+
+    static Asio::awaitable<void> drainAndStop(Parts &parts)
+    {
+        const TimePoint limit = Clock::now() + parts.settings.drainLimit - EXIT_MARGIN;
+        if (parts.planner) {
+            // The book is left as it is: callers go on asking this node for a while.
+            parts.planner->resign([&parts] {
+                parts.planner.reset();
+                parts.journal.setPace(FOLLOWER_PACE);
+                parts.journal.reload();
+            });
+        }
+        co_await sleepFor(DRAIN_NOTICE);
+        parts.callers->drain();
+        while (Clock::now() < limit && (parts.callers->inProgress() > 0 || parts.planner)) {
+            co_await sleepFor(TICK);
+        }
+        logEvent(LogLevel::Info, "stopped", {{"cut", std::uint64_t(parts.callers->inProgress())}});
+        parts.io.stop();
+    }
+
+    static constexpr Millis CLAIM_LIMIT {2'500};
+
+    Asio::io_context &io;
+    NodeSettings settings;
+    std::string settingsPath;
+    Platform platform;
+    JobBook book;
+    std::unique_ptr<DeploymentConfig> config;
+    std::map<MinionId, MinionEntry> minions;
+    std::set<std::string> badEntries;
+    Records journalRecords;
+    Records configRecords;
+    Records minionRecords;
+    TopicFollower journal;
+    TopicFollower configTopic;
+    std::unique_ptr<TopicFollower> minionTopic;
+    std::shared_ptr<JournalWriter> writer;
+    JobFront front;
+    std::shared_ptr<StepPlanner> planner;
+    Asio::signal_set signals;
+    std::mt19937 random;
+    std::unique_ptr<HttpServer> callers;
+    std::unique_ptr<HttpServer> readyServer;
+    std::int64_t startedMs = 0;
+    std::int64_t plannerHeardMs = 0;
+    bool minionsLoaded = false;
+    bool claiming = false;
+    bool draining = false;
+};
+
+std::unique_ptr<StepNode> StepNode::start(Asio::io_context &io, const NodeSettings &settings, std::string settingsPath,
+                                          Platform platform)
+{
+    auto parts = std::make_unique<Parts>(io, settings, std::move(settingsPath), std::move(platform));
+    parts->start();
+    return std::unique_ptr<StepNode>(new StepNode(std::move(parts)));
+}
+
+StepNode::StepNode(std::unique_ptr<Parts> parts)
+    : m_parts(std::move(parts))
+{
+}
+
+StepNode::~StepNode() = default;
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/dispatch/stepnode.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "dispatch/deploymentcodec.h"
+#include "dispatch/minionorders.h"
+#include "dispatch/nodesettings.h"
+#include "dispatch/recordstore.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <string>
+
+// One node: takes callers' jobs, follows the journal, and leads when it is its turn.
+
+namespace Papaya
+{
+
+/** What a deployment's platform provides. */
+struct Platform {
+    std::unique_ptr<RecordStore> store;
+    std::unique_ptr<MinionOrders> orders;
+    std::unique_ptr<DeploymentCodec> codec;
+};
+
+/** A running node. */
+class StepNode
+{
+public:
+    /**
+     * Binds the listeners and starts.
+     * @param settingsPath read again on SIGHUP
+     * @throws boost::system::system_error if an address cannot be bound
+     */
+    static std::unique_ptr<StepNode> start(Asio::io_context &io, const NodeSettings &settings, std::string settingsPath,
+                                           Platform platform);
+    ~StepNode();
+    StepNode(const StepNode &) = delete;
+    StepNode &operator=(const StepNode &) = delete;
+
+private:
+    struct Parts;
+    explicit StepNode(std::unique_ptr<Parts> parts);
+
+    std::unique_ptr<Parts> m_parts;
+};
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/dispatch/stepplanner.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "dispatch/assignment.h"
+#include "dispatch/journalwriter.h"
+#include "dispatch/minionlink.h"
+#include "steps/stepscheduler.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+// The planner: carries out the scheduler's decisions and keeps the leases of what runs.
+//
+// 1. A start is journaled before it is ordered, so that a successor knows of everything that may run.
+// 2. An end is journaled before the minion is told to forget it.
+// 3. A member counts as running until its end is listed, a later look does not find it, its minion's life is over or
+// its
+//    lease has surely lapsed. Until then its unit starts nowhere else.
+// 4. A planner that has not reached the store for a while renews no leases; a successor that cannot reach a minion
+// waits
+//    for that span and a lease.
+
+namespace Papaya
+{
+
+/** Runs while this node leads. */
+class StepPlanner : public std::enable_shared_from_this<StepPlanner>
+{
+public:
+    /** What the planner is built from; all outlive it. */
+    struct Context {
+        Asio::io_context &io;
+        RecordStore &store;
+        MinionOrders &orders;
+        JobBook &book;
+        std::function<const DeploymentConfig *()> config;
+        std::string node;
+        std::function<void(const char *reason)> lost; ///< called once when leadership has been lost
+    };
+
+    /** Takes over with @p writer, whose epoch is @p epoch and has been claimed. */
+    static std::shared_ptr<StepPlanner> begin(Context context, std::shared_ptr<JournalWriter> writer, Epoch epoch,
+                                              const std::map<MinionId, MinionEntry> &minions);
+
+    /** A minion's entry has changed. */
+    void minionListed(const MinionEntry &entry);
+    void minionUnlisted(const MinionId &id);
+    /** A job was submitted or cancelled; the book holds it already. */
+    void jobChanged(const JobId &id);
+    /** Called about every 100 ms: signs of life, lapsed leases, what has become due. */
+    void tick();
+    /** Gives leadership up; @p done is called once the successor may take over. */
+    void resign(std::function<void()> done);
+    /** Ends without a word. */
+    void stop();
+
+    [[nodiscard]] Epoch epoch() const
+    {
+        return m_epoch;
+    }
+
+private:
+    using AssignmentPtr = std::shared_ptr<Assignment>;
+
+    StepPlanner(Context context, std::shared_ptr<JournalWriter> writer, Epoch epoch);
+    void adopt();
+    void adoptUnit(const JobEntry &entry, const UnitKey &unit, const UnitStatus &status);
+    AssignmentPtr track(const JobEntry &entry, const UnitKey &unit, const UnitStatus &status);
+
+    // Decisions
+    void requestPass();
+    void pass();
+    PlanInput planInput(std::vector<MinionId> &ids);
+    void startUnit(const UnitStart &decision, const std::vector<MinionId> &ids);
+    void stopAssignment(const AssignmentPtr &assignment, const char *reason);
+
+    // Orders
+    static Asio::awaitable<void> startMember(std::shared_ptr<StepPlanner> self, AssignmentPtr assignment,
+                                             std::size_t index);
+    static Asio::awaitable<void> stopMember(std::shared_ptr<StepPlanner> self, AssignmentPtr assignment,
+                                            std::size_t index);
+    static Asio::awaitable<void> stopStray(std::shared_ptr<StepPlanner> self, MinionId minion, std::string task,
+                                           std::uint32_t run);
+    static Asio::awaitable<void> watch(std::shared_ptr<StepPlanner> self, MinionId id);
+    Asio::awaitable<bool> lookOnce(MinionId id);
+    void ensureWatched(MinionLink &link);
+    [[nodiscard]] bool mayRenew() const;
+
+    // Reports
+    void handleReport(MinionLink &link, const MinionReport &report, std::int64_t sentMs);
+    void handleEnd(MinionLink &link, const EndedTask &end);
+    void handleRunning(MinionLink &link, const MinionReport &report, std::int64_t sentMs);
+    void newLife(MinionLink &link);
+    AssignmentPtr findTask(const std::string &task, std::uint32_t run, std::size_t &index);
+    void memberGone(const AssignmentPtr &assignment, std::size_t index, EndKind kind);
+    void settle(const AssignmentPtr &assignment);
+    void finish(const AssignmentPtr &assignment);
+    void loseLapsed();
+
+    // Journal
+    void record(const UnitKey &unit, UnitStatus status);
+    void flushSoon();
+    void flush();
+    void leave(const char *reason);
+
+    Context m_context;
+    std::shared_ptr<JournalWriter> m_writer;
+    Epoch m_epoch;
+    bool m_leading = true;
+    std::map<MinionId, MinionLink> m_links;
+    std::map<UnitKey, AssignmentPtr> m_assignments;
+    std::map<UnitKey, std::vector<MinionId>> m_avoid; ///< where units have failed
+    std::map<UnitKey, std::int64_t> m_notBefore;      ///< units that are held back after a start that failed
+    std::vector<StoredRecord> m_records;              ///< to be journaled together
+    std::vector<std::pair<MinionId, std::uint64_t>> m_ends;
+    std::vector<AssignmentPtr> m_starts;
+    bool m_flushPosted = false;
+    bool m_passPosted = false;
+    Asio::steady_timer m_passTimer;
+    std::int64_t m_lastSignMs = 0;
+    std::int64_t m_begunMs = 0;
+    std::map<std::string, std::int64_t> m_strayStops; ///< when each was last ordered
+};
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/dispatch/topicfollower.cpp
@@ -0,0 +1,103 @@
+#include "dispatch/topicfollower.h"
+
+#include "connection/waiter.h"
+#include "dispatch/boottime.h"
+#include "process/logging.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr Millis RETRY_PAUSE {100}; // after a read that failed; the store counts every call
+
+std::string_view nameOf(Topic topic)
+{
+    switch (topic) {
+    case Topic::Journal:
+        return "journal";
+    case Topic::Config:
+        return "config";
+    case Topic::Minions:
+        break;
+    }
+    return "minions";
+}
+
+} // namespace
+
+TopicFollower::TopicFollower(Asio::io_context &io, RecordStore &store, Topic topic, TopicHandler &handler, Millis wait)
+    : m_io(io)
+    , m_store(store)
+    , m_topic(topic)
+    , m_handler(handler)
+    , m_wait(wait)
+{
+}
+
+void TopicFollower::start()
+{
+    Asio::co_spawn(m_io, follow(*this), Asio::detached);
+}
+
+Asio::awaitable<void> TopicFollower::follow(TopicFollower &self)
+{
+    for (;;) {
+        std::string problem;
+        const TimePoint begun = Clock::now();
+        try {
+            co_await self.step();
+        } catch (const StoreError &error) {
+            problem = error.what();
+        }
+        if (!problem.empty()) {
+            if (!self.m_failing) {
+                logEvent(LogLevel::Warning, "store-read-lost", {{"topic", nameOf(self.m_topic)}, {"error", problem}});
+            }
+            self.m_failing = true;
+            co_await sleepFor(RETRY_PAUSE);
+        } else if (const Duration spent = Clock::now() - begun; spent < self.m_pace) {
+            co_await sleepFor(self.m_pace - spent);
+        }
+    }
+}
+
+Asio::awaitable<void> TopicFollower::step()
+{
+    const std::int64_t sent = bootMillis();
+    if (!m_loaded) {
+        NewestResult newest = co_await m_store.newest(m_topic);
+        m_next = newest.end;
+        m_loaded = true;
+        succeeded(sent);
+        m_handler.loaded(newest.records);
+        co_return;
+    }
+    ReadResult result = co_await m_store.read(m_topic, m_next, m_wait);
+    if (result.expired) {
+        logEvent(LogLevel::Warning, "records-expired", {{"topic", nameOf(m_topic)}, {"offset", m_next.value()}});
+        m_loaded = false;
+        co_return;
+    }
+    const Millis took(bootMillis() - sent);
+    m_lastDelay = result.records.empty() ? took - m_wait : took;
+    m_next = Offset(m_next.value() + result.records.size());
+    succeeded(sent);
+    m_handler.received(result.records);
+}
+
+void TopicFollower::succeeded(std::int64_t sentMs)
+{
+    if (m_failing || m_lastSuccessMs == 0) {
+        logEvent(LogLevel::Info, "store-read-regained", {{"topic", nameOf(m_topic)}, {"offset", m_next.value()}});
+        m_steadySinceMs = bootMillis();
+    }
+    m_failing = false;
+    m_lastSuccessMs = sentMs;
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/steps/jobbook.cpp
@@ -0,0 +1,192 @@
+#include "steps/jobbook.h"
+
+#include <algorithm>
+
+namespace Papaya
+{
+
+namespace
+{
+
+OccurrenceProgress emptyOccurrence(const JobSpec &spec)
+{
+    OccurrenceProgress progress;
+    for (const StepSpec &step : spec.steps) {
+        progress.steps.emplace_back().units.resize(step.gang ? 1 : step.count);
+    }
+    return progress;
+}
+
+/** Where @p key lies among the units of its step. */
+std::size_t unitIndex(const UnitKey &key)
+{
+    return key.index == UnitKey::GANG ? 0 : static_cast<std::size_t>(key.index);
+}
+
+} // namespace
+
+std::string_view toString(StepJobState state)
+{
+    switch (state) {
+    case StepJobState::Queued:
+        return "queued";
+    case StepJobState::Running:
+        return "running";
+    case StepJobState::Completed:
+        return "completed";
+    case StepJobState::Failed:
+        return "failed";
+    case StepJobState::Cancelled:
+        break;
+    }
+    return "cancelled";
+}
+
+StepJobState JobEntry::state() const
+{
+    // A job whose work is all done stays completed, also if its cancelling came too late.
+    if (unitsLeft == 0) {
+        return StepJobState::Completed;
+    }
+    if (cancelled) {
+        return StepJobState::Cancelled;
+    }
+    if (unitsFailed > 0) {
+        return StepJobState::Failed;
+    }
+    return unitsStarted > 0 ? StepJobState::Running : StepJobState::Queued;
+}
+
+bool JobEntry::live() const
+{
+    return !cancelled && unitsFailed == 0 && unitsLeft > 0;
+}
+
+std::int64_t JobEntry::dueMs(std::uint32_t occurrence) const
+{
+    const Timetable &times = job.spec.timetable;
+    return times.runs == 0 ? 0 : times.firstRunMs + times.intervalMs * occurrence;
+}
+
+bool JobEntry::dependenciesDone(std::uint32_t occurrence, std::uint32_t step) const
+{
+    const OccurrenceProgress &progress = occurrences[occurrence];
+    return std::all_of(
+        job.spec.steps[step].dependsOn.begin(), job.spec.steps[step].dependsOn.end(),
+        [&](std::uint32_t earlier) { return progress.steps[earlier].done == progress.steps[earlier].units.size(); });
+}
+
+void JobBook::apply(const JobRecord &record)
+{
+    if (const auto *submission = std::get_if<StepJobSubmitted>(&record)) {
+        submitted(submission->job);
+    } else if (const auto *cancelling = std::get_if<StepJobCancelled>(&record)) {
+        const auto found = m_jobs.find(cancelling->job);
+        if (found == m_jobs.end()) {
+            m_early[cancelling->job].push_back(record);
+            return;
+        }
+        found->second.cancelled = true;
+        updateLive(found->second);
+    } else if (const auto *change = std::get_if<UnitChanged>(&record)) {
+        if (!m_jobs.contains(change->unit.job)) {
+            m_early[change->unit.job].push_back(record);
+            return;
+        }
+        changed(change->unit, change->status);
+    } else if (const auto *sign = std::get_if<PlannerSign>(&record)) {
+        if (sign->epoch >= m_planner.epoch) {
+            m_planner = *sign;
+        }
+    }
+}
+
+void JobBook::submitted(const StepJob &job)
+{
+    const auto [place, added] = m_jobs.try_emplace(job.id);
+    if (!added) {
+        return;
+    }
+    JobEntry &entry = place->second;
+    entry.job = job;
+    entry.occurrences.assign(job.spec.occurrences(), emptyOccurrence(job.spec));
+    for (const StepProgress &step : entry.occurrences[0].steps) {
+        entry.unitsLeft += static_cast<std::uint32_t>(step.units.size()) * job.spec.occurrences();
+    }
+    updateLive(entry);
+    if (const auto early = m_early.extract(job.id)) {
+        for (const JobRecord &record : early.mapped()) {
+            apply(record);
+        }
+    }
+}
+
+void JobBook::changed(const UnitKey &key, const UnitStatus &status)
+{
+    if (find(key) == nullptr) {
+        return;
+    }
+    JobEntry &entry = m_jobs.at(key.job);
+    StepProgress &step = entry.occurrences[key.occurrence].steps[key.step];
+    UnitStatus &unit = step.units[unitIndex(key)];
+    const bool longRunning = entry.job.spec.steps[key.step].longRunning;
+    const auto isDone = [&](const UnitStatus &of) { return of.state == UnitState::Done && !longRunning; };
+    if (isDone(unit) != isDone(status)) {
+        const std::uint32_t change = isDone(status) ? 1 : -1;
+        step.done += change;
+        entry.unitsLeft -= change;
+    }
+    if ((unit.state == UnitState::Failed) != (status.state == UnitState::Failed)) {
+        entry.unitsFailed += status.state == UnitState::Failed ? 1 : -1;
+    }
+    if ((unit.run > 0) != (status.run > 0)) {
+        entry.unitsStarted += status.run > 0 ? 1 : -1;
+    }
+    unit = status;
+    updateLive(entry);
+}
+
+void JobBook::updateLive(JobEntry &entry)
+{
+    const auto key = std::make_pair(entry.job.submittedMs, entry.job.id);
+    if (entry.live()) {
+        m_live.emplace(key, &entry);
+    } else {
+        m_live.erase(key);
+    }
+}
+
+const JobEntry *JobBook::find(const JobId &id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+const UnitStatus *JobBook::find(const UnitKey &unit) const
+{
+    const JobEntry *entry = find(unit.job);
+    if (entry == nullptr || unit.occurrence >= entry->occurrences.size() || unit.step >= entry->job.spec.steps.size()) {
+        return nullptr;
+    }
+    const auto &units = entry->occurrences[unit.occurrence].steps[unit.step].units;
+    const bool gang = entry->job.spec.steps[unit.step].gang;
+    if ((unit.index == UnitKey::GANG) != gang || unitIndex(unit) >= units.size()) {
+        return nullptr;
+    }
+    return &units[unitIndex(unit)];
+}
+
+const StepSpec &JobBook::stepOf(const UnitKey &unit) const
+{
+    return m_jobs.at(unit.job).job.spec.steps[unit.step];
+}
+
+std::size_t JobBook::waiting(const QueueName &queue) const
+{
+    return static_cast<std::size_t>(std::count_if(m_live.begin(), m_live.end(), [&](const auto &item) {
+        const JobEntry &entry = *item.second;
+        return entry.job.queue == queue && entry.unitsStarted == 0 && entry.job.spec.timetable.runs == 0;
+    }));
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/steps/jobrecord.cpp
@@ -0,0 +1,213 @@
+#include "steps/jobrecord.h"
+
+#include "base/codec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace Papaya
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr std::string_view JOB_PREFIX = "j/";
+constexpr std::string_view CANCEL_PREFIX = "x/";
+constexpr std::string_view UNIT_PREFIX = "u/";
+constexpr std::string_view PLANNER_KEY = "q";
+constexpr char FIELD_END = ' ';
+
+enum StepFlag : std::uint32_t {
+    CHECKPOINTING = 1,
+    GANG = 2,
+    SAME_RACK = 4,
+    SPECULATIVE = 8,
+    LONG_RUNNING = 16,
+    FILLS = 32,
+};
+
+std::uint32_t flagsOf(const StepSpec &step)
+{
+    std::uint32_t flags = 0;
+    const auto add = [&flags](bool set, StepFlag flag) { flags |= set ? std::uint32_t(flag) : 0U; };
+    add(step.checkpointing, CHECKPOINTING);
+    add(step.gang, GANG);
+    add(step.sameRack, SAME_RACK);
+    add(step.speculative, SPECULATIVE);
+    add(step.longRunning, LONG_RUNNING);
+    add(step.fills, FILLS);
+    return flags;
+}
+
+Json stepToJson(const StepSpec &step)
+{
+    return Json::array({step.count, step.need.cores, step.need.memoryMb, step.need.gpus, step.estimate.count(),
+                        step.dependsOn, flagsOf(step), step.requiredLabel, step.dataRack.value(), step.maxPerMinion,
+                        step.image, step.tailTarget.count(), step.maxUnavailable});
+}
+
+StepSpec stepFromJson(const Json &json)
+{
+    StepSpec step;
+    step.count = json.at(0).get<std::uint32_t>();
+    step.need = {json.at(1).get<std::int64_t>(), json.at(2).get<std::int64_t>(), json.at(3).get<std::int64_t>()};
+    step.estimate = Millis(json.at(4).get<std::int64_t>());
+    step.dependsOn = json.at(5).get<std::vector<std::uint32_t>>();
+    const auto flags = json.at(6).get<std::uint32_t>();
+    step.checkpointing = (flags & CHECKPOINTING) != 0;
+    step.gang = (flags & GANG) != 0;
+    step.sameRack = (flags & SAME_RACK) != 0;
+    step.speculative = (flags & SPECULATIVE) != 0;
+    step.longRunning = (flags & LONG_RUNNING) != 0;
+    step.fills = (flags & FILLS) != 0;
+    step.requiredLabel = json.at(7).get<std::string>();
+    step.dataRack = RackName(json.at(8).get<std::string>());
+    step.maxPerMinion = json.at(9).get<std::uint32_t>();
+    step.image = json.at(10).get<std::string>();
+    step.tailTarget = Millis(json.at(11).get<std::int64_t>());
+    step.maxUnavailable = json.at(12).get<std::uint32_t>();
+    return step;
+}
+
+std::string encodeJob(const StepJob &job)
+{
+    Json steps = Json::array();
+    for (const StepSpec &step : job.spec.steps) {
+        steps.push_back(stepToJson(step));
+    }
+    const Timetable &times = job.spec.timetable;
+    return toCbor(Json::array({job.queue.value(), job.service.value(), job.team.value(), job.submittedMs, job.priority,
+                               job.attempts, job.stretch, job.targetMs, job.spec.payload, std::move(steps), times.runs,
+                               times.firstRunMs, times.intervalMs}));
+}
+
+StepJob decodeJob(std::string_view id, const Json &json)
+{
+    StepJob job;
+    job.id = JobId(std::string(id));
+    job.queue = QueueName(json.at(0).get<std::string>());
+    job.service = ServiceName(json.at(1).get<std::string>());
+    job.team = TeamName(json.at(2).get<std::string>());
+    job.submittedMs = json.at(3).get<std::int64_t>();
+    job.priority = json.at(4).get<std::uint32_t>();
+    job.attempts = json.at(5).get<std::uint32_t>();
+    job.stretch = json.at(6).get<double>();
+    job.targetMs = json.at(7).get<std::int64_t>();
+    job.spec.payload = json.at(8).get<std::string>();
+    for (const Json &step : json.at(9)) {
+        job.spec.steps.push_back(stepFromJson(step));
+    }
+    job.spec.timetable = {json.at(10).get<std::uint32_t>(), json.at(11).get<std::int64_t>(),
+                          json.at(12).get<std::int64_t>()};
+    return job;
+}
+
+/** Unit records are the many; they are a line of words: state, run, failures, checkpoint or "-", minions. */
+std::string encodeStatus(const UnitStatus &status)
+{
+    std::string text(1, static_cast<char>(status.state));
+    text += FIELD_END + std::to_string(status.run);
+    text += FIELD_END + std::to_string(status.failures);
+    text += FIELD_END + (status.checkpoint.empty() ? std::string("-") : status.checkpoint);
+    for (const MinionId &minion : status.minions) {
+        text += FIELD_END + minion.value();
+    }
+    return text;
+}
+
+std::string_view takeWord(std::string_view &text)
+{
+    const std::string_view word = text.substr(0, text.find(FIELD_END));
+    text.remove_prefix(std::min(text.size(), word.size() + 1));
+    return word;
+}
+
+bool takeNumber(std::string_view &text, std::uint32_t &number)
+{
+    const std::string_view word = takeWord(text);
+    const auto [end, error] = std::from_chars(word.data(), word.data() + word.size(), number);
+    return error == std::errc() && end == word.data() + word.size();
+}
+
+bool decodeStatus(std::string_view text, UnitStatus &status)
+{
+    const std::string_view state = takeWord(text);
+    if (state.size() != 1 || std::string_view("wpdf").find(state[0]) == std::string_view::npos) {
+        return false;
+    }
+    status.state = static_cast<UnitState>(state[0]);
+    if (!takeNumber(text, status.run) || !takeNumber(text, status.failures)) {
+        return false;
+    }
+    const std::string_view checkpoint = takeWord(text);
+    status.checkpoint = checkpoint == "-" ? "" : checkpoint;
+    while (!text.empty()) {
+        status.minions.emplace_back(std::string(takeWord(text)));
+    }
+    return true;
+}
+
+Error malformed(std::string_view key)
+{
+    return {"malformed", "not a record of this version", std::string(key)};
+}
+
+struct Encoder {
+    StoredRecord operator()(const StepJobSubmitted &record) const
+    {
+        return {std::string(JOB_PREFIX) + record.job.id.value(), encodeJob(record.job)};
+    }
+    StoredRecord operator()(const StepJobCancelled &record) const
+    {
+        return {std::string(CANCEL_PREFIX) + record.job.value(), "cancelled"};
+    }
+    StoredRecord operator()(const UnitChanged &record) const
+    {
+        return {std::string(UNIT_PREFIX) + record.unit.toString(), encodeStatus(record.status)};
+    }
+    StoredRecord operator()(const PlannerSign &record) const
+    {
+        return {std::string(PLANNER_KEY), toCbor(Json::array({record.epoch.value(), record.node, record.resigned}))};
+    }
+};
+
+} // namespace
+
+StoredRecord encodeRecord(const JobRecord &record)
+{
+    return std::visit(Encoder {}, record);
+}
+
+Result<JobRecord> decodeRecord(std::string_view key, std::string_view value)
+{
+    try {
+        if (key.starts_with(UNIT_PREFIX)) {
+            UnitChanged record;
+            const bool good =
+                UnitKey::parse(key.substr(UNIT_PREFIX.size()), record.unit) && decodeStatus(value, record.status);
+            return good ? Result<JobRecord>(JobRecord(std::move(record))) : Result<JobRecord>(malformed(key));
+        }
+        if (key.starts_with(CANCEL_PREFIX)) {
+            return JobRecord(StepJobCancelled {JobId(std::string(key.substr(CANCEL_PREFIX.size())))});
+        }
+        const auto json = parseCbor(value);
+        if (!json) {
+            return malformed(key);
+        }
+        if (key.starts_with(JOB_PREFIX)) {
+            return JobRecord(StepJobSubmitted {decodeJob(key.substr(JOB_PREFIX.size()), *json)});
+        }
+        if (key == PLANNER_KEY) {
+            return JobRecord(PlannerSign {Epoch(json->at(0).get<std::uint64_t>()), json->at(1).get<std::string>(),
+                                          json->at(2).get<bool>()});
+        }
+    } catch (const Json::exception &) {
+        return malformed(key);
+    }
+    return malformed(key);
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/steps/stepscheduler.cpp
@@ -0,0 +1,438 @@
+#include "steps/stepscheduler.h"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <tuple>
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr double LATE_FACTOR = 3;          // work is worth something up to this multiple of its objective
+constexpr std::int64_t DUE_MARGIN_MS = 20; // clocks of nodes differ slightly; a start before its time is an error
+constexpr double GPU_IN_CORES = 8;         // a GPU weighs as much as this many cores
+constexpr double STOP_COST = 1;            // core-seconds; keeps needless stops away
+constexpr double NO_ROOM = std::numeric_limits<double>::max();
+
+double weightOf(const Resources &need)
+{
+    return double(need.cores) / 1000 + GPU_IN_CORES * double(need.gpus);
+}
+
+/** A step with units that wait, in the order in which it is served. */
+struct Candidate {
+    const JobEntry *entry = nullptr;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    bool guaranteed = false;
+    Timeliness timeliness = Timeliness::InTime;
+
+    [[nodiscard]] auto rank() const
+    {
+        return std::make_tuple(!guaranteed, timeliness, entry->job.priority, entry->job.submittedMs, step);
+    }
+    [[nodiscard]] const StepSpec &spec() const
+    {
+        return entry->job.spec.steps[step];
+    }
+    [[nodiscard]] UnitKey unit(std::size_t index) const
+    {
+        return {entry->job.id, occurrence, step, spec().gang ? UnitKey::GANG : static_cast<std::int32_t>(index)};
+    }
+};
+
+/** One pass over the fleet. */
+class Pass
+{
+public:
+    explicit Pass(PlanInput &input)
+        : m_input(input)
+    {
+    }
+
+    PlanDecisions run()
+    {
+        for (const ActiveUnit &unit : m_input.active) {
+            if (unit.priority == 0) {
+                m_urgentGpus[unit.team] += unit.need.gpus * static_cast<std::int64_t>(unit.minions.size());
+            }
+        }
+        for (const Candidate &candidate : candidates()) {
+            serve(candidate);
+        }
+        return std::move(m_decisions);
+    }
+
+private:
+    std::vector<Candidate> candidates()
+    {
+        std::vector<Candidate> all;
+        for (const auto &[key, entry] : m_input.book.live()) {
+            for (std::uint32_t k = 0; k < entry->occurrences.size(); ++k) {
+                if (entry->dueMs(k) + DUE_MARGIN_MS <= m_input.nowMs) {
+                    addSteps(*entry, k, all);
+                }
+            }
+        }
+        std::sort(all.begin(), all.end(), [](const Candidate &a, const Candidate &b) { return a.rank() < b.rank(); });
+        return all;
+    }
+
+    void addSteps(const JobEntry &entry, std::uint32_t occurrence, std::vector<Candidate> &all)
+    {
+        const OccurrenceProgress &progress = entry.occurrences[occurrence];
+        for (std::uint32_t s = 0; s < progress.steps.size(); ++s) {
+            const StepProgress &step = progress.steps[s];
+            const bool waits = std::any_of(step.units.begin(), step.units.end(),
+                                           [](const UnitStatus &unit) { return unit.state == UnitState::Waiting; });
+            if (!waits || !entry.dependenciesDone(occurrence, s)) {
+                continue;
+            }
+            Candidate candidate {&entry, occurrence, s};
+            const std::int64_t since = std::max(entry.job.submittedMs, entry.dueMs(occurrence));
+            candidate.timeliness = timelinessOf(entry.job, since, m_input.nowMs, remainingChainMs(entry, occurrence));
+            candidate.guaranteed = entry.job.priority == 0 && withinGuarantee(entry, candidate.spec());
+            all.push_back(candidate);
+        }
+    }
+
+    /** Demand is counted in order of submission, so that what fits into the guarantee does not change from pass to
+     * pass. */
+    bool withinGuarantee(const JobEntry &entry, const StepSpec &step)
+    {
+        const std::int64_t gpus = step.need.gpus * step.count;
+        std::int64_t &demand = m_guaranteedDemand[entry.job.team];
+        const std::int64_t limit = m_input.config.guaranteedGpus(entry.job.team);
+        if (m_urgentGpus[entry.job.team] + demand + gpus > limit) {
+            return false;
+        }
+        demand += gpus;
+        return true;
+    }
+
+    void serve(const Candidate &candidate)
+    {
+        const StepProgress &progress = candidate.entry->occurrences[candidate.occurrence].steps[candidate.step];
+        std::map<std::size_t, std::uint32_t> perMinion = placedPerMinion(candidate, progress);
+        for (std::size_t i = 0; i < progress.units.size(); ++i) {
+            const UnitKey unit = candidate.unit(i);
+            if (progress.units[i].state != UnitState::Waiting || m_input.heldBack.contains(unit)) {
+                continue;
+            }
+            if (startIfRoom(candidate, unit, perMinion)) {
+                continue;
+            }
+            m_decisions.blocked.push_back(unit);
+            if (mayPreempt(candidate) && makeRoom(candidate, unit, perMinion)) {
+                continue;
+            }
+            return; // its siblings need the same
+        }
+    }
+
+    [[nodiscard]] static bool mayPreempt(const Candidate &candidate)
+    {
+        return candidate.guaranteed
+               || (candidate.timeliness == Timeliness::InTime && candidate.entry->job.priority == 0);
+    }
+
+    std::map<std::size_t, std::uint32_t> placedPerMinion(const Candidate &candidate, const StepProgress &progress)
+    {
+        std::map<std::size_t, std::uint32_t> placed;
+        if (candidate.spec().maxPerMinion == 0) {
+            return placed;
+        }
+        for (const UnitStatus &unit : progress.units) {
+            for (const MinionId &minion : unit.minions) {
+                for (std::size_t m = 0; m < m_input.minions.size(); ++m) {
+                    placed[m] += m_input.minions[m].id == minion ? 1 : 0;
+                }
+            }
+        }
+        return placed;
+    }
+
+    [[nodiscard]] bool eligible(const Candidate &candidate, const MinionView &minion) const
+    {
+        const StepSpec &step = candidate.spec();
+        return minion.usable && minion.service == serviceOf(candidate)
+               && (step.requiredLabel.empty()
+                   || std::find(minion.labels.begin(), minion.labels.end(), step.requiredLabel) != minion.labels.end());
+    }
+
+    /** The queue's present service; the one of the submission if the queue has been dropped. */
+    [[nodiscard]] const ServiceName &serviceOf(const Candidate &candidate) const
+    {
+        const QueueConfig *queue = m_input.config.queue(candidate.entry->job.queue);
+        return queue == nullptr ? candidate.entry->job.service : queue->service;
+    }
+
+    [[nodiscard]] bool avoided(const UnitKey &unit, const MinionView &minion) const
+    {
+        const auto found = m_input.avoid.find(unit);
+        return found != m_input.avoid.end()
+               && std::find(found->second.begin(), found->second.end(), minion.id) != found->second.end();
+    }
+
+    /** How little a member of @p need on @p minion leaves behind; smaller is better. */
+    [[nodiscard]] double leftOver(const UnitKey &unit, const StepSpec &step, const MinionView &minion,
+                                  const Resources &need) const
+    {
+        double score = 1e6 * minion.penalty;
+        score += avoided(unit, minion) ? 1e8 : 0;
+        score += !step.dataRack.value().empty() && minion.rack != step.dataRack ? 1e4 : 0;
+        score += 100 * double(minion.free.gpus - need.gpus);
+        score += 10 * double(minion.free.memoryMb - need.memoryMb)
+                 / double(std::max<std::int64_t>(1, minion.capacity.memoryMb));
+        score += double(minion.free.cores - need.cores) / double(std::max<std::int64_t>(1, minion.capacity.cores));
+        return score;
+    }
+
+    /** Finds minions for all members in what is free; empty if there is no room. */
+    std::vector<std::size_t> findRoom(const Candidate &candidate, const UnitKey &unit,
+                                      const std::map<std::size_t, std::uint32_t> &perMinion,
+                                      const RackName *onlyRack) const
+    {
+        const StepSpec &step = candidate.spec();
+        const Resources need = countedNeed(step);
+        const std::size_t members = step.gang ? step.count : 1;
+        std::vector<std::pair<double, std::size_t>> order;
+        for (std::size_t m = 0; m < m_input.minions.size(); ++m) {
+            const MinionView &minion = m_input.minions[m];
+            if (eligible(candidate, minion) && minion.free.covers(need)
+                && (onlyRack == nullptr || minion.rack == *onlyRack)) {
+                order.emplace_back(leftOver(unit, step, minion, need), m);
+            }
+        }
+        std::sort(order.begin(), order.end());
+        std::vector<std::size_t> chosen;
+        for (const auto &[score, m] : order) {
+            Resources room = m_input.minions[m].free;
+            const auto found = perMinion.find(m);
+            std::uint32_t here = found == perMinion.end() ? 0 : found->second;
+            while (chosen.size() < members && room.covers(need)
+                   && (step.maxPerMinion == 0 || here < step.maxPerMinion)) {
+                room -= need;
+                ++here;
+                chosen.push_back(m);
+            }
+        }
+        return chosen.size() == members ? chosen : std::vector<std::size_t>();
+    }
+
+    bool startIfRoom(const Candidate &candidate, const UnitKey &unit, std::map<std::size_t, std::uint32_t> &perMinion)
+    {
+        std::vector<std::size_t> chosen;
+        if (candidate.spec().gang && candidate.spec().sameRack) {
+            for (const RackName &rack : racks()) {
+                chosen = findRoom(candidate, unit, perMinion, &rack);
+                if (!chosen.empty()) {
+                    break;
+                }
+            }
+        }
+        if (chosen.empty()) {
+            chosen = findRoom(candidate, unit, perMinion, nullptr);
+        }
+        if (chosen.empty()) {
+            return false;
+        }
+        take(chosen, countedNeed(candidate.spec()), perMinion);
+        m_decisions.starts.push_back({unit, std::move(chosen)});
+        return true;
+    }
+
+    void take(const std::vector<std::size_t> &chosen, const Resources &need,
+              std::map<std::size_t, std::uint32_t> &perMinion)
+    {
+        for (const std::size_t m : chosen) {
+            m_input.minions[m].free -= need;
+            ++perMinion[m];
+        }
+    }
+
+    std::vector<RackName> racks() const
+    {
+        std::set<RackName> names;
+        for (const MinionView &minion : m_input.minions) {
+            names.insert(minion.rack);
+        }
+        return {names.begin(), names.end()};
+    }
+
+    /** Whether @p victim may be stopped for @p candidate. */
+    [[nodiscard]] bool mayStop(const Candidate &candidate, const ActiveUnit &victim)
+    {
+        if (!victim.stoppable || victim.stopping) {
+            return false;
+        }
+        if (victim.priority > candidate.entry->job.priority) {
+            return true;
+        }
+        // Work beyond a team's guarantee is borrowed.
+        return candidate.guaranteed && victim.team != candidate.entry->job.team
+               && m_urgentGpus[victim.team] > m_input.config.guaranteedGpus(victim.team);
+    }
+
+    [[nodiscard]] static double stopCost(const ActiveUnit &victim)
+    {
+        return STOP_COST + weightOf(victim.need) * double(victim.minions.size()) * double(victim.unsavedMs) / 1000;
+    }
+
+    /** Stops what is least worth until all members have room, and keeps that room. Changes nothing if it can't be had.
+     */
+    bool makeRoom(const Candidate &candidate, const UnitKey &unit, std::map<std::size_t, std::uint32_t> &perMinion)
+    {
+        const Resources need = countedNeed(candidate.spec());
+        const std::size_t members = candidate.spec().gang ? candidate.spec().count : 1;
+        // 1. Room per minion: what is free and what is already being freed.
+        std::vector<Resources> room;
+        for (const MinionView &minion : m_input.minions) {
+            room.push_back(minion.free);
+            room.back() += minion.soon;
+        }
+        std::set<std::size_t> victims;
+        std::vector<std::size_t> chosen;
+        std::map<std::size_t, std::uint32_t> counts = perMinion;
+        // 2. Takes the cheapest minion for one member after the other.
+        while (chosen.size() < members) {
+            double best = NO_ROOM;
+            std::size_t bestMinion = 0;
+            std::vector<std::size_t> bestVictims;
+            for (std::size_t m = 0; m < room.size(); ++m) {
+                const std::uint32_t limit = candidate.spec().maxPerMinion;
+                if (!eligible(candidate, m_input.minions[m]) || (limit > 0 && counts[m] >= limit)) {
+                    continue;
+                }
+                auto [cost, needed] = cheapestVictims(candidate, m, room[m], need, victims);
+                if (cost < best) {
+                    best = cost;
+                    bestMinion = m;
+                    bestVictims = std::move(needed);
+                }
+            }
+            if (best == NO_ROOM) {
+                return false;
+            }
+            for (const std::size_t v : bestVictims) {
+                victims.insert(v);
+                for (const std::size_t m : m_input.active[v].minions) {
+                    room[m] += m_input.active[v].need;
+                }
+            }
+            room[bestMinion] -= need;
+            ++counts[bestMinion];
+            chosen.push_back(bestMinion);
+        }
+        // 3. Stops the victims and takes the room out of what others see.
+        for (const std::size_t v : victims) {
+            ActiveUnit &victim = m_input.active[v];
+            victim.stopping = true;
+            for (const std::size_t m : victim.minions) {
+                m_input.minions[m].soon += victim.need;
+            }
+            m_decisions.stops.push_back({victim.key, unit});
+        }
+        take(chosen, need, perMinion);
+        return true;
+    }
+
+    /** @return the cost of room for one member on minion @p m, and which further units have to be stopped for it */
+    std::pair<double, std::vector<std::size_t>> cheapestVictims(const Candidate &candidate, std::size_t m,
+                                                                Resources room, const Resources &need,
+                                                                const std::set<std::size_t> &chosen)
+    {
+        std::vector<std::size_t> needed;
+        if (room.covers(need)) {
+            return {0.0, needed};
+        }
+        std::vector<std::pair<double, std::size_t>> order;
+        for (std::size_t v = 0; v < m_input.active.size(); ++v) {
+            const ActiveUnit &victim = m_input.active[v];
+            const bool here = std::find(victim.minions.begin(), victim.minions.end(), m) != victim.minions.end();
+            if (here && !chosen.contains(v) && mayStop(candidate, victim)) {
+                order.emplace_back(stopCost(victim), v);
+            }
+        }
+        std::sort(order.begin(), order.end());
+        double cost = 0;
+        for (const auto &[victimCost, v] : order) {
+            const ActiveUnit &victim = m_input.active[v];
+            for (const std::size_t at : victim.minions) {
+                if (at == m) {
+                    room += victim.need;
+                }
+            }
+            cost += victimCost;
+            needed.push_back(v);
+            if (room.covers(need)) {
+                return {cost, needed};
+            }
+        }
+        return {NO_ROOM, {}};
+    }
+
+    PlanInput &m_input;
+    PlanDecisions m_decisions;
+    std::map<TeamName, std::int64_t> m_urgentGpus;
+    std::map<TeamName, std::int64_t> m_guaranteedDemand;
+};
+
+} // namespace
+
+Resources countedNeed(const StepSpec &step)
+{
+    Resources need = step.need;
+    if (step.fills) {
+        need.cores = 0;
+    }
+    return need;
+}
+
+Timeliness timelinessOf(const StepJob &job, std::int64_t sinceMs, std::int64_t nowMs, std::int64_t remainingMs)
+{
+    std::int64_t chain = 0;
+    std::vector<std::int64_t> ends(job.spec.steps.size());
+    for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
+        std::int64_t start = 0;
+        for (const std::uint32_t earlier : job.spec.steps[s].dependsOn) {
+            start = std::max(start, ends[earlier]);
+        }
+        ends[s] = start + job.spec.steps[s].estimate.count();
+        chain = std::max(chain, ends[s]);
+    }
+    const double objective = job.stretch * double(chain) + double(job.targetMs);
+    const double takes = double(nowMs - sinceMs + remainingMs);
+    if (takes <= objective) {
+        return Timeliness::InTime;
+    }
+    return takes <= LATE_FACTOR * objective ? Timeliness::Late : Timeliness::Worthless;
+}
+
+std::int64_t remainingChainMs(const JobEntry &entry, std::uint32_t occurrence)
+{
+    const auto &steps = entry.job.spec.steps;
+    std::int64_t chain = 0;
+    std::vector<std::int64_t> ends(steps.size());
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+        std::int64_t start = 0;
+        for (const std::uint32_t earlier : steps[s].dependsOn) {
+            start = std::max(start, ends[earlier]);
+        }
+        const StepProgress &progress = entry.occurrences[occurrence].steps[s];
+        const bool done = progress.done == progress.units.size();
+        ends[s] = start + (done ? 0 : steps[s].estimate.count());
+        chain = std::max(chain, ends[s]);
+    }
+    return chain;
+}
+
+PlanDecisions planSteps(PlanInput input)
+{
+    return Pass(input).run();
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/steps/stepscheduler.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "steps/deploymentconfig.h"
+#include "steps/jobbook.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+// Decides which units start where and which are stopped for others. Pure: it reads no clock and does no I/O, and the
+// same input gives the same decisions.
+//
+// Units are taken in this order: urgent work of a team within its guarantee; what can still be in time; what is late;
+// what has lost its worth; and among these by priority, then by age. What does not fit waits, and what comes after it
+// may fill the room. Urgent work that does not fit has less urgent work stopped; its room is then kept for it.
+
+namespace Papaya
+{
+
+/** A minion as the planner sees it. */
+struct MinionView {
+    MinionId id;
+    ServiceName service;
+    RackName rack;
+    std::vector<std::string> labels;
+    Resources capacity;
+    Resources free;            ///< what nothing runs in; may be negative after a change of capacity
+    Resources soon;            ///< what is being stopped and will be free
+    bool usable = true;        ///< takes new work
+    std::uint32_t penalty = 0; ///< a minion with a higher one is taken only after all others
+};
+
+/** A unit that has been placed and has not ended everywhere. */
+struct ActiveUnit {
+    UnitKey key;
+    TeamName team;
+    std::uint32_t priority = 0;
+    Resources need;                   ///< of one member
+    std::vector<std::size_t> minions; ///< of the members, as indices of the views
+    std::int64_t unsavedMs = 0;       ///< work that a stop now would lose
+    bool stopping = false;
+    bool stoppable = true;
+};
+
+/** What a pass decides upon. */
+struct PlanInput {
+    const JobBook &book;
+    const DeploymentConfig &config;
+    std::vector<MinionView> minions;
+    std::vector<ActiveUnit> active;
+    std::set<UnitKey> heldBack;                     ///< units that must not start now
+    std::map<UnitKey, std::vector<MinionId>> avoid; ///< where a unit has failed
+    std::int64_t nowMs = 0;                         ///< milliseconds since 1970
+};
+
+struct UnitStart {
+    UnitKey unit;
+    std::vector<std::size_t> minions; ///< of the members, as indices of the views
+};
+
+struct UnitStop {
+    UnitKey unit;
+    UnitKey beneficiary;
+};
+
+struct PlanDecisions {
+    std::vector<UnitStart> starts;
+    std::vector<UnitStop> stops;
+    std::vector<UnitKey> blocked; ///< the first unit of each step that found no room
+};
+
+/** @return what a task of @p step takes of a minion; the cores of a task that fills are not counted. */
+Resources countedNeed(const StepSpec &step);
+
+/** How a job stands against its objective. */
+enum class Timeliness { InTime, Late, Worthless };
+
+/**
+ * @param remainingMs the longest chain of work that is left
+ * @param sinceMs when the job or its occurrence was due
+ */
+Timeliness timelinessOf(const StepJob &job, std::int64_t sinceMs, std::int64_t nowMs, std::int64_t remainingMs);
+
+/** @return the longest chain of estimated work of the steps that are not done in @p occurrence. */
+std::int64_t remainingChainMs(const JobEntry &entry, std::uint32_t occurrence);
+
+/** One pass. */
+PlanDecisions planSteps(PlanInput input);
+
+} // namespace Papaya
