--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -161,7 +161,8 @@
 {
     const JobEntry *entry = m_context.book.find(id);
     if (entry != nullptr && !entry->live()) {
-        for (auto place = m_assignments.lower_bound(UnitKey {id}); place != m_assignments.end(); ++place) {
+        const UnitKey first {id, 0, 0, UnitKey::GANG}; // orders before every other unit of the job
+        for (auto place = m_assignments.lower_bound(first); place != m_assignments.end(); ++place) {
             if (place->first.job != id) {
                 break;
             }
