--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -24,6 +24,7 @@
 constexpr Millis LOOK_LIMIT {700};    // beyond the wait
 constexpr Millis ORDER_LIMIT {700};
 constexpr Millis LOOK_RETRY {150};
+constexpr std::uint32_t RENEWALS_UNANSWERED = 1; // a look that was lost on a dead connection is repeated with its grant
 constexpr Millis STOP_RETRY {300};
 constexpr Millis STOP_CONFIRM {250}; // a stop takes up to 200 ms
 constexpr Millis PASS_GAP {4};       // what comes within it shares a pass
@@ -495,7 +496,8 @@
     LookOrder order;
     order.fence = m_epoch;
     order.endsSeen = link->endsStored;
-    if (link->members > 0 && link->clock.known() && mayRenew()) {
+    // A minion that does not answer gets no further grants, so that what it may run lapses in time.
+    if (link->members > 0 && link->clock.known() && link->lookFailures <= RENEWALS_UNANSWERED && mayRenew()) {
         order.leaseUntilMs = link->clock.grant(sent, LEASE_MS);
     }
     const bool calm =
