--- a/packages/dispatch/jobfront.cpp
+++ b/packages/dispatch/jobfront.cpp
@@ -14,6 +14,8 @@
 
 constexpr Millis DEFAULT_DEADLINE {3'000};
 constexpr Millis ANSWER_MARGIN {150}; // an answer must reach the caller before it gives up
+constexpr Millis HEARSAY_LIMIT {500}; // nodes read the journal every 200 ms
+constexpr Millis HEARSAY_POLL {20};
 constexpr std::size_t ID_DIGITS = 16;
 constexpr const char *RETRY_SOON = "1"; // seconds
 
--- a/packages/dispatch/minionlink.h
+++ b/packages/dispatch/minionlink.h
@@ -24,6 +24,7 @@
     std::uint32_t lookFailures = 0;   ///< in a row
     std::uint32_t strikes = 0;        ///< failed runs without a good one between
     std::int64_t heldBackUntilMs = 0; ///< takes nothing new before
+    std::int64_t leavesAtMs = 0;      ///< not before, while draining
     std::int64_t blindUntilMs = 0;    ///< while never heard: an earlier planner's leases may last until then
 };
 
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -3,6 +3,7 @@
 #include "connection/waiter.h"
 #include "dispatch/boottime.h"
 #include "process/logging.h"
+#include "steps/evacuation.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -31,7 +32,8 @@
 constexpr std::int64_t NO_ROOM_PAUSE_MS = 500;
 constexpr std::int64_t UNHEALTHY_PAUSE_MS = 2'000;
 constexpr std::int64_t STRIKE_PAUSE_MS = 8'000;
-constexpr std::uint32_t STRIKES = 3; // failed runs in a row before a minion is left alone for a while
+constexpr std::uint32_t STRIKES = 3;       // failed runs in a row before a minion is left alone for a while
+constexpr std::int64_t ENTRY_LAG_MS = 600; // an entry may have been written so long before it was read
 constexpr std::int64_t STRAY_PAUSE_MS = 500;
 constexpr std::int64_t NEARLY_DONE_PERCENT = 85; // beyond it work is not stopped for other work
 
@@ -134,6 +136,9 @@
     }
     const bool changed =
         added || !link.listed || link.entry.draining != entry.draining || !(link.entry.capacity == entry.capacity);
+    if (entry.draining && (!link.entry.draining || entry.remainingMs < link.entry.remainingMs)) {
+        link.leavesAtMs = bootMillis() + entry.remainingMs - ENTRY_LAG_MS;
+    }
     if (entry.draining && !link.entry.draining) {
         logEvent(LogLevel::Info, "minion-draining",
                  {{"minion", entry.id.value()},
@@ -177,6 +182,7 @@
 {
     const std::int64_t now = bootMillis();
     loseLapsed();
+    evacuate();
     for (auto &[id, link] : m_links) {
         ensureWatched(link);
     }
@@ -540,6 +546,8 @@
     link->endsAcked = std::max(link->endsAcked, order.endsSeen);
     if (!link->fenceRaised) {
         link->fenceRaised = true;
+        // A predecessor may have renewed just before the fence was raised, and never later.
+        link->clock.grant(bootMillis(), LEASE_MS);
         requestPass();
     }
     handleReport(*link, answer.report, sent);
@@ -765,6 +773,25 @@
     }
 }
 
+void StepPlanner::evacuate()
+{
+    const std::int64_t now = bootMillis();
+    for (const auto &[unit, assignment] : m_assignments) {
+        for (const Member &member : assignment->members) {
+            const MinionLink &link = m_links.at(member.minion);
+            if (!link.entry.draining || member.state != MemberState::Running || assignment->outcome) {
+                continue;
+            }
+            const LeavingRun run {now - assignment->startedMs, assignment->percent, assignment->step.estimate.count(),
+                                  link.leavesAtMs - now, assignment->step.checkpointing};
+            if (shouldEvacuate(run)) {
+                stopAssignment(assignment, "minion-leaves");
+                break;
+            }
+        }
+    }
+}
+
 // --- Journal ---
 
 void StepPlanner::record(const UnitKey &unit, UnitStatus status)
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -101,6 +101,8 @@
     void settle(const AssignmentPtr &assignment);
     void finish(const AssignmentPtr &assignment);
     void loseLapsed();
+    /** Moves what would be lost with minions that leave. */
+    void evacuate();
 
     // Journal
     void record(const UnitKey &unit, UnitStatus status);
--- a/packages/process/logging.cpp
+++ b/packages/process/logging.cpp
@@ -79,7 +79,7 @@
 {
     instanceName() = escaped(instance.value());
     auto backend = boost::make_shared<Log::sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
     backend->auto_flush(true);
     auto sink = boost::make_shared<Log::sinks::synchronous_sink<Log::sinks::text_ostream_backend>>(backend);
     sink->set_formatter(Expressions::stream
--- a/packages/process/logging.h
+++ b/packages/process/logging.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-// Structured logs: one line of key=value pairs for each event, on standard error.
+// Structured logs: one line of key=value pairs for each event, on standard output.
 
 namespace Papaya
 {
--- a/tests/integration/cluster.cpp
+++ b/tests/integration/cluster.cpp
@@ -26,10 +26,8 @@
 constexpr unsigned THREADS = 3;
 constexpr Millis POLL {20};
 
-/**
- * @return an address whose port is free, below the range from which outgoing connections take theirs. Shards of a test
- * run take their ports from ranges of their own, since a stopped instance must find its port free when it starts again.
- */
+} // namespace
+
 Endpoint freeEndpoint(Asio::io_context &io)
 {
     constexpr unsigned FIRST_PORT = 12'000;
@@ -54,7 +52,6 @@
     const TimePoint begin = Clock::now();
     Answer answer;
     try {
-        // A fresh connection for each call, so that nothing is sent twice.
         HttpConnectionPtr connection = co_await pool.acquire(endpoint, Millis(0), begin + limit);
         HttpResponse response = co_await connection->exchange(request, begin + limit);
         answer = {response.status, std::move(response.fields), std::move(response.body), {}};
@@ -65,12 +62,12 @@
     co_return answer;
 }
 
-} // namespace
-
-InstanceProcess::InstanceProcess(std::string program, std::string settingsPath, std::string logPath)
+InstanceProcess::InstanceProcess(std::string program, std::string settingsPath, std::string logPath,
+                                 std::vector<std::string> options)
     : m_program(program.empty() ? PAPAYAHALLD_PATH : std::move(program))
     , m_settingsPath(std::move(settingsPath))
     , m_logPath(std::move(logPath))
+    , m_options(std::move(options))
 {
 }
 
@@ -83,10 +80,15 @@
 {
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, m_logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, m_logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     std::string program = m_program;
     std::string option = "--settings";
-    std::array<char *, 4> arguments {program.data(), option.data(), m_settingsPath.data(), nullptr};
+    std::vector<char *> arguments {program.data(), option.data(), m_settingsPath.data()};
+    for (std::string &more : m_options) {
+        arguments.push_back(more.data());
+    }
+    arguments.push_back(nullptr);
     ASSERT_EQ(0, posix_spawn(&m_pid, program.c_str(), &actions, nullptr, arguments.data(), environ));
     posix_spawn_file_actions_destroy(&actions);
 }
--- a/tests/integration/cluster.h
+++ b/tests/integration/cluster.h
@@ -27,7 +27,8 @@
 class InstanceProcess
 {
 public:
-    InstanceProcess(std::string program, std::string settingsPath, std::string logPath);
+    InstanceProcess(std::string program, std::string settingsPath, std::string logPath,
+                    std::vector<std::string> options = {});
     ~InstanceProcess();
     InstanceProcess(const InstanceProcess &) = delete;
     InstanceProcess &operator=(const InstanceProcess &) = delete;
@@ -51,6 +52,7 @@
     std::string m_program;
     std::string m_settingsPath;
     std::string m_logPath;
+    std::vector<std::string> m_options;
     int m_pid = -1;
 };
 
@@ -72,6 +74,15 @@
     }
 };
 
+/**
+ * @return an address whose port is free, below the range from which outgoing connections take theirs. Shards of a test
+ * run take their ports from ranges of their own, since a stopped instance must find its port free when it starts again.
+ */
+Endpoint freeEndpoint(Asio::io_context &io);
+
+/** Makes one call over a fresh connection, so that nothing is sent twice. */
+Asio::awaitable<Answer> exchange(HttpPool &pool, Endpoint endpoint, HttpRequest request, Millis limit);
+
 /** Sizes and proxies of a cluster. */
 struct ClusterOptions {
     std::size_t instances = 2;
--- /dev/null
+++ b/tests/integration/deployment.cpp
@@ -0,0 +1,205 @@
+#include "deployment.h"
+
+#include "steps/jobrecord.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace Papaya::Testing
+{
+
+namespace
+{
+
+constexpr unsigned THREADS = 2;
+constexpr Millis READY_LIMIT {10'000};
+constexpr std::int64_t DRAIN_LIMIT_MS = 4'000;
+
+Json queueConfig(const std::string &name, int priority)
+{
+    return {{"name", name},      {"host", "jobs.example"},    {"pathPrefix", "/" + name + "/"},
+            {"service", "desk"}, {"priority", priority},      {"attempts", 2},
+            {"stretch", 3.0},    {"targetDurationMs", 1'000}, {"authExempt", false}};
+}
+
+Json firstConfig()
+{
+    return {{"routes", {queueConfig("urgent", 0), queueConfig("plan", 1), queueConfig("batch", 2)}},
+            {"services", {{{"name", "desk"}, {"admissionCheck", true}}}},
+            {"tenants",
+             {{{"name", "a"}, {"apiKeys", {"key-a"}}, {"guaranteed", {{"gpu", 8}}}},
+              {{"name", "b"}, {"apiKeys", {"key-b"}}}}}};
+}
+
+} // namespace
+
+Deployment::Deployment(DeploymentOptions options)
+    : m_options(options)
+    , m_work(io.get_executor())
+    , m_pool(io)
+    , m_config(firstConfig())
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "papayahall-XXXXXX").string();
+    m_directory = ::mkdtemp(pattern.data());
+    for (unsigned i = 0; i < THREADS; ++i) {
+        m_threads.emplace_back([this] { io.run(); });
+    }
+    store.listen(io, {"127.0.0.1", 0});
+    for (std::size_t i = 0; i < options.minions; ++i) {
+        const std::string rack = "r" + std::to_string(i / options.minionsPerRack);
+        minions.push_back(
+            std::make_unique<Standins::PlatformMinionStandin>("i-" + std::to_string(i), "desk", rack, runs));
+        minions.back()->start(io, store);
+    }
+    for (std::size_t i = 0; i < options.nodes; ++i) {
+        m_callers.push_back(freeEndpoint(io));
+        m_ready.push_back(freeEndpoint(io));
+        const std::string base = m_directory + "/node-" + std::to_string(i);
+        const Json settings = {{"node", "node-" + std::to_string(i)}, {"place", "here"},
+                               {"callers", m_callers[i].toString()},  {"ready", m_ready[i].toString()},
+                               {"store", store.address().toString()}, {"drainLimitMs", DRAIN_LIMIT_MS}};
+        std::ofstream(base + ".json") << settings.dump(2);
+        nodes.push_back(std::make_unique<InstanceProcess>("", base + ".json", base + ".log",
+                                                          std::vector<std::string> {"--platform"}));
+    }
+}
+
+Deployment::~Deployment()
+{
+    for (auto &node : nodes) {
+        node->kill();
+    }
+    if (::testing::Test::HasFailure()) {
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            std::printf("--- log of node %zu\n%s\n", i, log(i).c_str());
+        }
+    }
+    m_work.reset();
+    io.stop();
+    for (std::thread &thread : m_threads) {
+        thread.join();
+    }
+    std::filesystem::remove_all(m_directory);
+}
+
+void Deployment::start()
+{
+    configure();
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+        startNode(i);
+    }
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+        ASSERT_TRUE(Cluster::eventually([&] { return ready(i); }, READY_LIMIT)) << "node " << i;
+    }
+    ASSERT_TRUE(Cluster::eventually([&] { return leader().has_value(); }, READY_LIMIT));
+}
+
+void Deployment::startNode(std::size_t index)
+{
+    nodes[index]->start();
+}
+
+std::uint64_t Deployment::configure(const std::function<void(Json &)> &change)
+{
+    if (change) {
+        change(m_config);
+    }
+    m_version += 3; // versions rise in uneven steps
+    m_config["version"] = m_version;
+    store.put("keyed.op", "config", m_config.dump());
+    return m_version;
+}
+
+std::string Deployment::newId()
+{
+    std::ostringstream id;
+    id << std::hex;
+    id.width(16);
+    id.fill('0');
+    id << 0xabc000 + ++m_ids;
+    return id.str();
+}
+
+Json Deployment::step(std::uint32_t count, const TaskShape &shape, const Json &more)
+{
+    Json step = {{"count", count}, {"cpu", shape.cpu}, {"memMb", shape.memoryMb}, {"estimateMs", 500}};
+    if (shape.gpus > 0) {
+        step["gpu"] = shape.gpus;
+    }
+    step.update(more);
+    return step;
+}
+
+Answer Deployment::submit(std::size_t node, const std::string &queue, const std::string &id, const Json &steps,
+                          const Json &work, const Json &more)
+{
+    // A list of one step in braces is that step itself.
+    Json body = {{"taskSpec", work.dump()}, {"steps", steps.is_array() ? steps : Json::array({steps})}};
+    body.update(more);
+    return call(node, "POST", queue, id, body.dump());
+}
+
+Answer Deployment::call(std::size_t node, const std::string &method, const std::string &queue, const std::string &id,
+                        const std::string &body, const std::string &key, Millis limit)
+{
+    HttpRequest request {method, "/" + queue + "/" + id, {}, body};
+    request.fields.set("Host", "jobs.example");
+    request.fields.set("Papayahall-Key", key);
+    request.fields.set("Papayahall-Deadline-Remaining", "3000");
+    return Asio::co_spawn(io, exchange(m_pool, m_callers[node], std::move(request), limit), Asio::use_future).get();
+}
+
+std::string Deployment::state(std::size_t node, const std::string &queue, const std::string &id)
+{
+    const Answer answer = call(node, "GET", queue, id);
+    return answer.status == 200 ? answer.json().value("state", "") : "";
+}
+
+bool Deployment::becomes(const std::string &queue, const std::string &id, const std::string &wanted, Millis limit,
+                         std::size_t node)
+{
+    return Cluster::eventually([&] { return state(node, queue, id) == wanted; }, limit);
+}
+
+bool Deployment::ready(std::size_t node)
+{
+    const HttpRequest request {"GET", "/-/ready", {}, {}};
+    const Answer answer =
+        Asio::co_spawn(io, exchange(m_pool, m_ready[node], request, Millis(500)), Asio::use_future).get();
+    return answer.status == 200;
+}
+
+std::optional<std::size_t> Deployment::leader()
+{
+    const std::string value = store.newest("keyed.journal", "q");
+    const auto record = decodeRecord("q", value);
+    if (value.empty() || !record || std::get<PlannerSign>(*record).resigned) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(std::stoul(std::get<PlannerSign>(*record).node.substr(5)));
+}
+
+std::string Deployment::log(std::size_t node) const
+{
+    const std::ifstream file(m_directory + "/node-" + std::to_string(node) + ".log");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+Standins::PlatformMinionStandin &Deployment::minion(const std::string &id)
+{
+    for (auto &minion : minions) {
+        if (minion->id() == id) {
+            return *minion;
+        }
+    }
+    throw std::out_of_range(id);
+}
+
+} // namespace Papaya::Testing
--- /dev/null
+++ b/tests/standins/platformminionstandin.cpp
@@ -0,0 +1,396 @@
+#include "standins/platformminionstandin.h"
+
+#include "standins/platformstorestandin.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace Papaya::Standins
+{
+
+namespace
+{
+
+constexpr Millis TICK {10};
+constexpr std::int64_t STOP_MS = 50;
+constexpr std::int64_t MAX_HOLD_MS = 10'000;
+constexpr std::int64_t CHECKPOINT_MS = 200;
+constexpr std::int64_t CLOCK_AHEAD_MS = 1'000'000; // a clock of its own
+
+HttpResponse noAnswer()
+{
+    HttpResponse response;
+    response.status = 0;
+    return response;
+}
+
+std::string stepOf(const std::string &task)
+{
+    return task.substr(0, task.rfind('.'));
+}
+
+} // namespace
+
+std::vector<TaskRun> PlatformRuns::all() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_runs;
+}
+
+std::vector<TaskRun> PlatformRuns::of(const std::string &prefix) const
+{
+    std::vector<TaskRun> runs = all();
+    std::erase_if(runs, [&](const TaskRun &run) { return !run.task.starts_with(prefix); });
+    return runs;
+}
+
+std::vector<std::string> PlatformRuns::doubled() const
+{
+    std::vector<std::string> lines;
+    const std::vector<TaskRun> runs = all();
+    for (std::size_t i = 0; i < runs.size(); ++i) {
+        for (std::size_t j = 0; j < runs.size(); ++j) {
+            const TaskRun &first = runs[i];
+            const TaskRun &second = runs[j];
+            if (i == j || first.task != second.task || second.startedMs < first.startedMs
+                || (second.startedMs == first.startedMs && j < i)) {
+                continue;
+            }
+            const bool together = first.endedMs == 0 || second.startedMs < first.endedMs;
+            if (together || first.how == "done") {
+                lines.push_back(first.task + " run " + std::to_string(first.run) + " on " + first.minion + " and run "
+                                + std::to_string(second.run) + " on " + second.minion);
+            }
+        }
+    }
+    return lines;
+}
+
+std::size_t PlatformRuns::begin(TaskRun run)
+{
+    const std::lock_guard lock(m_mutex);
+    run.startedMs = nowMs();
+    m_runs.push_back(std::move(run));
+    return m_runs.size() - 1;
+}
+
+void PlatformRuns::end(std::size_t index, const std::string &how)
+{
+    const std::lock_guard lock(m_mutex);
+    m_runs[index].endedMs = nowMs();
+    m_runs[index].how = how;
+}
+
+PlatformMinionStandin::PlatformMinionStandin(std::string id, std::string service, std::string rack, PlatformRuns &runs)
+    : m_id(std::move(id))
+    , m_service(std::move(service))
+    , m_rack(std::move(rack))
+    , m_runs(runs)
+    , m_bornMs(nowMs())
+{
+}
+
+void PlatformMinionStandin::start(Asio::io_context &io, PlatformStoreStandin &store)
+{
+    m_store = &store;
+    listen(io, {"127.0.0.1", 0});
+    list();
+    Asio::co_spawn(io, live(*this), Asio::detached);
+}
+
+void PlatformMinionStandin::setFaults(const PlatformMinionFaults &faults)
+{
+    const std::lock_guard lock(m_mutex);
+    m_faults = faults;
+}
+
+void PlatformMinionStandin::drain(std::int64_t remainingMs)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_state = "draining";
+        m_remainingMs = remainingMs;
+    }
+    list();
+}
+
+void PlatformMinionStandin::reborn()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &[task, running] : m_running) {
+            m_runs.end(running.index, "gone");
+        }
+        m_running.clear();
+        m_ends.clear();
+        m_lastRun.clear();
+        m_fence = 0;
+        m_endCount = 0;
+        m_leaseUntilMs = 0;
+        m_bornMs = nowMs();
+    }
+    list();
+}
+
+void PlatformMinionStandin::setCapacity(std::int64_t cpu, std::int64_t memoryMb, std::int64_t gpus)
+{
+    const std::lock_guard lock(m_mutex);
+    m_cpu = cpu;
+    m_memoryMb = memoryMb;
+    m_gpus = gpus;
+}
+
+std::uint64_t PlatformMinionStandin::highestFence() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_fence;
+}
+
+std::size_t PlatformMinionStandin::endsListed() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_ends.size();
+}
+
+void PlatformMinionStandin::list()
+{
+    Json entry;
+    {
+        const std::lock_guard lock(m_mutex);
+        entry = {{"service", m_service},
+                 {"address", address().toString()},
+                 {"zone", "here"},
+                 {"version", "v1"},
+                 {"slots", 8},
+                 {"state", m_state},
+                 {"coldRemainingMs", 0},
+                 {"capacity", {{"cpu", m_cpu}, {"memMb", m_memoryMb}, {"gpu", m_gpus}}},
+                 {"labels", {"a", m_rack}},
+                 {"born", m_bornMs},
+                 {"clockMs", clock()},
+                 {"sequence", ++m_sequence}};
+        if (m_state == "draining") {
+            entry["remainingMs"] = m_remainingMs;
+        }
+    }
+    m_store->put("keyed.servers", m_id, entry.dump());
+}
+
+std::int64_t PlatformMinionStandin::clock() const
+{
+    return nowMs() - m_bornMs + CLOCK_AHEAD_MS;
+}
+
+Asio::awaitable<void> PlatformMinionStandin::live(PlatformMinionStandin &self)
+{
+    std::int64_t last = nowMs();
+    for (;;) {
+        co_await sleepFor(TICK);
+        const std::int64_t now = nowMs();
+        const std::lock_guard lock(self.m_mutex);
+        self.advance(now - last);
+        last = now;
+    }
+}
+
+bool PlatformMinionStandin::gangPresent(const std::string &task, const Running &running) const
+{
+    if (running.gang <= 1) {
+        return true;
+    }
+    const std::vector<TaskRun> all = m_runs.of(stepOf(task) + ".");
+    return std::count_if(all.begin(), all.end(), [&](const TaskRun &run) { return run.run == running.run; })
+           >= static_cast<std::ptrdiff_t>(running.gang);
+}
+
+void PlatformMinionStandin::advance(std::int64_t byMs)
+{
+    std::vector<std::pair<std::string, std::string>> ended;
+    for (auto &[task, running] : m_running) {
+        if (clock() > m_leaseUntilMs) {
+            ended.emplace_back(task, "lapsed");
+        } else if (running.stopAtMs && clock() >= *running.stopAtMs) {
+            ended.emplace_back(task, "stopped");
+        } else if (m_faults.failAll || running.run <= running.fails) {
+            ended.emplace_back(task, "failed");
+        } else if (!m_faults.hang && gangPresent(task, running)) {
+            running.doneMs += byMs;
+            if (running.doneMs >= running.workMs) {
+                ended.emplace_back(task, "done");
+            }
+        }
+    }
+    for (const auto &[task, how] : ended) {
+        endRun(task, how);
+    }
+}
+
+void PlatformMinionStandin::endRun(const std::string &task, const std::string &how)
+{
+    const Running running = m_running.at(task);
+    m_running.erase(task);
+    m_lastRun[task] = std::max(m_lastRun[task], running.run);
+    m_runs.end(running.index, how);
+    const std::string checkpoint = how == "done" ? "" : std::to_string(running.doneMs);
+    m_ends.push_back({++m_endCount, task, running.run, how, checkpoint});
+}
+
+bool PlatformMinionStandin::fenced(const Json &body)
+{
+    const std::uint64_t fence = body.value("fence", std::uint64_t(0));
+    if (fence < m_fence) {
+        return true;
+    }
+    m_fence = fence;
+    return false;
+}
+
+HttpResponse PlatformMinionStandin::refusal(const std::string &reason) const
+{
+    return jsonAnswer(409, {{"clockMs", clock()}, {"reason", reason}});
+}
+
+Asio::awaitable<HttpResponse> PlatformMinionStandin::serve(HttpRequest request)
+{
+    const std::string path(request.path());
+    const Json body = bodyOf(request);
+    std::int64_t lateMs = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_faults.deaf) {
+            co_return noAnswer();
+        }
+        if (path == "/-/run-start" && m_faults.lateStarts > 0) {
+            --m_faults.lateStarts;
+            lateMs = m_faults.lateMs;
+        }
+    }
+    if (lateMs > 0) {
+        co_await sleepFor(Millis(lateMs));
+        startRun(body);
+        co_return noAnswer();
+    }
+    if (path == "/-/run-start") {
+        co_return startRun(body);
+    }
+    if (path == "/-/run-stop") {
+        co_return stopRun(body);
+    }
+    if (path == "/-/hold") {
+        co_return co_await hold(body);
+    }
+    co_return jsonAnswer(404, Json::object());
+}
+
+HttpResponse PlatformMinionStandin::startRun(const Json &body)
+{
+    const std::lock_guard lock(m_mutex);
+    const std::string task = body.at("task");
+    const std::uint32_t run = body.at("run");
+    if (fenced(body)) {
+        return refusal("fence");
+    }
+    m_leaseUntilMs = std::max(m_leaseUntilMs, std::min(body.at("untilMs").get<std::int64_t>(), clock() + MAX_HOLD_MS));
+    const auto found = m_running.find(task);
+    if (found != m_running.end() && found->second.run == run) {
+        return jsonAnswer(200, {{"clockMs", clock()}});
+    }
+    if (found != m_running.end() || (m_lastRun.contains(task) && run <= m_lastRun[task])) {
+        return refusal("old");
+    }
+    if (body.at("untilMs").get<std::int64_t>() < clock()) {
+        return refusal("late");
+    }
+    if (m_faults.refuseStarts > 0) {
+        --m_faults.refuseStarts;
+        return refusal("room");
+    }
+    const Json spec = Json::parse(body.value("taskSpec", "{}"), nullptr, false);
+    const std::string checkpoint = body.value("checkpoint", "");
+    Running running;
+    running.run = run;
+    running.workMs = spec.value("workMs", 100);
+    running.doneMs = checkpoint.empty() ? 0 : std::stoll(checkpoint);
+    running.gang = spec.value("gang", 1U);
+    running.fails = spec.value("fails", 0U);
+    running.startedMs = clock();
+    TaskRun record;
+    record.task = task;
+    record.run = run;
+    record.minion = m_id;
+    record.checkpoint = checkpoint;
+    running.index = m_runs.begin(record);
+    m_running[task] = running;
+    return jsonAnswer(200, {{"clockMs", clock()}});
+}
+
+HttpResponse PlatformMinionStandin::stopRun(const Json &body)
+{
+    const std::lock_guard lock(m_mutex);
+    const std::string task = body.at("task");
+    const std::uint32_t run = body.at("run");
+    if (fenced(body)) {
+        return refusal("fence");
+    }
+    const auto found = m_running.find(task);
+    if (found != m_running.end() && found->second.run <= run) {
+        if (!found->second.stopAtMs) {
+            found->second.stopAtMs = clock() + STOP_MS;
+        }
+    } else {
+        m_lastRun[task] = std::max(m_lastRun[task], run);
+    }
+    return jsonAnswer(200, {{"clockMs", clock()}});
+}
+
+Json PlatformMinionStandin::report() const
+{
+    Json running = Json::array();
+    for (const auto &[task, run] : m_running) {
+        const std::int64_t saved = run.doneMs / CHECKPOINT_MS * CHECKPOINT_MS;
+        const std::int64_t percent = run.workMs > 0 ? 100 * run.doneMs / run.workMs : 0;
+        running.push_back({task, run.run, saved > 0 ? std::to_string(saved) : "", percent, 0});
+    }
+    Json ended = Json::array();
+    for (const End &end : m_ends) {
+        ended.push_back({end.number, end.task, end.run, end.how, end.checkpoint});
+    }
+    return {{"clockMs", clock()}, {"born", m_bornMs}, {"runningTasks", running}, {"ended", ended}};
+}
+
+Asio::awaitable<HttpResponse> PlatformMinionStandin::hold(Json body)
+{
+    const std::uint64_t seen = body.value("lastSeen", std::uint64_t(0));
+    const TimePoint deadline = Clock::now() + Millis(body.value("waitMs", 0));
+    bool first = true;
+    for (;;) {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_faults.deaf) {
+                co_return noAnswer();
+            }
+            if (first && fenced(body)) {
+                co_return refusal("fence");
+            }
+            if (first && body.contains("untilMs")) {
+                m_leaseUntilMs =
+                    std::max(m_leaseUntilMs, std::min(body["untilMs"].get<std::int64_t>(), clock() + MAX_HOLD_MS));
+            }
+            std::erase_if(m_ends, [seen](const End &end) { return end.number <= seen; });
+            if (!m_ends.empty() || Clock::now() >= deadline) {
+                co_return jsonAnswer(200, report());
+            }
+        }
+        first = false;
+        co_await sleepFor(TICK);
+    }
+}
+
+HttpResponse PlatformMinionStandin::control(const HttpRequest &)
+{
+    return jsonAnswer(404, Json::object());
+}
+
+} // namespace Papaya::Standins
--- /dev/null
+++ b/tests/standins/platformstorestandin.cpp
@@ -0,0 +1,245 @@
+#include "standins/platformstorestandin.h"
+
+#include "base/codec.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+
+namespace Papaya::Standins
+{
+
+namespace
+{
+
+constexpr Millis POLL {5};
+constexpr std::size_t KEPT_ANSWERS = 5;
+constexpr std::size_t PAGE_ITEMS = 500;
+constexpr Millis SILENCE {60'000};
+
+std::string bigEndian(std::uint64_t number, int bytes)
+{
+    std::string text;
+    for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8) {
+        text += static_cast<char>(number >> shift & 0xff);
+    }
+    return text;
+}
+
+std::uint64_t numberOf(std::string_view bytes)
+{
+    std::uint64_t number = 0;
+    for (const char byte : bytes) {
+        number = number << 8 | static_cast<unsigned char>(byte);
+    }
+    return number;
+}
+
+HttpResponse noAnswer()
+{
+    HttpResponse response;
+    response.status = 0;
+    return response;
+}
+
+} // namespace
+
+void PlatformStoreStandin::setFaults(const StoreFaults &faults)
+{
+    const std::lock_guard lock(m_mutex);
+    m_faults = faults;
+}
+
+void PlatformStoreStandin::put(const std::string &topic, const std::string &key, const std::string &value)
+{
+    const std::lock_guard lock(m_mutex);
+    add(m_topics[topic], {key, value});
+}
+
+void PlatformStoreStandin::compact(const std::string &topic)
+{
+    const std::lock_guard lock(m_mutex);
+    TopicLog &log = m_topics[topic];
+    log.first = log.end();
+    log.kept.clear();
+}
+
+std::string PlatformStoreStandin::newest(const std::string &topic, const std::string &key) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto log = m_topics.find(topic);
+    if (log == m_topics.end() || !log->second.newest.contains(key)) {
+        return {};
+    }
+    return log->second.newest.at(key).second;
+}
+
+std::vector<std::pair<std::string, std::string>> PlatformStoreStandin::history(const std::string &topic) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::pair<std::string, std::string>> all;
+    const auto log = m_topics.find(topic);
+    if (log != m_topics.end()) {
+        for (const Record &record : log->second.all) {
+            all.emplace_back(record.key, record.value);
+        }
+    }
+    return all;
+}
+
+void PlatformStoreStandin::add(TopicLog &log, const Record &record)
+{
+    log.newest[record.key] = {log.end(), record.value};
+    if (record.value.empty()) {
+        log.newest.erase(record.key);
+    }
+    log.kept.push_back(record);
+    log.all.push_back(record);
+}
+
+Asio::awaitable<HttpResponse> PlatformStoreStandin::serve(HttpRequest request)
+{
+    StoreFaults faults;
+    {
+        const std::lock_guard lock(m_mutex);
+        faults = m_faults;
+    }
+    if (faults.delayMs > 0) {
+        co_await sleepFor(Millis(faults.delayMs));
+    }
+    if (faults.silent) {
+        co_await sleepFor(SILENCE);
+        co_return noAnswer();
+    }
+    if (faults.busy) {
+        co_return jsonAnswer(503, Json::object());
+    }
+    const std::string path(request.path());
+    if (path == "/-/log-append") {
+        co_return co_await append(std::move(request));
+    }
+    if (path == "/-/log-read") {
+        co_return co_await read(std::move(request));
+    }
+    if (path == "/-/log-newest") {
+        co_return newestPage(request);
+    }
+    co_return jsonAnswer(404, Json::object());
+}
+
+Asio::awaitable<HttpResponse> PlatformStoreStandin::append(HttpRequest request)
+{
+    std::int64_t lateMs = 0;
+    bool late = false;
+    bool lost = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        late = m_faults.lateAppends > 0;
+        lost = !late && m_faults.loseAnswers > 0;
+        lateMs = m_faults.lateMs;
+        m_faults.lateAppends -= late ? 1 : 0;
+        m_faults.loseAnswers -= lost ? 1 : 0;
+    }
+    if (late) {
+        co_await sleepFor(Millis(lateMs));
+        appendNow(request);
+        co_return noAnswer();
+    }
+    HttpResponse response = appendNow(request);
+    co_return lost ? noAnswer() : std::move(response);
+}
+
+HttpResponse PlatformStoreStandin::appendNow(const HttpRequest &request)
+{
+    const std::lock_guard lock(m_mutex);
+    TopicLog &log = m_topics[std::string(request.query("topic"))];
+    const std::string producer(request.query("producer"));
+    const auto epoch = static_cast<std::uint64_t>(queryNumber(request, "epoch", 0));
+    const auto sequence = static_cast<std::uint64_t>(queryNumber(request, "sequence", 0));
+    if (!producer.empty()) {
+        Writer &writer = log.writers[producer];
+        if (epoch < writer.epoch) {
+            return jsonAnswer(409, {{"reason", "fenced"}});
+        }
+        if (epoch > writer.epoch) {
+            writer = {epoch, sequence - 1, {}};
+        }
+        if (const auto repeat = writer.answers.find(sequence); repeat != writer.answers.end()) {
+            return jsonAnswer(200, repeat->second);
+        }
+        if (sequence != writer.sequence + 1) {
+            return jsonAnswer(409, {{"reason", "seq"}, {"sequence", writer.sequence + 1}});
+        }
+    }
+    const std::uint64_t offset = log.end();
+    std::string_view bytes = request.body;
+    while (bytes.size() >= 4) {
+        const std::size_t length = numberOf(bytes.substr(0, 4));
+        const std::string_view record = bytes.substr(4, length);
+        bytes.remove_prefix(4 + length);
+        const auto keyLength = static_cast<unsigned char>(record[0]);
+        add(log, {std::string(record.substr(1, keyLength)), std::string(record.substr(1 + keyLength))});
+    }
+    const Json answer = {{"offset", offset}, {"end", log.end()}};
+    if (!producer.empty()) {
+        Writer &writer = log.writers[producer];
+        writer.sequence = sequence;
+        writer.answers[sequence] = answer;
+        if (writer.answers.size() > KEPT_ANSWERS) {
+            writer.answers.erase(writer.answers.begin());
+        }
+    }
+    return jsonAnswer(200, answer);
+}
+
+Asio::awaitable<HttpResponse> PlatformStoreStandin::read(HttpRequest request)
+{
+    const std::string topic(request.query("topic"));
+    const auto from = static_cast<std::uint64_t>(queryNumber(request, "from", 0));
+    const TimePoint deadline = Clock::now() + Millis(queryNumber(request, "waitMs", 0));
+    for (;;) {
+        {
+            const std::lock_guard lock(m_mutex);
+            const TopicLog &log = m_topics[topic];
+            if (m_faults.silent) {
+                co_return noAnswer();
+            }
+            if (from < log.first) {
+                co_return jsonAnswer(410, {{"first", log.first}});
+            }
+            if (from < log.end() || Clock::now() >= deadline) {
+                HttpResponse response;
+                response.body = bigEndian(log.end(), 8) + bigEndian(log.first, 8);
+                for (std::uint64_t offset = from; offset < log.end(); ++offset) {
+                    const Record &record = log.kept[offset - log.first];
+                    response.body += bigEndian(1 + record.key.size() + record.value.size(), 4);
+                    response.body += static_cast<char>(record.key.size());
+                    response.body += record.key + record.value;
+                }
+                co_return response;
+            }
+        }
+        co_await sleepFor(POLL);
+    }
+}
+
+HttpResponse PlatformStoreStandin::newestPage(const HttpRequest &request)
+{
+    const std::lock_guard lock(m_mutex);
+    const TopicLog &log = m_topics[std::string(request.query("topic"))];
+    const std::string after(request.query("dependsOn"));
+    Json items = Json::array();
+    auto place = after.empty() ? log.newest.begin() : log.newest.upper_bound(after);
+    for (; place != log.newest.end() && items.size() < PAGE_ITEMS; ++place) {
+        items.push_back(
+            {{"key", place->first}, {"value", toBase64(place->second.second)}, {"offset", place->second.first}});
+    }
+    return jsonAnswer(200, {{"items", items}, {"hasMore", place != log.newest.end()}, {"end", log.end()}});
+}
+
+HttpResponse PlatformStoreStandin::control(const HttpRequest &)
+{
+    return jsonAnswer(404, Json::object());
+}
+
+} // namespace Papaya::Standins
