Refuse a job only where no try can have stored it

StepStore.ThatLosesAnAnswerAndThenIsBusyIsNoReasonToRefuse fails on the call as it was (503 instead of 504). The same holds for starts: a refusal of the second order says nothing about the first.

--- a/packages/connection/httpclient.cpp
+++ b/packages/connection/httpclient.cpp
@@ -216,6 +216,19 @@
     m_idle.erase(endpoint.toString());
 }
 
+Asio::awaitable<HttpResponse> HttpPool::exchangeOnce(Endpoint endpoint, HttpRequest request, TimePoint deadline)
+{
+    HttpConnectionPtr connection = co_await acquire(endpoint, KEPT_SILENCE, deadline);
+    try {
+        HttpResponse response = co_await connection->exchange(request, deadline);
+        release(endpoint, std::move(connection));
+        co_return response;
+    } catch (const HttpError &) {
+        dropIdle(endpoint);
+        throw;
+    }
+}
+
 Asio::awaitable<HttpResponse> HttpPool::exchange(Endpoint endpoint, HttpRequest request, TimePoint deadline)
 {
     if (HttpConnectionPtr kept = takeIdle(endpoint, KEPT_SILENCE)) {
--- a/packages/connection/httpclient.h
+++ b/packages/connection/httpclient.h
@@ -105,6 +105,12 @@
     /** Closes every idle connection to @p endpoint. */
     void dropIdle(const Endpoint &endpoint);
 
+    /**
+     * One whole exchange of a request that is sent at most once. A failure drops every idle connection to the endpoint.
+     * @throws HttpError; only one with stage Connect says that the other side has not acted
+     */
+    Asio::awaitable<HttpResponse> exchangeOnce(Endpoint endpoint, HttpRequest request, TimePoint deadline);
+
     /**
      * One whole exchange of a request that may be sent twice: where a kept connection turns out to be closed, a fresh
      * one is tried, and a timeout drops every idle connection to the endpoint.
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -24,6 +24,7 @@
 constexpr Millis LOOK_WAIT {1'500};   // for an end
 constexpr Millis LOOK_LIMIT {700};    // beyond the wait
 constexpr Millis ORDER_LIMIT {700};
+constexpr int START_TRIES = 2;
 constexpr Millis LOOK_RETRY {150};
 constexpr std::uint32_t RENEWALS_UNANSWERED = 1; // a look that was lost on a dead connection is repeated with its grant
 constexpr Millis STOP_RETRY {300};
@@ -357,7 +358,9 @@
     order.checkpoint = assignment->checkpoint;
     order.fence = self->m_epoch;
     OrderAnswer answer;
-    for (int i = 0; i < 2 && answer.outcome == OrderOutcome::NoAnswer; ++i) {
+    bool doubtful = false;
+    for (int i = 0; i < START_TRIES && answer.outcome == OrderOutcome::NoAnswer; ++i) {
+        doubtful = i > 0;
         if (!self->mayRenew() || assignment->stopping || member.state != MemberState::Ordered) {
             break;
         }
@@ -377,6 +380,9 @@
                   {"outcome", toString(answer.outcome)}});
     }
     const std::int64_t now = bootMillis();
+    if (doubtful && answer.outcome != OrderOutcome::Done && answer.outcome != OrderOutcome::Fenced) {
+        answer.outcome = OrderOutcome::NoAnswer; // a refusal of the second order says nothing about the first
+    }
     switch (answer.outcome) {
     case OrderOutcome::Done:
         if (member.state == MemberState::Ordered) {
@@ -756,9 +762,8 @@
         for (std::size_t i = 0; i < assignment->members.size(); ++i) {
             const Member &member = assignment->members[i];
             const MinionLink &link = m_links.at(member.minion);
-            const bool lapsed = link.clock.known()
-                                    ? link.lookFailures > 0 && link.clock.lapsed(now) && now > link.blindUntilMs
-                                    : now > link.blindUntilMs;
+            const bool lapsed =
+                link.clock.known() ? link.lookFailures > 0 && link.clock.lapsed(now) : now > link.blindUntilMs;
             if (member.state != MemberState::Gone && lapsed) {
                 lost.emplace_back(assignment, i);
             }
--- a/tests/integration/stepjobs.cpp
+++ b/tests/integration/stepjobs.cpp
@@ -355,6 +355,22 @@
     EXPECT_TRUE(deployment.becomes("plan", after, "completed"));
 }
 
+TEST(StepStore, ThatLosesAnAnswerAndThenIsBusyIsNoReasonToRefuse)
+{
+    Deployment deployment;
+    deployment.start();
+    // The connection of the lost answer has been used before, so that a call could hide that it was sent twice.
+    ASSERT_EQ(200, deployment.submit(0, "plan", deployment.newId(), {Deployment::step(1)}).status);
+    StoreFaults faults;
+    faults.loseAnswers = 1;
+    faults.busyAfterLoss = true;
+    deployment.store.setFaults(faults);
+    const std::string id = deployment.newId();
+    EXPECT_EQ(504, deployment.submit(0, "plan", id, {Deployment::step(1)}).status);
+    deployment.store.setFaults({});
+    EXPECT_TRUE(deployment.becomes("plan", id, "completed"));
+}
+
 TEST(StepStore, ThatLosesAnswersOrActsLateDoublesNothing)
 {
     Deployment deployment;
--- a/tests/standins/platformstorestandin.cpp
+++ b/tests/standins/platformstorestandin.cpp
@@ -139,6 +139,7 @@
         lateMs = m_faults.lateMs;
         m_faults.lateAppends -= late ? 1 : 0;
         m_faults.loseAnswers -= lost ? 1 : 0;
+        m_faults.busy = m_faults.busy || (lost && m_faults.busyAfterLoss);
     }
     if (late) {
         co_await sleepFor(Millis(lateMs));
--- a/tests/standins/platformstorestandin.h
+++ b/tests/standins/platformstorestandin.h
@@ -18,6 +18,7 @@
     bool silent = false;          ///< no call is answered, and nothing is done
     std::int64_t delayMs = 0;     ///< before each answer
     std::int64_t loseAnswers = 0; ///< appends that take effect without an answer
+    bool busyAfterLoss = false;   ///< busy from the first lost answer on
     std::int64_t lateAppends = 0; ///< appends without an answer that take effect after lateMs, if still allowed then
     std::int64_t lateMs = 0;
 };
