Keep gangs on one rack and tasks near their data while the fleet is busy; let in-time work stop less urgent work

Cause: work away from its data or over several racks takes three times as long and took the room of others; planning gangs waited behind batch work that had filled the minions; victims were chosen as if work that checkpoints were lost by a stop.

--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -36,6 +36,7 @@
 constexpr std::uint32_t STRIKES = 3;       // failed runs in a row before a minion is left alone for a while
 constexpr std::int64_t ENTRY_LAG_MS = 600; // an entry may have been written so long before it was read
 constexpr std::int64_t STRAY_PAUSE_MS = 500;
+constexpr std::int64_t RESTORE_MS = 600; // a stop saves the work of a task that checkpoints; resuming takes this long
 constexpr std::int64_t NEARLY_DONE_PERCENT = 85; // beyond it work is not stopped for other work
 
 } // namespace
@@ -271,7 +272,7 @@
                 active.minions.push_back(places.at(member.minion));
             }
         }
-        active.unsavedMs = now - (assignment->step.checkpointing ? assignment->savedMs : assignment->startedMs);
+        active.lossMs = assignment->step.checkpointing ? RESTORE_MS : now - assignment->startedMs;
         active.stopping = assignment->stopping || assignment->outcome.has_value();
         active.stoppable = !assignment->step.longRunning && assignment->percent < NEARLY_DONE_PERCENT;
         input.active.push_back(std::move(active));
--- a/packages/steps/stepscheduler.cpp
+++ b/packages/steps/stepscheduler.cpp
@@ -15,6 +15,7 @@
 constexpr std::int64_t DUE_MARGIN_MS = 20; // clocks of nodes differ slightly; a start before its time is an error
 constexpr double GPU_IN_CORES = 8;         // a GPU weighs as much as this many cores
 constexpr double STOP_COST = 1;            // core-seconds; keeps needless stops away
+constexpr std::uint32_t MAX_MEMBERS_A_MINION = 64;
 constexpr double NO_ROOM = std::numeric_limits<double>::max();
 
 double weightOf(const Resources &need)
@@ -178,12 +179,10 @@
     }
 
     /** How little a member of @p need on @p minion leaves behind; smaller is better. */
-    [[nodiscard]] double leftOver(const UnitKey &unit, const StepSpec &step, const MinionView &minion,
-                                  const Resources &need) const
+    [[nodiscard]] double leftOver(const UnitKey &unit, const MinionView &minion, const Resources &need) const
     {
         double score = 1e6 * minion.penalty;
         score += avoided(unit, minion) ? 1e8 : 0;
-        score += !step.dataRack.value().empty() && minion.rack != step.dataRack ? 1e4 : 0;
         score += 100 * double(minion.free.gpus - need.gpus);
         score += 10 * double(minion.free.memoryMb - need.memoryMb)
                  / double(std::max<std::int64_t>(1, minion.capacity.memoryMb));
@@ -204,7 +203,7 @@
             const MinionView &minion = m_input.minions[m];
             if (eligible(candidate, minion) && minion.free.covers(need)
                 && (onlyRack == nullptr || minion.rack == *onlyRack)) {
-                order.emplace_back(leftOver(unit, step, minion, need), m);
+                order.emplace_back(leftOver(unit, minion, need), m);
             }
         }
         std::sort(order.begin(), order.end());
@@ -225,42 +224,80 @@
 
     bool startIfRoom(const Candidate &candidate, const UnitKey &unit, std::map<std::size_t, std::uint32_t> &perMinion)
     {
-        std::vector<std::size_t> chosen;
-        if (candidate.spec().gang && candidate.spec().sameRack) {
-            for (const RackName &rack : racks()) {
-                chosen = findRoom(candidate, unit, perMinion, &rack);
-                if (!chosen.empty()) {
-                    break;
-                }
+        for (const std::optional<RackName> &rack : racksFor(candidate)) {
+            std::vector<std::size_t> chosen = findRoom(candidate, unit, perMinion, rack ? &*rack : nullptr);
+            if (!chosen.empty()) {
+                take(chosen, countedNeed(candidate.spec()), perMinion);
+                m_decisions.starts.push_back({unit, std::move(chosen)});
+                return true;
             }
         }
-        if (chosen.empty()) {
-            chosen = findRoom(candidate, unit, perMinion, nullptr);
+        return false;
+    }
+
+    /**
+     * @return the racks that the step may run on, nothing standing for any; away from its data, or spread over racks,
+     * it takes several times as long, so that it waits for a rack as long as one could hold it and the fleet is busy
+     */
+    std::vector<std::optional<RackName>> racksFor(const Candidate &candidate)
+    {
+        const StepSpec &step = candidate.spec();
+        const bool together = step.gang && step.sameRack;
+        if (step.dataRack.value().empty() && !together) {
+            return {std::nullopt};
         }
-        if (chosen.empty()) {
-            return false;
+        std::vector<std::optional<RackName>> racks;
+        for (const auto &[rack, members] : capacityByRack(candidate)) {
+            const bool near = step.dataRack.value().empty() || rack == step.dataRack;
+            if (near && members >= (step.gang ? step.count : 1)) {
+                racks.emplace_back(rack);
+            }
         }
-        take(chosen, countedNeed(candidate.spec()), perMinion);
-        m_decisions.starts.push_back({unit, std::move(chosen)});
-        return true;
+        if (racks.empty() || fleetIsIdle()) {
+            racks.emplace_back(std::nullopt);
+        }
+        return racks;
     }
 
-    void take(const std::vector<std::size_t> &chosen, const Resources &need,
-              std::map<std::size_t, std::uint32_t> &perMinion)
+    /** @return how many members each rack could hold if it were empty. */
+    std::map<RackName, std::uint32_t> capacityByRack(const Candidate &candidate) const
     {
-        for (const std::size_t m : chosen) {
-            m_input.minions[m].free -= need;
-            ++perMinion[m];
+        const Resources need = countedNeed(candidate.spec());
+        std::map<RackName, std::uint32_t> members;
+        for (const MinionView &minion : m_input.minions) {
+            Resources room = minion.capacity;
+            std::uint32_t here = 0;
+            while (eligible(candidate, minion) && room.covers(need) && here < MAX_MEMBERS_A_MINION) {
+                room -= need;
+                ++here;
+            }
+            members[minion.rack] += here;
         }
+        return members;
     }
 
-    std::vector<RackName> racks() const
+    /** @return true if less than half of the fleet's GPUs and memory are in use. */
+    [[nodiscard]] bool fleetIsIdle() const
     {
-        std::set<RackName> names;
+        Resources capacity;
+        Resources free;
         for (const MinionView &minion : m_input.minions) {
-            names.insert(minion.rack);
+            if (minion.usable) {
+                capacity += minion.capacity;
+                free += minion.free;
+            }
+        }
+        return 2 * free.gpus >= capacity.gpus && 2 * free.memoryMb >= capacity.memoryMb
+               && 2 * free.cores >= capacity.cores;
+    }
+
+    void take(const std::vector<std::size_t> &chosen, const Resources &need,
+              std::map<std::size_t, std::uint32_t> &perMinion)
+    {
+        for (const std::size_t m : chosen) {
+            m_input.minions[m].free -= need;
+            ++perMinion[m];
         }
-        return {names.begin(), names.end()};
     }
 
     /** Whether @p victim may be stopped for @p candidate. */
@@ -279,12 +316,45 @@
 
     [[nodiscard]] static double stopCost(const ActiveUnit &victim)
     {
-        return STOP_COST + weightOf(victim.need) * double(victim.minions.size()) * double(victim.unsavedMs) / 1000;
+        return STOP_COST + weightOf(victim.need) * double(victim.minions.size()) * double(victim.lossMs) / 1000;
     }
 
-    /** Stops what is least worth until all members have room, and keeps that room. Changes nothing if it can't be had.
-     */
+    /** Makes room on the rack where that costs least. */
     bool makeRoom(const Candidate &candidate, const UnitKey &unit, std::map<std::size_t, std::uint32_t> &perMinion)
+    {
+        std::optional<Room> best;
+        for (const std::optional<RackName> &rack : racksFor(candidate)) {
+            std::optional<Room> room = findVictims(candidate, perMinion, rack ? &*rack : nullptr);
+            if (room && (!best || room->cost < best->cost)) {
+                best = std::move(room);
+            }
+        }
+        if (!best) {
+            return false;
+        }
+        for (const std::size_t v : best->victims) {
+            ActiveUnit &victim = m_input.active[v];
+            victim.stopping = true;
+            for (const std::size_t m : victim.minions) {
+                m_input.minions[m].soon += victim.need;
+            }
+            m_decisions.stops.push_back({victim.key, unit});
+        }
+        // The room is taken out of what others see, so that it is kept.
+        take(best->chosen, countedNeed(candidate.spec()), perMinion);
+        return true;
+    }
+
+    /** Room that can be had by stopping units. */
+    struct Room {
+        double cost = 0;
+        std::set<std::size_t> victims;
+        std::vector<std::size_t> chosen; ///< minions of the members
+    };
+
+    /** @return the cheapest room for all members on @p onlyRack, or on any if it is null. */
+    std::optional<Room> findVictims(const Candidate &candidate, const std::map<std::size_t, std::uint32_t> &perMinion,
+                                    const RackName *onlyRack)
     {
         const Resources need = countedNeed(candidate.spec());
         const std::size_t members = candidate.spec().gang ? candidate.spec().count : 1;
@@ -294,20 +364,20 @@
             room.push_back(minion.free);
             room.back() += minion.soon;
         }
-        std::set<std::size_t> victims;
-        std::vector<std::size_t> chosen;
+        Room result;
         std::map<std::size_t, std::uint32_t> counts = perMinion;
         // 2. Takes the cheapest minion for one member after the other.
-        while (chosen.size() < members) {
+        while (result.chosen.size() < members) {
             double best = NO_ROOM;
             std::size_t bestMinion = 0;
             std::vector<std::size_t> bestVictims;
             for (std::size_t m = 0; m < room.size(); ++m) {
                 const std::uint32_t limit = candidate.spec().maxPerMinion;
-                if (!eligible(candidate, m_input.minions[m]) || (limit > 0 && counts[m] >= limit)) {
+                const bool elsewhere = onlyRack != nullptr && m_input.minions[m].rack != *onlyRack;
+                if (elsewhere || !eligible(candidate, m_input.minions[m]) || (limit > 0 && counts[m] >= limit)) {
                     continue;
                 }
-                auto [cost, needed] = cheapestVictims(candidate, m, room[m], need, victims);
+                auto [cost, needed] = cheapestVictims(candidate, m, room[m], need, result.victims);
                 if (cost < best) {
                     best = cost;
                     bestMinion = m;
@@ -315,29 +385,20 @@
                 }
             }
             if (best == NO_ROOM) {
-                return false;
+                return std::nullopt;
             }
+            result.cost += best;
             for (const std::size_t v : bestVictims) {
-                victims.insert(v);
+                result.victims.insert(v);
                 for (const std::size_t m : m_input.active[v].minions) {
                     room[m] += m_input.active[v].need;
                 }
             }
             room[bestMinion] -= need;
             ++counts[bestMinion];
-            chosen.push_back(bestMinion);
+            result.chosen.push_back(bestMinion);
         }
-        // 3. Stops the victims and takes the room out of what others see.
-        for (const std::size_t v : victims) {
-            ActiveUnit &victim = m_input.active[v];
-            victim.stopping = true;
-            for (const std::size_t m : victim.minions) {
-                m_input.minions[m].soon += victim.need;
-            }
-            m_decisions.stops.push_back({victim.key, unit});
-        }
-        take(chosen, need, perMinion);
-        return true;
+        return result;
     }
 
     /** @return the cost of room for one member on minion @p m, and which further units have to be stopped for it */
--- a/packages/steps/stepscheduler.h
+++ b/packages/steps/stepscheduler.h
@@ -39,7 +39,7 @@
     std::uint32_t priority = 0;
     Resources need;                   ///< of one member
     std::vector<std::size_t> minions; ///< of the members, as indices of the views
-    std::int64_t unsavedMs = 0;       ///< work that a stop now would lose
+    std::int64_t lossMs = 0;          ///< what a stop costs: work that is not saved, or the restoring of it
     bool stopping = false;
     bool stoppable = true;
 };
