--- a/packages/dispatch/jobfront.cpp
+++ b/packages/dispatch/jobfront.cpp
@@ -146,11 +146,7 @@
         m_context.stored(record);
     }
     logEvent(LogLevel::Info, event,
-             {{"job", id.value()},
-              {"outcome", outcome == AppendOutcome::Stored      ? "stored"
-                          : outcome == AppendOutcome::NotStored ? "not-stored"
-                                                                : "unknown"},
-              {"took_ms", bootMillis() - begun}});
+             {{"job", id.value()}, {"outcome", toString(outcome)}, {"took_ms", bootMillis() - begun}});
     switch (outcome) {
     case AppendOutcome::Stored:
         co_return answer(200);
--- a/packages/dispatch/journalwriter.cpp
+++ b/packages/dispatch/journalwriter.cpp
@@ -127,7 +127,7 @@
             records.insert(records.end(), entry.records.begin(), entry.records.end());
         }
         const std::int64_t sent = bootMillis();
-        const AppendOutcome outcome = co_await m_store.append(std::move(records), m_producer, limit);
+        const AppendOutcome outcome = co_await m_store.append(std::move(records), m_producer, std::nullopt, limit);
         if (outcome == AppendOutcome::Stored) {
             m_lastStoredMs = std::max(m_lastStoredMs, sent);
         }
--- a/packages/dispatch/journalwriter.h
+++ b/packages/dispatch/journalwriter.h
@@ -24,8 +24,8 @@
     using Callback = std::function<void(AppendOutcome)>;
 
     /**
-     * @param producer with it an append is repeated until it is stored or fenced, in order and without a second copy;
-     * without it an append ends at its deadline
+     * @param producer its sequence is that of the last append; with it an append is repeated until it is stored or
+     * fenced, in order and without a second copy; without it an append ends at its deadline
      */
     static std::shared_ptr<JournalWriter> create(Asio::io_context &io, RecordStore &store,
                                                  std::optional<Producer> producer);
--- a/packages/dispatch/recordstore.h
+++ b/packages/dispatch/recordstore.h
@@ -36,8 +36,12 @@
     NotStored, ///< nothing was done and nothing will be
     Unknown,   ///< it may have been done, or may still be
     Fenced,    ///< the producer's epoch has passed
+    Conflict,  ///< the journal did not end where it was expected to
 };
 
+/** @return the name of @p outcome for logs. */
+std::string_view toString(AppendOutcome outcome);
+
 /** Records from an offset on. */
 struct ReadResult {
     bool expired = false; ///< the records asked for are gone; the newest of each key must be read
@@ -63,9 +67,12 @@
 public:
     virtual ~RecordStore() = default;
 
-    /** Appends @p records to the journal, all or none. */
+    /**
+     * Appends @p records to the journal, all or none.
+     * @param expectedEnd if given, only if the journal ends there, so that a late append has no effect
+     */
     virtual Asio::awaitable<AppendOutcome> append(std::vector<StoredRecord> records, std::optional<Producer> producer,
-                                                  TimePoint deadline) = 0;
+                                                  std::optional<Offset> expectedEnd, TimePoint deadline) = 0;
     /**
      * Reads on from @p from; waits up to @p wait for a record.
      * @throws StoreError
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -272,32 +272,36 @@
                   {"previous", book.planner().epoch.value()},
                   {"previous_node", book.planner().node},
                   {"silent_ms", bootMillis() - plannerHeardMs}});
-        auto claimWriter = JournalWriter::create(io, *platform.store, Producer {producerName(), epoch});
+        Producer producer {producerName(), epoch, 1};
         std::vector<StoredRecord> records;
         records.push_back(encodeRecord(PlannerSign {epoch, settings.node.value(), false}));
-        const AppendOutcome outcome = co_await claimWriter->append(std::move(records), Clock::now() + CLAIM_LIMIT);
-        if (outcome != AppendOutcome::Stored || draining) {
-            claimWriter->stop();
-            logEvent(LogLevel::Info, "planner-claim-failed", {{"epoch", epoch.value()}});
-            co_return;
-        }
-        // Everything that was journaled before the claim must be in the book.
-        const TimePoint limit = Clock::now() + CLAIM_LIMIT;
-        journal.setPace(PLANNER_PACE);
-        while (book.planner().epoch < epoch && Clock::now() < limit) {
-            co_await sleepFor(Millis(5));
-        }
-        if (book.planner().epoch != epoch || !co_await loadMinions()) {
+        // Of rival claims the first wins, and one that is carried out late has no effect.
+        const AppendOutcome outcome =
+            co_await platform.store->append(std::move(records), producer, journal.next(), Clock::now() + CLAIM_LIMIT);
+        const bool stored = outcome == AppendOutcome::Stored || outcome == AppendOutcome::Unknown;
+        if (!stored || draining || !co_await caughtUpWith(epoch) || !co_await loadMinions()) {
             journal.setPace(FOLLOWER_PACE);
-            claimWriter->stop();
-            logEvent(LogLevel::Info, "planner-claim-failed", {{"epoch", epoch.value()}});
+            logEvent(LogLevel::Info, "planner-claim-failed",
+                     {{"epoch", epoch.value()}, {"outcome", toString(outcome)}});
             co_return;
         }
+        auto claimWriter = JournalWriter::create(io, *platform.store, std::move(producer));
         planner = StepPlanner::begin({io, *platform.store, *platform.orders, book, [this] { return configInForce(); },
                                       settings.node.value(), [this](const char *reason) { loseLeadership(reason); }},
                                      claimWriter, epoch, minions);
     }
 
+    /** Waits until everything that was journaled before the claim of @p epoch is in the book. */
+    Asio::awaitable<bool> caughtUpWith(Epoch epoch)
+    {
+        const TimePoint limit = Clock::now() + CLAIM_LIMIT;
+        journal.setPace(PLANNER_PACE);
+        while (book.planner().epoch < epoch && Clock::now() < limit) {
+            co_await sleepFor(CLAIM_POLL);
+        }
+        co_return book.planner().epoch == epoch;
+    }
+
     /** Only the planner follows the minions' entries, which change all the time. */
     Asio::awaitable<bool> loadMinions()
     {
@@ -309,7 +313,7 @@
         }
         const TimePoint limit = Clock::now() + CLAIM_LIMIT;
         while (!minionsLoaded && Clock::now() < limit) {
-            co_await sleepFor(Millis(5));
+            co_await sleepFor(CLAIM_POLL);
         }
         co_return minionsLoaded;
     }
@@ -386,7 +390,8 @@
         parts.io.stop();
     }
 
-    static constexpr Millis CLAIM_LIMIT {2'500};
+    static constexpr Millis CLAIM_LIMIT {2'000};
+    static constexpr Millis CLAIM_POLL {5};
 
     Asio::io_context &io;
     NodeSettings settings;
--- a/packages/dispatch/topicfollower.h
+++ b/packages/dispatch/topicfollower.h
@@ -44,6 +44,11 @@
     {
         m_loaded = false;
     }
+    /** @return the offset of the next record to be read. */
+    [[nodiscard]] Offset next() const
+    {
+        return m_next;
+    }
     [[nodiscard]] bool isLoaded() const
     {
         return m_loaded;
--- a/packages/steps/stepscheduler.cpp
+++ b/packages/steps/stepscheduler.cpp
@@ -16,6 +16,8 @@
 constexpr double GPU_IN_CORES = 8;         // a GPU weighs as much as this many cores
 constexpr double STOP_COST = 1;            // core-seconds; keeps needless stops away
 constexpr std::uint32_t MAX_MEMBERS_A_MINION = 64;
+constexpr double URGENT_LOSS = 1;
+constexpr double OTHER_LOSS = 0.1;
 constexpr double NO_ROOM = std::numeric_limits<double>::max();
 
 double weightOf(const Resources &need)
@@ -329,7 +331,7 @@
                 best = std::move(room);
             }
         }
-        if (!best) {
+        if (!best || best->cost > mayCost(candidate)) {
             return false;
         }
         for (const std::size_t v : best->victims) {
@@ -345,6 +347,18 @@
         return true;
     }
 
+    /** @return the core-seconds of other work that may be lost for one unit of @p candidate. */
+    [[nodiscard]] static double mayCost(const Candidate &candidate)
+    {
+        if (candidate.guaranteed) {
+            return NO_ROOM;
+        }
+        const StepSpec &step = candidate.spec();
+        const double members = step.gang ? step.count : 1;
+        const double work = weightOf(step.need) * members * double(step.estimate.count()) / 1000;
+        return work * (candidate.entry->job.priority == 0 ? URGENT_LOSS : OTHER_LOSS);
+    }
+
     /** Room that can be had by stopping units. */
     struct Room {
         double cost = 0;
--- a/tests/integration/stepjobs.cpp
+++ b/tests/integration/stepjobs.cpp
@@ -280,6 +280,25 @@
     EXPECT_EQ(other, *deployment.leader());
 }
 
+TEST(StepPlanner, IsNotReplacedByAClaimThatIsCarriedOutLate)
+{
+    // The late claim has the higher epoch in about half of the rounds.
+    for (int round = 0; round < 4; ++round) {
+        Deployment deployment({2, 1});
+        StoreFaults late;
+        late.lateAppends = 1;
+        late.lateMs = 900;
+        deployment.store.setFaults(late);
+        deployment.start();
+        const std::size_t leader = *deployment.leader();
+        std::this_thread::sleep_for(Millis(1'200)); // the late claim is carried out meanwhile
+        EXPECT_EQ(leader, deployment.leader().value_or(9));
+        const std::string log = deployment.log(leader);
+        EXPECT_EQ(std::string::npos, log.find("event=leadership-lost"));
+        EXPECT_EQ(std::string::npos, log.find("event=planner-lost"));
+    }
+}
+
 TEST(StepPlanner, ThatCannotReachAMinionWaitsOutItsPredecessorsLeases)
 {
     Deployment deployment({2, 3});
--- a/tests/standins/platformstorestandin.cpp
+++ b/tests/standins/platformstorestandin.cpp
@@ -157,6 +157,9 @@
     const std::string producer(request.query("producer"));
     const auto epoch = static_cast<std::uint64_t>(queryNumber(request, "epoch", 0));
     const auto sequence = static_cast<std::uint64_t>(queryNumber(request, "sequence", 0));
+    if (queryNumber(request, "at", static_cast<std::int64_t>(log.end())) != static_cast<std::int64_t>(log.end())) {
+        return jsonAnswer(412, {{"end", log.end()}});
+    }
     if (!producer.empty()) {
         Writer &writer = log.writers[producer];
         if (epoch < writer.epoch) {
