Learn how long tasks take, and move runs that stand still

Hanging minions kept runs for ever. Most slow minions recover before a new run would have caught up.

--- a/packages/dispatch/assignment.h
+++ b/packages/dispatch/assignment.h
@@ -26,6 +26,9 @@
     std::int64_t confirmedMs = 0; ///< when the start was answered
     bool stopping = false;        ///< a loop is stopping it
     std::int64_t stopAnsweredMs = 0;
+    std::int64_t percent = 0; ///< of its work, as last reported
+    std::int64_t risenMs = 0; ///< when its percentage last rose
+    std::int64_t reportedMs = 0;
 };
 
 /** A run of a unit from its start to the end of its last member. */
--- a/packages/dispatch/jobfront.cpp
+++ b/packages/dispatch/jobfront.cpp
@@ -121,6 +121,21 @@
     job.attempts = queue.attempts;
     job.stretch = queue.stretch;
     job.targetMs = queue.targetMs;
+    std::uint64_t tasks = 0;
+    for (const StepSpec &step : job.spec.steps) {
+        tasks += step.count;
+    }
+    logEvent(LogLevel::Info, "job-received",
+             {{"job", id.value()},
+              {"queue", queue.name.value()},
+              {"priority", std::uint64_t(queue.priority)},
+              {"team", team.value()},
+              {"tasks", tasks},
+              {"gpus", std::int64_t(job.spec.steps.front().need.gpus)},
+              {"memory_mb", std::int64_t(job.spec.steps.front().need.memoryMb)},
+              {"estimate_ms", std::int64_t(job.spec.steps.front().estimate.count())},
+              {"rack", job.spec.steps.front().dataRack.value()},
+              {"gang", job.spec.steps.front().gang ? "yes" : "no"}});
     JobRecord record = StepJobSubmitted {std::move(job)};
     co_return co_await store(std::move(record), request, id, "job-submitted");
 }
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -182,6 +182,11 @@
         if (planner && std::holds_alternative<UnitChanged>(record)) {
             return; // the planner's own book is ahead of the journal
         }
+        if (const auto *change = std::get_if<UnitChanged>(&record)) {
+            if (const JobEntry *entry = book.find(change->unit.job); entry != nullptr && journal.isLoaded()) {
+                times.observe(entry->job, *change, bootMillis());
+            }
+        }
         book.apply(record);
         if (!planner) {
             return;
@@ -286,9 +291,10 @@
             co_return;
         }
         auto claimWriter = JournalWriter::create(io, *platform.store, std::move(producer));
-        planner = StepPlanner::begin({io, *platform.store, *platform.orders, book, [this] { return configInForce(); },
-                                      settings.node.value(), [this](const char *reason) { loseLeadership(reason); }},
-                                     claimWriter, epoch, minions);
+        planner =
+            StepPlanner::begin({io, *platform.store, *platform.orders, book, times, [this] { return configInForce(); },
+                                settings.node.value(), [this](const char *reason) { loseLeadership(reason); }},
+                               claimWriter, epoch, minions);
     }
 
     /** Waits until everything that was journaled before the claim of @p epoch is in the book. */
@@ -398,6 +404,7 @@
     std::string settingsPath;
     Platform platform;
     JobBook book;
+    RunTimes times;
     std::unique_ptr<DeploymentConfig> config;
     std::map<MinionId, MinionEntry> minions;
     std::set<std::string> badEntries;
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -4,6 +4,7 @@
 #include "dispatch/boottime.h"
 #include "process/logging.h"
 #include "steps/evacuation.h"
+#include "steps/progresswatch.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -33,7 +34,8 @@
 constexpr std::int64_t NO_ROOM_PAUSE_MS = 500;
 constexpr std::int64_t UNHEALTHY_PAUSE_MS = 2'000;
 constexpr std::int64_t STRIKE_PAUSE_MS = 8'000;
-constexpr std::uint32_t STRIKES = 3;       // failed runs in a row before a minion is left alone for a while
+constexpr std::uint32_t STRIKES = 2;       // failed runs in a row before a minion is left alone for a while
+constexpr double PROBATION_SHARE = 0.25;   // of all minions, at most
 constexpr std::int64_t ENTRY_LAG_MS = 600; // an entry may have been written so long before it was read
 constexpr std::int64_t STRAY_PAUSE_MS = 500;
 constexpr std::int64_t RESTORE_MS = 600; // a stop saves the work of a task that checkpoints; resuming takes this long
@@ -185,6 +187,7 @@
     const std::int64_t now = bootMillis();
     loseLapsed();
     evacuate();
+    moveStuck();
     for (auto &[id, link] : m_links) {
         ensureWatched(link);
     }
@@ -242,7 +245,7 @@
 PlanInput StepPlanner::planInput(std::vector<MinionId> &ids)
 {
     const std::int64_t now = bootMillis();
-    PlanInput input {m_context.book, *m_context.config(), {}, {}, {}, m_avoid, wallMillis()};
+    PlanInput input {m_context.book, *m_context.config(), m_context.times, {}, {}, {}, m_avoid, wallMillis()};
     std::map<MinionId, std::size_t> places;
     for (const auto &[id, link] : m_links) {
         MinionView view;
@@ -608,10 +611,8 @@
               {"known", assignment ? "yes" : "no"}});
     if (end.kind == EndKind::Done) {
         link.strikes = 0;
-    } else if (end.kind == EndKind::Failed && ++link.strikes >= STRIKES) {
-        link.heldBackUntilMs = bootMillis() + STRIKE_PAUSE_MS;
-        logEvent(LogLevel::Warning, "minion-on-probation",
-                 {{"minion", link.entry.id.value()}, {"failures", std::uint64_t(link.strikes)}});
+    } else if (end.kind == EndKind::Failed) {
+        strike(link, bootMillis());
     }
     if (!assignment || assignment->members[index].minion != link.entry.id) {
         return;
@@ -625,6 +626,19 @@
     memberGone(assignment, index, end.kind);
 }
 
+void StepPlanner::strike(MinionLink &link, std::int64_t nowMs)
+{
+    const auto held = std::count_if(m_links.begin(), m_links.end(), [nowMs](const auto &item) {
+        return item.second.strikes >= STRIKES && item.second.heldBackUntilMs > nowMs;
+    });
+    // Jobs that fail everywhere must not take the fleet away.
+    if (++link.strikes >= STRIKES && double(held) < PROBATION_SHARE * double(m_links.size())) {
+        link.heldBackUntilMs = nowMs + STRIKE_PAUSE_MS;
+        logEvent(LogLevel::Warning, "minion-on-probation",
+                 {{"minion", link.entry.id.value()}, {"strikes", std::uint64_t(link.strikes)}});
+    }
+}
+
 void StepPlanner::handleRunning(MinionLink &link, const MinionReport &report, std::int64_t sentMs)
 {
     const std::int64_t now = bootMillis();
@@ -643,6 +657,12 @@
         }
         listed[running.task] = running.run;
         assignment->percent = std::max(assignment->percent, running.percent);
+        Member &member = assignment->members[index];
+        if (running.percent > member.percent || member.reportedMs == 0) {
+            member.percent = running.percent;
+            member.risenMs = now;
+        }
+        member.reportedMs = now;
         if (!running.checkpoint.empty() && running.checkpoint != assignment->checkpoint) {
             assignment->checkpoint = running.checkpoint;
             assignment->savedMs = now;
@@ -798,12 +818,41 @@
     }
 }
 
+void StepPlanner::moveStuck()
+{
+    const std::int64_t now = bootMillis();
+    for (const auto &[unit, assignment] : m_assignments) {
+        if (assignment->stopping || assignment->outcome || assignment->step.longRunning) {
+            continue;
+        }
+        const QueueName &queue = m_context.book.find(unit.job)->job.queue;
+        const std::int64_t plausible = m_context.times.plausibleMs(queue, assignment->step.estimate.count());
+        for (const Member &member : assignment->members) {
+            const RunProgress run {member.percent, member.reportedMs - member.risenMs, plausible};
+            if (member.state != MemberState::Running || member.reportedMs == 0 || !isStuck(run)) {
+                continue;
+            }
+            logEvent(LogLevel::Info, "run-stuck",
+                     {{"unit", unit.toString()},
+                      {"minion", member.minion.value()},
+                      {"percent", run.percent},
+                      {"still_ms", run.stillMs},
+                      {"plausible_ms", plausible}});
+            m_avoid[unit].push_back(member.minion);
+            strike(m_links.at(member.minion), now);
+            stopAssignment(assignment, "stuck");
+            break;
+        }
+    }
+}
+
 // --- Journal ---
 
 void StepPlanner::record(const UnitKey &unit, UnitStatus status)
 {
     UnitChanged change {unit, std::move(status)};
     m_records.push_back(encodeRecord(change));
+    m_context.times.observe(m_context.book.find(unit.job)->job, change, bootMillis());
     m_context.book.apply(change);
     flushSoon();
 }
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -38,6 +38,7 @@
         RecordStore &store;
         MinionOrders &orders;
         JobBook &book;
+        RunTimes &times;
         std::function<const DeploymentConfig *()> config;
         std::string node;
         std::function<void(const char *reason)> lost; ///< called once when leadership has been lost
@@ -96,6 +97,8 @@
     void handleEnd(MinionLink &link, const EndedTask &end);
     void handleRunning(MinionLink &link, const MinionReport &report, std::int64_t sentMs);
     void newLife(MinionLink &link);
+    /** Counts a failed or stuck run against its minion; after a few in a row it takes nothing new for a while. */
+    void strike(MinionLink &link, std::int64_t nowMs);
     AssignmentPtr findTask(const std::string &task, std::uint32_t run, std::size_t &index);
     void memberGone(const AssignmentPtr &assignment, std::size_t index, EndKind kind);
     void settle(const AssignmentPtr &assignment);
@@ -103,6 +106,8 @@
     void loseLapsed();
     /** Moves what would be lost with minions that leave. */
     void evacuate();
+    /** Moves runs that make no progress where they are. */
+    void moveStuck();
 
     // Journal
     void record(const UnitKey &unit, UnitStatus status);
--- /dev/null
+++ b/packages/steps/runtimes.cpp
@@ -0,0 +1,90 @@
+#include "steps/runtimes.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr double PRIOR_RUNS = 6;     // an estimate is trusted as if so many runs had confirmed it
+constexpr double PRIOR_SPREAD = 0.5; // of the logarithms of estimates in these runs
+constexpr double PRIOR_ERROR = 0.8;  // of the logarithm of an estimate before anything is known
+constexpr double PLAUSIBLE_SPREADS = 2;
+constexpr std::int64_t LEAST_MS = 50;
+
+double logOf(std::int64_t ms)
+{
+    return std::log(double(std::max(ms, LEAST_MS)));
+}
+
+} // namespace
+
+void RunTimes::add(const QueueName &queue, std::int64_t estimateMs, std::int64_t actualMs)
+{
+    Sums &sums = m_queues[queue];
+    const double x = logOf(estimateMs);
+    const double y = logOf(actualMs);
+    sums.count += 1;
+    sums.x += x;
+    sums.y += y;
+    sums.xx += x * x;
+    sums.xy += x * y;
+    sums.yy += y * y;
+}
+
+RunTimes::Fit RunTimes::fit(const QueueName &queue, std::int64_t estimateMs) const
+{
+    const auto found = m_queues.find(queue);
+    if (found == m_queues.end()) {
+        return {logOf(estimateMs), PRIOR_ERROR};
+    }
+    const Sums &sums = found->second;
+    const double meanX = sums.x / sums.count;
+    const double meanY = sums.y / sums.count;
+    const double varianceX = sums.xx - sums.count * meanX * meanX;
+    const double varianceY = sums.yy - sums.count * meanY * meanY;
+    const double covariance = sums.xy - sums.count * meanX * meanY;
+    // The prior stands for runs whose time was as estimated.
+    const double priorVariance = PRIOR_RUNS * PRIOR_SPREAD * PRIOR_SPREAD;
+    const double slope = std::clamp((covariance + priorVariance) / (varianceX + priorVariance), 0.0, 1.0);
+    const double weight = sums.count / (sums.count + PRIOR_RUNS);
+    const double level = meanX + weight * (meanY - meanX);
+    const double residual = std::max(0.0, varianceY - 2 * slope * covariance + slope * slope * varianceX);
+    const double spread = std::sqrt((residual + PRIOR_RUNS * PRIOR_ERROR * PRIOR_ERROR) / (sums.count + PRIOR_RUNS));
+    return {level + slope * (logOf(estimateMs) - meanX), spread};
+}
+
+std::int64_t RunTimes::expectedMs(const QueueName &queue, std::int64_t estimateMs) const
+{
+    return static_cast<std::int64_t>(std::exp(fit(queue, estimateMs).mean));
+}
+
+std::int64_t RunTimes::plausibleMs(const QueueName &queue, std::int64_t estimateMs) const
+{
+    const Fit found = fit(queue, estimateMs);
+    return static_cast<std::int64_t>(std::exp(found.mean + PLAUSIBLE_SPREADS * found.spread));
+}
+
+void RunTimes::observe(const StepJob &job, const UnitChanged &change, std::int64_t nowMs)
+{
+    const auto placed = m_placedMs.find(change.unit);
+    if (change.status.state == UnitState::Placed) {
+        if (change.status.checkpoint.empty()) {
+            m_placedMs[change.unit] = nowMs;
+        }
+        return;
+    }
+    if (placed == m_placedMs.end()) {
+        return;
+    }
+    const StepSpec &step = job.spec.steps[change.unit.step];
+    if (change.status.state == UnitState::Done && change.status.checkpoint.empty() && !step.longRunning) {
+        add(job.queue, step.estimate.count(), nowMs - placed->second);
+    }
+    m_placedMs.erase(placed);
+}
+
+} // namespace Papaya
--- a/packages/steps/stepscheduler.cpp
+++ b/packages/steps/stepscheduler.cpp
@@ -95,8 +95,7 @@
                 continue;
             }
             Candidate candidate {&entry, occurrence, s};
-            const std::int64_t since = std::max(entry.job.submittedMs, entry.dueMs(occurrence));
-            candidate.timeliness = timelinessOf(entry.job, since, m_input.nowMs, remainingChainMs(entry, occurrence));
+            candidate.timeliness = timelinessOf(entry, occurrence, m_input.times, m_input.nowMs);
             candidate.guaranteed = entry.job.priority == 0 && withinGuarantee(entry, candidate.spec());
             all.push_back(candidate);
         }
@@ -348,14 +347,15 @@
     }
 
     /** @return the core-seconds of other work that may be lost for one unit of @p candidate. */
-    [[nodiscard]] static double mayCost(const Candidate &candidate)
+    [[nodiscard]] double mayCost(const Candidate &candidate) const
     {
         if (candidate.guaranteed) {
             return NO_ROOM;
         }
         const StepSpec &step = candidate.spec();
         const double members = step.gang ? step.count : 1;
-        const double work = weightOf(step.need) * members * double(step.estimate.count()) / 1000;
+        const std::int64_t expected = m_input.times.expectedMs(candidate.entry->job.queue, step.estimate.count());
+        const double work = weightOf(step.need) * members * double(expected) / 1000;
         return work * (candidate.entry->job.priority == 0 ? URGENT_LOSS : OTHER_LOSS);
     }
 
@@ -467,44 +467,36 @@
     return need;
 }
 
-Timeliness timelinessOf(const StepJob &job, std::int64_t sinceMs, std::int64_t nowMs, std::int64_t remainingMs)
+Timeliness timelinessOf(const JobEntry &entry, std::uint32_t occurrence, const RunTimes &times, std::int64_t nowMs)
 {
-    std::int64_t chain = 0;
-    std::vector<std::int64_t> ends(job.spec.steps.size());
-    for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
-        std::int64_t start = 0;
-        for (const std::uint32_t earlier : job.spec.steps[s].dependsOn) {
-            start = std::max(start, ends[earlier]);
+    const StepJob &job = entry.job;
+    const std::size_t count = job.spec.steps.size();
+    std::vector<std::int64_t> wholeEnds(count);
+    std::vector<std::int64_t> restEnds(count);
+    std::int64_t whole = 0;
+    std::int64_t rest = 0;
+    for (std::size_t s = 0; s < count; ++s) {
+        const StepSpec &step = job.spec.steps[s];
+        for (const std::uint32_t earlier : step.dependsOn) {
+            wholeEnds[s] = std::max(wholeEnds[s], wholeEnds[earlier]);
+            restEnds[s] = std::max(restEnds[s], restEnds[earlier]);
         }
-        ends[s] = start + job.spec.steps[s].estimate.count();
-        chain = std::max(chain, ends[s]);
+        const std::int64_t expected = times.expectedMs(job.queue, step.estimate.count());
+        const StepProgress &progress = entry.occurrences[occurrence].steps[s];
+        wholeEnds[s] += expected;
+        restEnds[s] += progress.done == progress.units.size() ? 0 : expected;
+        whole = std::max(whole, wholeEnds[s]);
+        rest = std::max(rest, restEnds[s]);
     }
-    const double objective = job.stretch * double(chain) + double(job.targetMs);
-    const double takes = double(nowMs - sinceMs + remainingMs);
+    const std::int64_t since = std::max(job.submittedMs, entry.dueMs(occurrence));
+    const double objective = job.stretch * double(whole) + double(job.targetMs);
+    const double takes = double(nowMs - since + rest);
     if (takes <= objective) {
         return Timeliness::InTime;
     }
     return takes <= LATE_FACTOR * objective ? Timeliness::Late : Timeliness::Worthless;
 }
 
-std::int64_t remainingChainMs(const JobEntry &entry, std::uint32_t occurrence)
-{
-    const auto &steps = entry.job.spec.steps;
-    std::int64_t chain = 0;
-    std::vector<std::int64_t> ends(steps.size());
-    for (std::size_t s = 0; s < steps.size(); ++s) {
-        std::int64_t start = 0;
-        for (const std::uint32_t earlier : steps[s].dependsOn) {
-            start = std::max(start, ends[earlier]);
-        }
-        const StepProgress &progress = entry.occurrences[occurrence].steps[s];
-        const bool done = progress.done == progress.units.size();
-        ends[s] = start + (done ? 0 : steps[s].estimate.count());
-        chain = std::max(chain, ends[s]);
-    }
-    return chain;
-}
-
 PlanDecisions planSteps(PlanInput input)
 {
     return Pass(input).run();
--- a/packages/steps/stepscheduler.h
+++ b/packages/steps/stepscheduler.h
@@ -2,6 +2,7 @@
 
 #include "steps/deploymentconfig.h"
 #include "steps/jobbook.h"
+#include "steps/runtimes.h"
 
 #include <cstdint>
 #include <map>
@@ -48,6 +49,7 @@
 struct PlanInput {
     const JobBook &book;
     const DeploymentConfig &config;
+    const RunTimes &times;
     std::vector<MinionView> minions;
     std::vector<ActiveUnit> active;
     std::set<UnitKey> heldBack;                     ///< units that must not start now
@@ -77,14 +79,8 @@
 /** How a job stands against its objective. */
 enum class Timeliness { InTime, Late, Worthless };
 
-/**
- * @param remainingMs the longest chain of work that is left
- * @param sinceMs when the job or its occurrence was due
- */
-Timeliness timelinessOf(const StepJob &job, std::int64_t sinceMs, std::int64_t nowMs, std::int64_t remainingMs);
-
-/** @return the longest chain of estimated work of the steps that are not done in @p occurrence. */
-std::int64_t remainingChainMs(const JobEntry &entry, std::uint32_t occurrence);
+/** @return how @p occurrence stands, by the learned times of the work that is left. */
+Timeliness timelinessOf(const JobEntry &entry, std::uint32_t occurrence, const RunTimes &times, std::int64_t nowMs);
 
 /** One pass. */
 PlanDecisions planSteps(PlanInput input);
