--- a/packages/dispatch/jobfront.cpp
+++ b/packages/dispatch/jobfront.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr Millis DEFAULT_DEADLINE {3'000};
+constexpr Millis STORE_LIMIT {700};   // a slow store answers within it; another node may reach the store meanwhile
 constexpr Millis ANSWER_MARGIN {150}; // an answer must reach the caller before it gives up
 constexpr Millis HEARSAY_LIMIT {500}; // nodes read the journal every 200 ms
 constexpr Millis HEARSAY_POLL {20};
@@ -57,7 +58,7 @@
     std::int64_t remaining = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), remaining);
     const Millis limit = error == std::errc() && remaining > 0 ? Millis(remaining) : DEFAULT_DEADLINE;
-    return Clock::now() + std::max(limit - ANSWER_MARGIN, limit / 2);
+    return Clock::now() + std::min(STORE_LIMIT, std::max(limit - ANSWER_MARGIN, limit / 2));
 }
 
 Asio::awaitable<HttpResponse> JobFront::handle(HttpRequest request)
--- a/packages/dispatch/journalwriter.cpp
+++ b/packages/dispatch/journalwriter.cpp
@@ -16,7 +16,7 @@
 {
 
 constexpr std::size_t BATCH_BYTES = 512UL * 1024; // well under what the store takes in one call
-constexpr Millis CALL_LIMIT {1'200};              // one try; a slow store answers within a third of it
+constexpr Millis CALL_LIMIT {600};                // one try; a slow store answers within about 0.4 s
 constexpr Millis RETRY_PAUSE {60};
 
 std::size_t sizeOf(const std::vector<StoredRecord> &records)
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -111,7 +111,7 @@
 
     [[nodiscard]] bool ready() const
     {
-        return !draining && config && fresh();
+        return !draining && config && fresh() && !journal.isFailing();
     }
 
     Asio::awaitable<HttpResponse> handle(HttpRequest) override
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -741,6 +741,9 @@
             record(assignment->unit, std::move(status));
         }
     } else if (!assignment->ended()) {
+        if (assignment->outcome == EndKind::Failed) {
+            countFailure(assignment); // the end may be acknowledged long before the other members have ended
+        }
         stopAssignment(assignment, "member-lost");
     }
     if (assignment->ended()) {
@@ -748,6 +751,24 @@
     }
 }
 
+void StepPlanner::countFailure(const Assignment &assignment, UnitStatus &status)
+{
+    if (assignment.outcome == EndKind::Failed && !assignment.step.longRunning && status.failedRun != assignment.run) {
+        ++status.failures;
+        status.failedRun = assignment.run;
+    }
+}
+
+void StepPlanner::countFailure(const AssignmentPtr &assignment)
+{
+    const UnitStatus &known = *m_context.book.find(assignment->unit);
+    UnitStatus status = known;
+    countFailure(*assignment, status);
+    if (!(status == known)) {
+        record(assignment->unit, std::move(status));
+    }
+}
+
 void StepPlanner::finish(const AssignmentPtr &assignment)
 {
     const UnitKey unit = assignment->unit;
@@ -763,13 +784,11 @@
     status.state = UnitState::Waiting;
     status.minions.clear();
     status.checkpoint = assignment->checkpoint;
-    if (assignment->outcome == EndKind::Failed && !assignment->step.longRunning) {
-        ++status.failures;
-        if (status.failures >= entry->job.attempts) {
-            status.state = UnitState::Failed;
-            logEvent(LogLevel::Info, "unit-given-up",
-                     {{"unit", unit.toString()}, {"failures", std::uint64_t(status.failures)}});
-        }
+    countFailure(*assignment, status);
+    if (status.failures >= entry->job.attempts && !assignment->step.longRunning) {
+        status.state = UnitState::Failed;
+        logEvent(LogLevel::Info, "unit-given-up",
+                 {{"unit", unit.toString()}, {"failures", std::uint64_t(status.failures)}});
     }
     record(unit, std::move(status));
     jobChanged(unit.job);
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -103,6 +103,9 @@
     void memberGone(const AssignmentPtr &assignment, std::size_t index, EndKind kind);
     void settle(const AssignmentPtr &assignment);
     void finish(const AssignmentPtr &assignment);
+    /** Counts a run that failed once, however often its end is listed. */
+    static void countFailure(const Assignment &assignment, UnitStatus &status);
+    void countFailure(const AssignmentPtr &assignment);
     void loseLapsed();
     /** Moves what would be lost with minions that leave. */
     void evacuate();
--- a/packages/dispatch/topicfollower.h
+++ b/packages/dispatch/topicfollower.h
@@ -53,6 +53,11 @@
     {
         return m_loaded;
     }
+    /** @return true if the last read failed. */
+    [[nodiscard]] bool isFailing() const
+    {
+        return m_failing;
+    }
     /** @return when the last read that succeeded was sent, in bootMillis(); 0 before the first. */
     [[nodiscard]] std::int64_t lastSuccessMs() const
     {
--- a/packages/steps/jobrecord.cpp
+++ b/packages/steps/jobrecord.cpp
@@ -105,12 +105,14 @@
     return job;
 }
 
-/** Unit records are the many; they are a line of words: state, run, failures, checkpoint or "-", minions. */
+/** Unit records are the many; they are a line of words: state, run, failures, last failed run, checkpoint or "-",
+ * minions. */
 std::string encodeStatus(const UnitStatus &status)
 {
     std::string text(1, static_cast<char>(status.state));
     text += FIELD_END + std::to_string(status.run);
     text += FIELD_END + std::to_string(status.failures);
+    text += FIELD_END + std::to_string(status.failedRun);
     text += FIELD_END + (status.checkpoint.empty() ? std::string("-") : status.checkpoint);
     for (const MinionId &minion : status.minions) {
         text += FIELD_END + minion.value();
@@ -139,7 +141,7 @@
         return false;
     }
     status.state = static_cast<UnitState>(state[0]);
-    if (!takeNumber(text, status.run) || !takeNumber(text, status.failures)) {
+    if (!takeNumber(text, status.run) || !takeNumber(text, status.failures) || !takeNumber(text, status.failedRun)) {
         return false;
     }
     const std::string_view checkpoint = takeWord(text);
--- a/packages/steps/jobrecord.h
+++ b/packages/steps/jobrecord.h
@@ -22,6 +22,7 @@
     UnitState state = UnitState::Waiting;
     std::uint32_t run = 0;         ///< number of the last start, from 1
     std::uint32_t failures = 0;    ///< runs that ended as failed
+    std::uint32_t failedRun = 0;   ///< the last of them that was counted
     std::string checkpoint;        ///< where the next run resumes; empty is the beginning
     std::vector<MinionId> minions; ///< of the members of a placed unit, in their order
 
--- a/tests/integration/stepjobs.cpp
+++ b/tests/integration/stepjobs.cpp
@@ -259,6 +259,51 @@
     }
 }
 
+TEST(StepPlanner, KilledBetweenAMembersFailureAndTheEndOfItsGangForgetsNoAttempt)
+{
+    Deployment deployment({2, 3});
+    deployment.start();
+    const std::size_t leader = *deployment.leader();
+    const std::size_t other = 1 - leader;
+    const std::string id = deployment.newId();
+    // One member to a minion; the job may fail twice.
+    const Json steps = {Deployment::step(3, {1'000, 1'000, 8}, {{"gang", true}})};
+    ASSERT_EQ(200, deployment.submit(other, "plan", id, steps, {{"workMs", 20'000}, {"gang", 3}}).status);
+    ASSERT_TRUE(running(deployment, id, 3));
+    PlatformMinionFaults failing;
+    failing.failAll = true;
+    PlatformMinionFaults deaf;
+    deaf.deaf = true;
+    deployment.minion(deployment.runs.of(id)[1].minion).setFaults(deaf); // it holds the gang's end up
+    auto &first = deployment.minion(deployment.runs.of(id)[0].minion);
+    first.setFaults(failing);
+    ASSERT_TRUE(
+        Cluster::eventually([&] { return deployment.runs.of(id)[0].how == "failed" && first.endsListed() == 0; }));
+    deployment.nodes[leader]->kill();
+    ASSERT_TRUE(Cluster::eventually([&] { return deployment.leader() == other; }));
+    for (auto &minion : deployment.minions) {
+        minion->setFaults({});
+    }
+    const auto secondRun = [&] {
+        const auto runs = deployment.runs.of(id);
+        return std::count_if(runs.begin(), runs.end(),
+                             [](const TaskRun &run) { return run.run == 2 && run.endedMs == 0; })
+               == 3;
+    };
+    ASSERT_TRUE(Cluster::eventually(secondRun));
+    for (auto &minion : deployment.minions) {
+        minion->setFaults(failing);
+    }
+    ASSERT_TRUE(deployment.becomes("plan", id, "failed", Millis(15'000), other));
+    std::set<std::uint32_t> failed;
+    for (const TaskRun &run : deployment.runs.of(id)) {
+        if (run.how == "failed") {
+            failed.insert(run.run);
+        }
+    }
+    EXPECT_EQ(2U, failed.size());
+}
+
 TEST(StepPlanner, FrozenIsReplacedAndChangesNothingWhenItWakes)
 {
     Deployment deployment({2, 3});
