Replay load patterns through the step scheduler, and digest its decisions

Each policy has a test that replays its pattern (tests/unit/stepscheduling.cpp); the job book and its records have property tests. papayactl bench now also digests a minute of jobs of steps (bench/stepscenario).

--- a/bench/signature.cpp
+++ b/bench/signature.cpp
@@ -5,6 +5,7 @@
 #include "process/guaranteescheduling.h"
 #include "request/admission.h"
 #include "request/minionchoice.h"
+#include "stepscenario.h"
 
 #include <random>
 #include <string>
@@ -110,6 +111,9 @@
     Digest digest;
     admissionScenario(digest);
     minionScenario(digest);
+    for (const std::string &decision : stepDecisions(SEED)) {
+        digest.add(decision);
+    }
     for (const User user : {User::Fjordhvile, User::Guild}) {
         for (const Flood flood : {Flood::None, Flood::Background}) {
             GuaranteeScheduling policy;
--- a/packages/steps/runtimes.cpp
+++ b/packages/steps/runtimes.cpp
@@ -59,7 +59,7 @@
 
 std::int64_t RunTimes::expectedMs(const QueueName &queue, std::int64_t estimateMs) const
 {
-    return static_cast<std::int64_t>(std::exp(fit(queue, estimateMs).mean));
+    return std::llround(std::exp(fit(queue, estimateMs).mean));
 }
 
 std::int64_t RunTimes::plausibleMs(const QueueName &queue, std::int64_t estimateMs) const
--- /dev/null
+++ b/tests/unit/jobbook.cpp
@@ -0,0 +1,185 @@
+#include "steps/jobbook.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+// The state of all jobs and the records that it is made of.
+
+namespace Papaya
+{
+
+namespace
+{
+
+StepJob sampleJob(std::uint32_t attempts = 2)
+{
+    StepJob job;
+    job.id = JobId("00000000000000aa");
+    job.queue = QueueName("plan");
+    job.service = ServiceName("desk");
+    job.team = TeamName("a");
+    job.submittedMs = 77;
+    job.priority = 1;
+    job.attempts = attempts;
+    job.stretch = 2.5;
+    job.targetMs = 900;
+    job.spec.payload = "do it";
+    StepSpec first;
+    first.count = 3;
+    first.need = {500, 256, 1};
+    first.estimate = Millis(900);
+    first.dataRack = RackName("r1");
+    first.requiredLabel = "a";
+    first.maxPerMinion = 2;
+    StepSpec second;
+    second.count = 4;
+    second.gang = true;
+    second.sameRack = true;
+    second.checkpointing = true;
+    second.dependsOn = {0};
+    job.spec.steps = {first, second};
+    job.spec.timetable = {2, 1'000, 500};
+    return job;
+}
+
+/** A status that may follow: any state with a run of at least 1. */
+rc::Gen<UnitStatus> statuses()
+{
+    return rc::gen::exec([] {
+        UnitStatus status;
+        status.state = *rc::gen::element(UnitState::Waiting, UnitState::Placed, UnitState::Done, UnitState::Failed);
+        status.run = *rc::gen::inRange(0U, 9U);
+        status.failures = *rc::gen::inRange(0U, 3U);
+        status.failedRun = *rc::gen::inRange(0U, 9U);
+        status.checkpoint = *rc::gen::element<std::string>("", "00ab", "17");
+        const int minions = *rc::gen::inRange(0, 4);
+        for (int i = 0; i < minions; ++i) {
+            status.minions.emplace_back("i-" + std::to_string(i));
+        }
+        return status;
+    });
+}
+
+bool hasErrors(const Result<JobRecord> &decoded)
+{
+    return !decoded.ok() && !decoded.errors().empty();
+}
+
+std::vector<UnitKey> unitsOf(const StepJob &job)
+{
+    std::vector<UnitKey> units;
+    for (std::uint32_t k = 0; k < job.spec.occurrences(); ++k) {
+        for (std::int32_t i = 0; i < 3; ++i) {
+            units.push_back({job.id, k, 0, i});
+        }
+        units.push_back({job.id, k, 1, UnitKey::GANG});
+    }
+    return units;
+}
+
+TEST(JobBook, FollowsAJobToItsEnd)
+{
+    JobBook book;
+    const StepJob job = sampleJob();
+    book.apply(StepJobSubmitted {job});
+    EXPECT_EQ(StepJobState::Queued, book.find(job.id)->state());
+    EXPECT_EQ(0U, book.waiting(job.queue)); // scheduled jobs do not count
+    EXPECT_FALSE(book.find(job.id)->dependenciesDone(0, 1));
+    UnitStatus done;
+    done.state = UnitState::Done;
+    done.run = 1;
+    for (const UnitKey &unit : unitsOf(job)) {
+        EXPECT_TRUE(book.find(job.id)->live());
+        book.apply(UnitChanged {unit, done});
+    }
+    EXPECT_EQ(StepJobState::Completed, book.find(job.id)->state());
+    EXPECT_TRUE(book.live().empty());
+    EXPECT_EQ(1'500, book.find(job.id)->dueMs(1));
+}
+
+TEST(JobBook, TakesACancellationThatComesBeforeItsJob)
+{
+    JobBook book;
+    const StepJob job = sampleJob();
+    book.apply(StepJobCancelled {job.id});
+    EXPECT_EQ(nullptr, book.find(job.id));
+    book.apply(StepJobSubmitted {job});
+    EXPECT_EQ(StepJobState::Cancelled, book.find(job.id)->state());
+    EXPECT_FALSE(book.find(job.id)->live());
+}
+
+TEST(UnitKey, NamesTasksAndReadsItsOwnText)
+{
+    const UnitKey gang {JobId("aa"), 1, 2, UnitKey::GANG};
+    EXPECT_EQ("aa.1.2.g", gang.toString());
+    EXPECT_EQ("aa.1.2.5", gang.taskName(5));
+    UnitKey read;
+    EXPECT_TRUE(UnitKey::parse("aa.1.2.g", read));
+    EXPECT_EQ(gang, read);
+    for (const char *bad : {"", "aa", "aa.1.2", "aa.1.2.", "aa.x.2.3", "aa.1.2.-1", "aa.1.2.3.4"}) {
+        EXPECT_FALSE(UnitKey::parse(bad, read)) << bad;
+    }
+}
+
+RC_GTEST_PROP(JobRecord, ReadsWhatItWrote, ())
+{
+    const StepJob job = sampleJob(*rc::gen::inRange(1U, 9U));
+    const auto again = [](const JobRecord &record) {
+        const StoredRecord stored = encodeRecord(record);
+        const auto decoded = decodeRecord(stored.key, stored.value);
+        RC_ASSERT(decoded.ok());
+        const StoredRecord twice = encodeRecord(*decoded);
+        RC_ASSERT(twice.key == stored.key);
+        RC_ASSERT(twice.value == stored.value);
+    };
+    again(StepJobSubmitted {job});
+    again(StepJobCancelled {job.id});
+    again(UnitChanged {{job.id, 3, 1, *rc::gen::inRange(-1, 9)}, *statuses()});
+    again(PlannerSign {Epoch(*rc::gen::inRange<std::uint64_t>(0, 1ULL << 50)), "node-1", *rc::gen::arbitrary<bool>()});
+}
+
+RC_GTEST_PROP(JobRecord, OfAnyBytesIsAValueOrAnError, (const std::string &bytes))
+{
+    for (const char *key : {"j/00", "x/00", "u/00.0.0.1", "q", "", "z"}) {
+        const auto decoded = decodeRecord(key, bytes);
+        RC_ASSERT(decoded.ok() || hasErrors(decoded));
+    }
+    const auto decoded = decodeRecord(bytes, "x");
+    RC_ASSERT(decoded.ok() || hasErrors(decoded));
+}
+
+/** A start from the newest records, followed by an overlapping part of the journal, gives the same state. */
+RC_GTEST_PROP(JobBook, IsTheSameFromNewestRecordsAndOverlappingJournal, ())
+{
+    const StepJob job = sampleJob();
+    std::vector<JobRecord> journal {StepJobSubmitted {job}};
+    const std::vector<UnitKey> units = unitsOf(job);
+    const int changes = *rc::gen::inRange(0, 30);
+    for (int i = 0; i < changes; ++i) {
+        journal.emplace_back(UnitChanged {*rc::gen::elementOf(units), *statuses()});
+    }
+    JobBook whole;
+    std::map<std::string, std::size_t> newest;
+    for (std::size_t i = 0; i < journal.size(); ++i) {
+        whole.apply(journal[i]);
+        newest[encodeRecord(journal[i]).key] = i;
+    }
+    JobBook late;
+    for (const auto &[key, i] : newest) { // by key: units may come before their job
+        late.apply(journal[i]);
+    }
+    for (std::size_t i = *rc::gen::inRange<std::size_t>(0, journal.size()); i < journal.size(); ++i) {
+        late.apply(journal[i]);
+    }
+    RC_ASSERT(whole.find(job.id)->state() == late.find(job.id)->state());
+    RC_ASSERT(whole.find(job.id)->unitsLeft == late.find(job.id)->unitsLeft);
+    for (const UnitKey &unit : units) {
+        RC_ASSERT(*whole.find(unit) == *late.find(unit));
+    }
+}
+
+} // namespace
+
+} // namespace Papaya
--- /dev/null
+++ b/tests/unit/stepscheduling.cpp
@@ -0,0 +1,371 @@
+#include "steps/evacuation.h"
+#include "steps/minionclock.h"
+#include "steps/progresswatch.h"
+#include "steps/runtimes.h"
+#include "steps/stepscheduler.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cmath>
+
+// The decisions on jobs of steps, each with the load pattern that it answers.
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr std::int64_t NOW = 1'000'000;
+
+/** A small fleet, its jobs and what runs. */
+class Scene
+{
+public:
+    explicit Scene(std::size_t racks = 2, std::size_t minionsPerRack = 2)
+    {
+        config.queues = {queue("urgent", 0), queue("plan", 1), queue("batch", 2)};
+        config.teams = {{TeamName("a"), 8}, {TeamName("b"), 0}};
+        for (std::size_t i = 0; i < racks * minionsPerRack; ++i) {
+            MinionView minion;
+            minion.id = MinionId("m" + std::to_string(i));
+            minion.service = ServiceName("desk");
+            minion.rack = RackName("r" + std::to_string(i / minionsPerRack));
+            minion.labels = {"a", minion.rack.value()};
+            minion.capacity = minion.free = {64'000, 128'000, 8};
+            minions.push_back(minion);
+        }
+    }
+
+    static QueueConfig queue(const std::string &name, std::uint32_t priority)
+    {
+        QueueConfig config;
+        config.name = QueueName(name);
+        config.service = ServiceName("desk");
+        config.priority = priority;
+        config.attempts = 2;
+        config.stretch = 2;
+        config.targetMs = 1'000;
+        return config;
+    }
+
+    static StepSpec step(std::uint32_t count, std::int64_t gpus, bool gang = false)
+    {
+        StepSpec step;
+        step.count = count;
+        step.need = {1'000, 1'000, gpus};
+        step.estimate = Millis(2'000);
+        step.gang = gang;
+        return step;
+    }
+
+    JobId submit(const std::string &queueName, const StepSpec &step, std::int64_t agoMs = 0,
+                 const std::string &team = "a")
+    {
+        StepJob job;
+        job.id = JobId("job" + std::to_string(++jobs));
+        const QueueConfig &terms = *config.queue(QueueName(queueName));
+        job.queue = terms.name;
+        job.service = terms.service;
+        job.team = TeamName(team);
+        job.priority = terms.priority;
+        job.attempts = terms.attempts;
+        job.stretch = terms.stretch;
+        job.targetMs = terms.targetMs;
+        job.submittedMs = NOW - agoMs;
+        job.spec.steps = {step};
+        book.apply(StepJobSubmitted {job});
+        return job.id;
+    }
+
+    /** Has @p unit run on @p places. */
+    void run(const UnitKey &unit, const std::vector<std::size_t> &places, std::int64_t lossMs)
+    {
+        UnitStatus status;
+        status.state = UnitState::Placed;
+        status.run = 1;
+        const JobEntry &entry = *book.find(unit.job);
+        ActiveUnit runner;
+        runner.key = unit;
+        runner.team = entry.job.team;
+        runner.priority = entry.job.priority;
+        runner.need = countedNeed(entry.job.spec.steps[unit.step]);
+        runner.minions = places;
+        runner.lossMs = lossMs;
+        for (const std::size_t place : places) {
+            status.minions.push_back(minions[place].id);
+            minions[place].free -= runner.need;
+        }
+        active.push_back(runner);
+        book.apply(UnitChanged {unit, status});
+    }
+
+    /** Fills every minion with running batch tasks of one GPU; task i of minion m has lost m + i milliseconds. */
+    void fillWithBatch()
+    {
+        for (std::size_t m = 0; m < minions.size(); ++m) {
+            const JobId id = submit("batch", step(8, 1));
+            for (int i = 0; i < 8; ++i) {
+                run({id, 0, 0, i}, {m}, 1'000 * static_cast<std::int64_t>(m) + i);
+            }
+        }
+    }
+
+    PlanDecisions plan() const
+    {
+        PlanInput input {book, config, times, minions, active, {}, {}, NOW};
+        return planSteps(std::move(input));
+    }
+
+    DeploymentConfig config;
+    JobBook book;
+    RunTimes times;
+    std::vector<MinionView> minions;
+    std::vector<ActiveUnit> active;
+    int jobs = 0;
+};
+
+TEST(StepScheduling, PlacesAGangWholeOrNotAtAll)
+{
+    Scene scene(1, 2);
+    const JobId fits = scene.submit("plan", Scene::step(2, 8, true));
+    EXPECT_EQ(2U, scene.plan().starts.at(0).minions.size());
+    EXPECT_EQ(fits, scene.plan().starts.at(0).unit.job);
+    Scene full(1, 2);
+    full.submit("plan", Scene::step(3, 8, true));
+    EXPECT_TRUE(full.plan().starts.empty());
+}
+
+TEST(StepScheduling, OfWorkThatSlowsDownAcrossRacksWaitsForARackWhileTheFleetIsBusy)
+{
+    Scene scene(2, 2);
+    StepSpec tied = Scene::step(2, 8, true);
+    tied.sameRack = true;
+    // One minion of each rack is taken: two are free, on different racks.
+    const JobId other = scene.submit("plan", Scene::step(2, 8, true));
+    scene.run({other, 0, 0, UnitKey::GANG}, {0, 2}, 0);
+    scene.minions[1].free.gpus = 7; // so that more than half of the fleet is in use
+    scene.submit("plan", tied);
+    EXPECT_TRUE(scene.plan().starts.empty());
+    scene.minions[0].free = scene.minions[0].capacity;
+    scene.minions[1].free = scene.minions[1].capacity;
+    EXPECT_EQ((std::vector<std::size_t> {0, 1}), scene.plan().starts.at(0).minions);
+}
+
+TEST(StepScheduling, OfAGangWiderThanAnyRackSpreadsIt)
+{
+    Scene scene(2, 2);
+    StepSpec tied = Scene::step(3, 8, true);
+    tied.sameRack = true;
+    scene.submit("plan", tied);
+    EXPECT_EQ(3U, scene.plan().starts.at(0).minions.size());
+}
+
+TEST(StepScheduling, OfDataBoundTasksKeepsThemOnTheirRackWhileItCouldHoldThem)
+{
+    Scene scene(2, 2);
+    scene.fillWithBatch();
+    StepSpec bound = Scene::step(1, 1);
+    bound.dataRack = RackName("r1");
+    scene.submit("plan", bound);
+    scene.minions[0].free.gpus = 4;
+    EXPECT_TRUE(scene.plan().starts.empty());
+    scene.minions[3].free.gpus = 4;
+    EXPECT_EQ(3U, scene.plan().starts.at(0).minions.at(0));
+}
+
+// Pattern: a burst of urgent checks on a fleet full of batch.
+TEST(StepScheduling, OfUrgentWorkOnAFullFleetStopsWhatLosesLeast)
+{
+    Scene scene(1, 3);
+    scene.fillWithBatch();
+    const JobId urgent = scene.submit("urgent", Scene::step(1, 4));
+    const PlanDecisions decisions = scene.plan();
+    EXPECT_TRUE(decisions.starts.empty());
+    ASSERT_EQ(4U, decisions.stops.size());
+    for (const UnitStop &stop : decisions.stops) {
+        EXPECT_EQ(JobId("job1"), stop.unit.job); // the batch on the first minion has lost least
+        EXPECT_EQ(urgent, stop.beneficiary.job);
+    }
+}
+
+TEST(StepScheduling, OfUrgentWorkStopsNothingMoreWhileRoomIsBeingMade)
+{
+    Scene scene(1, 1);
+    scene.fillWithBatch();
+    scene.submit("urgent", Scene::step(1, 4));
+    for (int i = 0; i < 4; ++i) {
+        scene.active[static_cast<std::size_t>(i)].stopping = true;
+        scene.minions[0].soon += scene.active[static_cast<std::size_t>(i)].need;
+    }
+    // The room that is being made is kept: a smaller job that comes later does not take what is free.
+    scene.minions[0].free.gpus = 3;
+    scene.minions[0].soon.gpus = 1;
+    scene.submit("batch", Scene::step(1, 2));
+    const PlanDecisions decisions = scene.plan();
+    EXPECT_TRUE(decisions.stops.empty());
+    EXPECT_TRUE(decisions.starts.empty());
+}
+
+TEST(StepScheduling, OfUrgentWorkBeyondItsGuaranteeDoesNotThrowAwayMoreThanItIsWorth)
+{
+    Scene scene(1, 1);
+    const JobId batch = scene.submit("batch", Scene::step(1, 8));
+    scene.run({batch, 0, 0, 0}, {0}, 60'000);
+    scene.submit("urgent", Scene::step(1, 1), 0, "b");
+    EXPECT_TRUE(scene.plan().stops.empty());
+    scene.submit("urgent", Scene::step(1, 1), 0, "a"); // team a has a guarantee
+    EXPECT_EQ(1U, scene.plan().stops.size());
+}
+
+TEST(StepScheduling, OfAGuaranteedTeamTakesBackWhatAnotherHasBorrowed)
+{
+    Scene scene(1, 1);
+    const JobId borrower = scene.submit("urgent", Scene::step(1, 8), 0, "b");
+    scene.run({borrower, 0, 0, 0}, {0}, 500);
+    const JobId owner = scene.submit("urgent", Scene::step(1, 8), 0, "a");
+    const PlanDecisions decisions = scene.plan();
+    ASSERT_EQ(1U, decisions.stops.size());
+    EXPECT_EQ(borrower, decisions.stops[0].unit.job);
+    EXPECT_EQ(owner, decisions.stops[0].beneficiary.job);
+}
+
+// Pattern: demand over capacity for the whole day.
+TEST(StepScheduling, PutsWhatCanBeInTimeBeforeWhatIsLate)
+{
+    Scene scene(1, 1);
+    scene.submit("plan", Scene::step(1, 8), 4'000); // objective 5 s, 2 s of work left
+    const JobId inTime = scene.submit("plan", Scene::step(1, 8), 500);
+    ASSERT_EQ(1U, scene.plan().starts.size());
+    EXPECT_EQ(inTime, scene.plan().starts[0].unit.job);
+}
+
+// Pattern: estimates that are off by an order of magnitude.
+TEST(RunTimes, GiveWayToTheMeanOfAQueueWhoseEstimatesSayNothing)
+{
+    RunTimes times;
+    const QueueName queue("q");
+    for (int i = 0; i < 200; ++i) {
+        times.add(queue, i % 2 == 0 ? 200 : 20'000, 2'000 + i);
+    }
+    EXPECT_NEAR(2'100, double(times.expectedMs(queue, 200)), 500);
+    EXPECT_NEAR(2'100, double(times.expectedMs(queue, 20'000)), 500);
+}
+
+TEST(RunTimes, KeepEstimatesThatAreGood)
+{
+    RunTimes times;
+    const QueueName queue("q");
+    for (int i = 1; i < 100; ++i) {
+        times.add(queue, 100 * i, 110 * i);
+    }
+    EXPECT_NEAR(1'100, double(times.expectedMs(queue, 1'000)), 100);
+    EXPECT_NEAR(8'800, double(times.expectedMs(queue, 8'000)), 800);
+    EXPECT_EQ(700, times.expectedMs(QueueName("unseen"), 700));
+}
+
+RC_GTEST_PROP(RunTimes, StayWithinWhatWasSeenOrSaid,
+              (const std::vector<std::pair<unsigned short, unsigned short>> &runs))
+{
+    RunTimes times;
+    const QueueName queue("q");
+    for (const auto &[estimate, actual] : runs) {
+        times.add(queue, estimate, actual);
+    }
+    const std::int64_t expected = times.expectedMs(queue, 1'000);
+    RC_ASSERT(expected > 0);
+    RC_ASSERT(times.plausibleMs(queue, 1'000) >= expected);
+}
+
+// Pattern: minions that are emptied and taken away at short notice.
+TEST(Evacuation, KeepsWhatEndsInTimeAndMovesTheRest)
+{
+    EXPECT_FALSE(shouldEvacuate({2'000, 50, 4'000, 2'500, false})); // 2 s left
+    EXPECT_TRUE(shouldEvacuate({2'000, 50, 4'000, 1'500, false}));
+    EXPECT_FALSE(shouldEvacuate({2'000, 10, 4'000, 3'000, true})); // goes on meanwhile
+    EXPECT_TRUE(shouldEvacuate({2'000, 10, 4'000, 1'000, true}));
+    EXPECT_TRUE(shouldEvacuate({0, 0, 4'000, 1'000, false}));
+}
+
+// Pattern: minions that hang while they report themselves as healthy.
+TEST(ProgressWatch, FindsRunsThatStandStill)
+{
+    EXPECT_FALSE(isStuck({10, 1'500, 4'000}));
+    EXPECT_TRUE(isStuck({10, 1'700, 4'000}));
+    EXPECT_FALSE(isStuck({10, 1'700, 40'000})); // one hundredth of a long run takes a while
+    EXPECT_FALSE(isStuck({100, 9'000, 4'000}));
+}
+
+/** A clock that runs at @p percent of the true speed, told with a delay. */
+RC_GTEST_PROP(MinionClock, NeverTakesAGrantAsLapsedWhileItHolds, ())
+{
+    const auto speed = double(*rc::gen::inRange(980, 1'021)) / 1'000;
+    const auto start = *rc::gen::inRange<std::int64_t>(0, 1'000'000);
+    MinionClock clock;
+    std::int64_t highest = 0;
+    std::int64_t now = 0;
+    for (int i = 0; i < 20; ++i) {
+        now += *rc::gen::inRange(1, 2'000);
+        const auto told = start + static_cast<std::int64_t>(double(now) * speed);
+        const std::int64_t heard = now + *rc::gen::inRange(0, 400);
+        clock.heard(told, heard);
+        now = heard;
+        highest = std::max(highest, clock.grant(now, 5'000));
+        const std::int64_t later = now + *rc::gen::inRange(0, 12'000);
+        if (clock.lapsed(later)) {
+            RC_ASSERT(start + static_cast<std::int64_t>(double(later) * speed) > highest);
+        }
+    }
+}
+
+/** Any fleet and any jobs: what is started fits, keeps to its constraints, and is decided alike twice. */
+RC_GTEST_PROP(StepScheduling, StartsOnlyWhatFits, ())
+{
+    Scene scene(3, 2);
+    for (MinionView &minion : scene.minions) {
+        minion.usable = *rc::gen::weightedElement<bool>({{8, true}, {1, false}});
+        minion.free.gpus = *rc::gen::inRange(0, 9);
+        minion.labels.push_back(*rc::gen::element<std::string>("x", "y"));
+    }
+    const int jobs = *rc::gen::inRange(1, 25);
+    for (int i = 0; i < jobs; ++i) {
+        StepSpec step = Scene::step(static_cast<std::uint32_t>(*rc::gen::inRange(1, 7)), *rc::gen::inRange(0, 9),
+                                    *rc::gen::arbitrary<bool>());
+        step.need.cores = *rc::gen::inRange(0, 30'000);
+        step.need.memoryMb = *rc::gen::inRange(0, 70'000);
+        step.sameRack = *rc::gen::arbitrary<bool>();
+        step.maxPerMinion = static_cast<std::uint32_t>(*rc::gen::inRange(0, 3));
+        step.requiredLabel = *rc::gen::element<std::string>("", "x");
+        scene.submit(*rc::gen::element<std::string>("urgent", "plan", "batch"), step, *rc::gen::inRange(0, 30'000),
+                     *rc::gen::element<std::string>("a", "b"));
+    }
+    const PlanDecisions decisions = scene.plan();
+    std::vector<MinionView> minions = scene.minions;
+    std::set<UnitKey> seen;
+    for (const UnitStart &start : decisions.starts) {
+        const StepSpec &step = scene.book.stepOf(start.unit);
+        RC_ASSERT(seen.insert(start.unit).second);
+        RC_ASSERT(start.minions.size() == (step.gang ? step.count : 1));
+        for (const std::size_t m : start.minions) {
+            RC_ASSERT(minions[m].usable);
+            RC_ASSERT(minions[m].free.covers(countedNeed(step)));
+            minions[m].free -= countedNeed(step);
+            RC_ASSERT(step.requiredLabel.empty() || minions[m].labels.back() == step.requiredLabel);
+        }
+    }
+    std::map<std::pair<std::string, std::size_t>, std::uint32_t> together;
+    for (const UnitStart &start : decisions.starts) {
+        for (const std::size_t m : start.minions) {
+            const std::uint32_t limit = scene.book.stepOf(start.unit).maxPerMinion;
+            RC_ASSERT(++together[std::make_pair(start.unit.stepName(), m)] <= limit || limit == 0);
+        }
+    }
+    const PlanDecisions again = scene.plan();
+    RC_ASSERT(again.starts.size() == decisions.starts.size());
+    RC_ASSERT(again.stops.size() == decisions.stops.size());
+}
+
+} // namespace
+
+} // namespace Papaya
