Say unknown of a keyed request that the log cannot speak for, and reload settings on SIGHUP

Cause: a repeat at an instance that cannot read the log was answered not-run, though the first attempt had run at another one. Without the log nobody can know; the reason is key-log-out (502, unknown) now. SIGHUP ended the server (exit 129); it re-reads log level and drain limit (WholePath.GoesOnAfterSighup).

--- a/apps/papayahalld/main.cpp
+++ b/apps/papayahalld/main.cpp
@@ -66,7 +66,7 @@
     }
     Papaya::startLogging(settings->logLevel, settings->instance);
     try {
-        Papaya::Instance::start(*settings)->run();
+        Papaya::Instance::start(*settings, path)->run();
     } catch (const std::exception &error) {
         Papaya::logEvent(Papaya::LogLevel::Error, "start-failed", {{"error", error.what()}});
         return EXIT_REFUSED;
--- a/packages/process/instance.cpp
+++ b/packages/process/instance.cpp
@@ -93,8 +93,9 @@
 
 /** The parts in the order of their dependencies; the last are destroyed first. */
 struct Instance::Parts {
-    explicit Parts(const Settings &instanceSettings)
+    Parts(const Settings &instanceSettings, std::string path)
         : settings(instanceSettings)
+        , settingsPath(std::move(path))
         , incarnation(newIncarnation())
         , strand(Asio::make_strand(io))
         , pool(io)
@@ -118,6 +119,7 @@
         , callersApi(requests, jobs)
         , adminApi(adminContext())
         , signals(io, SIGTERM, SIGINT)
+        , reloadSignal(io, SIGHUP)
         , callersServer(HttpServer::listen(io, settings.callers, callersLimits(settings), callersApi))
         , adminServer(HttpServer::listen(io, settings.admin, adminLimits(), adminApi))
     {
@@ -138,6 +140,7 @@
                 beginDrain();
             }
         });
+        awaitReload();
         logEvent(LogLevel::Info, "started",
                  {{"callers", callersServer->address().toString()},
                   {"admin", adminServer->address().toString()},
@@ -333,6 +336,30 @@
         }
     }
 
+    void awaitReload()
+    {
+        reloadSignal.async_wait([this](const boost::system::error_code &error, int) {
+            if (!error) {
+                reload();
+                awaitReload();
+            }
+        });
+    }
+
+    /** Takes over what may change while the process runs; settings with errors change nothing. */
+    void reload()
+    {
+        const auto reread = Settings::fromFile(settingsPath);
+        if (!reread) {
+            logEvent(LogLevel::Error, "settings-refused",
+                     {{"path", reread.errors().front().path}, {"error", reread.errors().front().message}});
+            return;
+        }
+        setLogLevel(reread->logLevel);
+        drainLimit = reread->drainLimit;
+        logEvent(LogLevel::Info, "settings-reloaded", {{"drain_limit_ms", std::int64_t(reread->drainLimit.count())}});
+    }
+
     void beginDrain()
     {
         if (draining.exchange(true)) {
@@ -355,7 +382,7 @@
 
     static Asio::awaitable<void> drain(Parts &parts)
     {
-        const TimePoint limit = Clock::now() + parts.settings.drainLimit;
+        const TimePoint limit = Clock::now() + parts.drainLimit.load();
         // 1. The balancer sees "not ready"; the planner's role goes to another instance meanwhile.
         co_await parts.planner.resign(Clock::now() + RESIGN_LIMIT);
         co_await sleepFor(parts.settings.drainNotice);
@@ -389,10 +416,13 @@
         parts.hosts->stop();
         boost::system::error_code ignored;
         parts.signals.cancel(ignored);
+        parts.reloadSignal.cancel(ignored);
         co_return;
     }
 
     const Settings settings;
+    const std::string settingsPath;
+    std::atomic<Millis> drainLimit {settings.drainLimit};
     const Incarnation incarnation;
     Asio::io_context io;
     Asio::strand<Asio::io_context::executor_type> strand;
@@ -415,6 +445,7 @@
     CallersApi callersApi;
     AdminApi adminApi;
     Asio::signal_set signals;
+    Asio::signal_set reloadSignal;
     std::unique_ptr<HttpServer> callersServer;
     std::unique_ptr<HttpServer> adminServer;
     std::atomic<bool> slotsShared {false}; ///< there are a configuration and a host list to work by
@@ -424,9 +455,9 @@
     std::atomic<Duration> stoppedAt {Duration::zero()};
 };
 
-std::unique_ptr<Instance> Instance::start(const Settings &settings)
+std::unique_ptr<Instance> Instance::start(const Settings &settings, std::string settingsPath)
 {
-    auto parts = std::make_unique<Parts>(settings);
+    auto parts = std::make_unique<Parts>(settings, std::move(settingsPath));
     parts->start();
     return std::unique_ptr<Instance>(new Instance(std::move(parts)));
 }
--- a/packages/process/logging.cpp
+++ b/packages/process/logging.cpp
@@ -88,6 +88,11 @@
                         << " " << Expressions::smessage);
     Log::core::get()->add_global_attribute("TimeStamp", Log::attributes::utc_clock());
     Log::core::get()->add_sink(sink);
+    setLogLevel(level);
+}
+
+void setLogLevel(LogLevel level)
+{
     Log::core::get()->set_filter(Expressions::attr<int>("Severity") >= static_cast<int>(level));
 }
 
--- a/packages/process/logging.h
+++ b/packages/process/logging.h
@@ -26,6 +26,9 @@
 /** Sets up the log; lines below @p level are dropped. Each line names @p instance. */
 void startLogging(LogLevel level, const InstanceId &instance);
 
+/** Drops lines below @p level from now on. */
+void setLogLevel(LogLevel level);
+
 /** Writes one line for @p event. */
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
--- a/packages/process/requestservice.cpp
+++ b/packages/process/requestservice.cpp
@@ -136,7 +136,7 @@
 {
     Ending ending;
     if (!m_claims.ready()) {
-        ending.refusal = Refusal::NotReady;
+        ending.refusal = Refusal::KeyLogOut;
         co_return ending;
     }
     const ClaimKey key {context.team, context.key};
@@ -157,12 +157,14 @@
             }
             co_return ending;
         }
-        // 3. A claim that may still turn up is given back; this request will not run in any case.
+        // 3. A claim that may still turn up is given back; this request will not run in any case. Whether an earlier
+        // one
+        //    with the key has run, nobody can know without the log.
         if (status != AppendStatus::Applied) {
             if (status == AppendStatus::Unknown) {
                 m_claims.release(ClaimRelease {key, context.id});
             }
-            ending.refusal = Refusal::LogOut;
+            ending.refusal = Refusal::KeyLogOut;
             co_return ending;
         }
         break;
--- a/packages/request/refusal.cpp
+++ b/packages/request/refusal.cpp
@@ -31,6 +31,7 @@
     {"no-such-job", 404, Outcome::NotRun, 0, "the team has no such job"},
     {"run-unknown", 502, Outcome::Unknown, 0, "the request was sent, but no whole answer came back"},
     {"key-outcome-unknown", 502, Outcome::Unknown, 0, "an earlier request with this key has no known outcome"},
+    {"key-log-out", 502, Outcome::Unknown, 2, "without the log nobody knows whether a request with this key has run"},
     {"append-unknown", 504, Outcome::Unknown, 2, "the log service did not say whether it took the record"},
 }};
 
--- a/packages/request/refusal.h
+++ b/packages/request/refusal.h
@@ -37,6 +37,7 @@
     NoSuchJob,
     RunUnknown,
     KeyOutcomeUnknown,
+    KeyLogOut,
     AppendUnknown,
     Count,
 };
--- a/tests/integration/wholepath.cpp
+++ b/tests/integration/wholepath.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <csignal>
+
 // The whole path, thin: a request, a job and a configuration through real processes.
 
 namespace Papaya::Testing
@@ -22,6 +24,17 @@
     EXPECT_EQ(1U, cluster.runsOfBody("is table 7 free?"));
 }
 
+TEST(WholePath, GoesOnAfterSighup)
+{
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    for (int i = 0; i < 2; ++i) {
+        cluster.instances[0]->signal(SIGHUP);
+        EXPECT_EQ(200, cluster.request(0, "phone-check", "still there?").status);
+    }
+    EXPECT_FALSE(cluster.instances[0]->waitForEnd(Millis(300)).has_value());
+}
+
 TEST(WholePath, RunsATwoPartJobOnBothWorkers)
 {
     Cluster cluster;
