--- a/packages/steps/jobrecord.cpp
+++ b/packages/steps/jobrecord.cpp
@@ -21,24 +21,24 @@
 constexpr char FIELD_END = ' ';
 
 enum StepFlag : std::uint32_t {
-    CHECKPOINTING = 1,
-    GANG = 2,
-    SAME_RACK = 4,
-    SPECULATIVE = 8,
-    LONG_RUNNING = 16,
-    FILLS = 32,
+    Checkpointing = 1,
+    Gang = 2,
+    SameRack = 4,
+    Speculative = 8,
+    LongRunning = 16,
+    Fills = 32,
 };
 
 std::uint32_t flagsOf(const StepSpec &step)
 {
     std::uint32_t flags = 0;
     const auto add = [&flags](bool set, StepFlag flag) { flags |= set ? std::uint32_t(flag) : 0U; };
-    add(step.checkpointing, CHECKPOINTING);
-    add(step.gang, GANG);
-    add(step.sameRack, SAME_RACK);
-    add(step.speculative, SPECULATIVE);
-    add(step.longRunning, LONG_RUNNING);
-    add(step.fills, FILLS);
+    add(step.checkpointing, Checkpointing);
+    add(step.gang, Gang);
+    add(step.sameRack, SameRack);
+    add(step.speculative, Speculative);
+    add(step.longRunning, LongRunning);
+    add(step.fills, Fills);
     return flags;
 }
 
@@ -57,12 +57,12 @@
     step.estimate = Millis(json.at(4).get<std::int64_t>());
     step.dependsOn = json.at(5).get<std::vector<std::uint32_t>>();
     const auto flags = json.at(6).get<std::uint32_t>();
-    step.checkpointing = (flags & CHECKPOINTING) != 0;
-    step.gang = (flags & GANG) != 0;
-    step.sameRack = (flags & SAME_RACK) != 0;
-    step.speculative = (flags & SPECULATIVE) != 0;
-    step.longRunning = (flags & LONG_RUNNING) != 0;
-    step.fills = (flags & FILLS) != 0;
+    step.checkpointing = (flags & Checkpointing) != 0;
+    step.gang = (flags & Gang) != 0;
+    step.sameRack = (flags & SameRack) != 0;
+    step.speculative = (flags & Speculative) != 0;
+    step.longRunning = (flags & LongRunning) != 0;
+    step.fills = (flags & Fills) != 0;
     step.requiredLabel = json.at(7).get<std::string>();
     step.dataRack = RackName(json.at(8).get<std::string>());
     step.maxPerMinion = json.at(9).get<std::uint32_t>();
