--- a/packages/connection/httpserver.cpp
+++ b/packages/connection/httpserver.cpp
@@ -287,7 +287,7 @@
         if (response.status == 0) {
             co_return false;
         }
-        const bool keepOpen = keepAlive && !m_draining;
+        const bool keepOpen = keepAlive && !m_draining && response.fields.get("Connection") != "close";
         co_await write(stream, std::move(response), version, keepOpen);
         co_return keepOpen;
     }
--- a/packages/connection/httpserver.h
+++ b/packages/connection/httpserver.h
@@ -25,8 +25,8 @@
     virtual ~HttpHandler() = default;
 
     /**
-     * @return the answer to @p request; a status of 0 closes the connection without an answer, and an exception becomes
-     * a 500
+     * @return the answer to @p request; a status of 0 closes the connection without an answer, a field "Connection:
+     * close" closes it behind the answer, and an exception becomes a 500
      */
     virtual Asio::awaitable<HttpResponse> handle(HttpRequest request) = 0;
 };
--- a/packages/dispatch/jobfront.cpp
+++ b/packages/dispatch/jobfront.cpp
@@ -37,6 +37,10 @@
     if (status == 503 || status == 429) {
         response.fields.set(Field::RETRY_AFTER, RETRY_SOON);
     }
+    if (status == 503 || status == 504) {
+        // Another node may reach the store; a caller that connects anew is sent to one that is ready.
+        response.fields.set("Connection", "close");
+    }
     return response;
 }
 
@@ -143,11 +147,14 @@
 
 Asio::awaitable<HttpResponse> JobFront::cancel(JobId id, const HttpRequest &request)
 {
-    // A job that this node has not heard of may have been accepted by another one a moment ago; the record cancels it
-    // too.
-    const bool known = m_context.book.find(id) != nullptr;
     JobRecord record = StepJobCancelled {id};
     HttpResponse response = co_await store(std::move(record), request, id, "job-cancelled");
+    // Another node may have accepted the job a moment ago; the record cancels it too, and this node hears of it soon.
+    const TimePoint limit = Clock::now() + HEARSAY_LIMIT;
+    while (response.status == 200 && m_context.book.find(id) == nullptr && Clock::now() < limit) {
+        co_await sleepFor(HEARSAY_POLL);
+    }
+    const bool known = m_context.book.find(id) != nullptr;
     co_return response.status == 200 && !known ? errorAnswer(410, "no-such-job") : response;
 }
 
--- a/packages/dispatch/nodesettings.cpp
+++ b/packages/dispatch/nodesettings.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr std::int64_t MAX_DRAIN_MS = 600'000;
+constexpr std::int64_t MAX_KEEP_MS = 86'400'000;
 
 Endpoint readEndpoint(ObjectReader &reader, const char *key, Errors &errors)
 {
@@ -51,6 +52,9 @@
     if (const auto limit = root.integer("drainLimitMs", 1'000, MAX_DRAIN_MS)) {
         settings.drainLimit = Millis(*limit);
     }
+    if (const auto keep = root.integer("keepEndedMs", 100, MAX_KEEP_MS)) {
+        settings.keepEnded = Millis(*keep);
+    }
     root.refuseUnknownKeys();
     if (!errors.empty()) {
         return errors;
--- a/packages/dispatch/nodesettings.h
+++ b/packages/dispatch/nodesettings.h
@@ -20,7 +20,8 @@
     Endpoint callers; ///< where jobs are handed in
     Endpoint ready;   ///< where the balancer asks whether this node takes connections; serves metrics too
     Endpoint store;
-    Millis drainLimit {6'000}; ///< from SIGTERM to SIGKILL
+    Millis drainLimit {6'000};  ///< from SIGTERM to SIGKILL
+    Millis keepEnded {120'000}; ///< how long the state of an ended job can be asked for
 
     /** Parses and checks settings. @return the settings, or every error with its path */
     static Result<NodeSettings> fromText(std::string_view text);
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -291,10 +291,10 @@
             co_return;
         }
         auto claimWriter = JournalWriter::create(io, *platform.store, std::move(producer));
-        planner =
-            StepPlanner::begin({io, *platform.store, *platform.orders, book, times, [this] { return configInForce(); },
-                                settings.node.value(), [this](const char *reason) { loseLeadership(reason); }},
-                               claimWriter, epoch, minions);
+        planner = StepPlanner::begin({io, *platform.store, *platform.orders, book, times,
+                                      [this] { return configInForce(); }, settings.node.value(), settings.keepEnded,
+                                      [this](const char *reason) { loseLeadership(reason); }},
+                                     claimWriter, epoch, minions);
     }
 
     /** Waits until everything that was journaled before the claim of @p epoch is in the book. */
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -37,6 +37,7 @@
 constexpr std::uint32_t STRIKES = 2;       // failed runs in a row before a minion is left alone for a while
 constexpr double PROBATION_SHARE = 0.25;   // of all minions, at most
 constexpr std::int64_t ENTRY_LAG_MS = 600; // an entry may have been written so long before it was read
+constexpr std::int64_t FORGET_INTERVAL_MS = 1'000;
 constexpr std::int64_t STRAY_PAUSE_MS = 500;
 constexpr std::int64_t RESTORE_MS = 600; // a stop saves the work of a task that checkpoints; resuming takes this long
 constexpr std::int64_t NEARLY_DONE_PERCENT = 85; // beyond it work is not stopped for other work
@@ -73,16 +74,10 @@
 void StepPlanner::adopt()
 {
     for (const auto &[id, entry] : m_context.book.jobs()) {
-        for (std::uint32_t k = 0; k < entry.occurrences.size(); ++k) {
-            for (std::uint32_t s = 0; s < entry.occurrences[k].steps.size(); ++s) {
-                const auto &units = entry.occurrences[k].steps[s].units;
-                for (std::size_t i = 0; i < units.size(); ++i) {
-                    const bool gang = entry.job.spec.steps[s].gang;
-                    const UnitKey unit {id, k, s, gang ? UnitKey::GANG : static_cast<std::int32_t>(i)};
-                    if (units[i].state == UnitState::Placed) {
-                        adoptUnit(entry, unit, units[i]);
-                    }
-                }
+        for (const UnitKey &unit : JobBook::unitsOf(entry)) {
+            const UnitStatus &status = *m_context.book.find(unit);
+            if (status.state == UnitState::Placed) {
+                adoptUnit(entry, unit, status);
             }
         }
     }
@@ -191,6 +186,10 @@
     for (auto &[id, link] : m_links) {
         ensureWatched(link);
     }
+    if (now - m_lastForgettingMs >= FORGET_INTERVAL_MS) {
+        m_lastForgettingMs = now;
+        forgetEnded(now);
+    }
     if (m_writer->idle() && now - std::max(m_lastSignMs, m_writer->lastStoredMs()) >= SIGN_MS) {
         m_lastSignMs = now;
         m_records.push_back(encodeRecord(PlannerSign {m_epoch, m_context.node, false}));
@@ -876,6 +875,32 @@
     flushSoon();
 }
 
+void StepPlanner::forgetEnded(std::int64_t nowMs)
+{
+    std::vector<JobId> old;
+    for (const auto &[id, entry] : m_context.book.jobs()) {
+        if (entry.live()) {
+            continue;
+        }
+        const std::int64_t ended = m_endedMs.try_emplace(id, nowMs).first->second;
+        const auto placed = m_assignments.lower_bound(UnitKey {id, 0, 0, UnitKey::GANG});
+        const bool runs = placed != m_assignments.end() && placed->first.job == id;
+        if (nowMs - ended >= m_context.keepEnded.count() && !runs) {
+            old.push_back(id);
+        }
+    }
+    for (const JobId &id : old) {
+        const auto records = encodeForgetting(id, JobBook::unitsOf(*m_context.book.find(id)));
+        m_records.insert(m_records.end(), records.begin(), records.end());
+        m_context.book.apply(StepJobForgotten {id});
+        m_endedMs.erase(id);
+        flushSoon();
+    }
+    if (!old.empty()) {
+        logEvent(LogLevel::Info, "jobs-forgotten", {{"jobs", std::uint64_t(old.size())}});
+    }
+}
+
 void StepPlanner::flushSoon()
 {
     if (m_flushPosted) {
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -41,6 +41,7 @@
         RunTimes &times;
         std::function<const DeploymentConfig *()> config;
         std::string node;
+        Millis keepEnded;                             ///< how long an ended job stays known
         std::function<void(const char *reason)> lost; ///< called once when leadership has been lost
     };
 
@@ -114,6 +115,8 @@
 
     // Journal
     void record(const UnitKey &unit, UnitStatus status);
+    /** Drops jobs that ended long ago from the book and the journal. */
+    void forgetEnded(std::int64_t nowMs);
     void flushSoon();
     void flush();
     void leave(const char *reason);
@@ -132,6 +135,8 @@
     bool m_flushPosted = false;
     bool m_passPosted = false;
     Asio::steady_timer m_passTimer;
+    std::map<JobId, std::int64_t> m_endedMs; ///< when each job was first seen to have ended
+    std::int64_t m_lastForgettingMs = 0;
     std::int64_t m_lastSignMs = 0;
     std::int64_t m_begunMs = 0;
     std::map<std::string, std::int64_t> m_strayStops; ///< when each was last ordered
--- a/packages/steps/jobbook.cpp
+++ b/packages/steps/jobbook.cpp
@@ -94,6 +94,8 @@
             return;
         }
         changed(change->unit, change->status);
+    } else if (const auto *forgotten = std::get_if<StepJobForgotten>(&record)) {
+        forget(forgotten->job);
     } else if (const auto *sign = std::get_if<PlannerSign>(&record)) {
         if (sign->epoch >= m_planner.epoch) {
             m_planner = *sign;
@@ -121,6 +123,30 @@
     }
 }
 
+void JobBook::forget(const JobId &id)
+{
+    m_early.erase(id);
+    const auto found = m_jobs.find(id);
+    if (found != m_jobs.end()) {
+        m_live.erase(std::make_pair(found->second.job.submittedMs, id));
+        m_jobs.erase(found);
+    }
+}
+
+std::vector<UnitKey> JobBook::unitsOf(const JobEntry &entry)
+{
+    std::vector<UnitKey> units;
+    for (std::uint32_t k = 0; k < entry.occurrences.size(); ++k) {
+        for (std::uint32_t s = 0; s < entry.occurrences[k].steps.size(); ++s) {
+            const bool gang = entry.job.spec.steps[s].gang;
+            for (std::size_t i = 0; i < entry.occurrences[k].steps[s].units.size(); ++i) {
+                units.push_back({entry.job.id, k, s, gang ? UnitKey::GANG : static_cast<std::int32_t>(i)});
+            }
+        }
+    }
+    return units;
+}
+
 void JobBook::changed(const UnitKey &key, const UnitStatus &status)
 {
     if (find(key) == nullptr) {
--- a/packages/steps/jobbook.h
+++ b/packages/steps/jobbook.h
@@ -58,6 +58,8 @@
     void apply(const JobRecord &record);
 
     [[nodiscard]] const JobEntry *find(const JobId &id) const;
+    /** @return the units of @p entry. */
+    [[nodiscard]] static std::vector<UnitKey> unitsOf(const JobEntry &entry);
     /** @return the status of @p unit, or null if there is no such unit. */
     [[nodiscard]] const UnitStatus *find(const UnitKey &unit) const;
     /** @return the step that @p unit belongs to; must exist. */
@@ -88,6 +90,7 @@
 
 private:
     void submitted(const StepJob &job);
+    void forget(const JobId &id);
     void changed(const UnitKey &key, const UnitStatus &status);
     void updateLive(JobEntry &entry);
 
--- a/packages/steps/jobrecord.cpp
+++ b/packages/steps/jobrecord.cpp
@@ -166,6 +166,10 @@
     {
         return {std::string(CANCEL_PREFIX) + record.job.value(), "cancelled"};
     }
+    StoredRecord operator()(const StepJobForgotten &record) const
+    {
+        return {std::string(JOB_PREFIX) + record.job.value(), ""};
+    }
     StoredRecord operator()(const UnitChanged &record) const
     {
         return {std::string(UNIT_PREFIX) + record.unit.toString(), encodeStatus(record.status)};
@@ -183,9 +187,25 @@
     return std::visit(Encoder {}, record);
 }
 
+std::vector<StoredRecord> encodeForgetting(const JobId &job, const std::vector<UnitKey> &units)
+{
+    std::vector<StoredRecord> records;
+    for (const UnitKey &unit : units) {
+        records.push_back({std::string(UNIT_PREFIX) + unit.toString(), ""});
+    }
+    records.push_back({std::string(CANCEL_PREFIX) + job.value(), ""});
+    // The job's own record goes last: until it is gone, all nodes know the job whole.
+    records.push_back(encodeRecord(StepJobForgotten {job}));
+    return records;
+}
+
 Result<JobRecord> decodeRecord(std::string_view key, std::string_view value)
 {
     try {
+        if (value.empty() && key.size() > JOB_PREFIX.size() && key != PLANNER_KEY) {
+            const std::string_view name = key.substr(JOB_PREFIX.size());
+            return JobRecord(StepJobForgotten {JobId(std::string(name.substr(0, name.find('.'))))});
+        }
         if (key.starts_with(UNIT_PREFIX)) {
             UnitChanged record;
             const bool good =
--- a/packages/steps/jobrecord.h
+++ b/packages/steps/jobrecord.h
@@ -39,6 +39,11 @@
     JobId job;
 };
 
+/** A job that ended long ago is not known any more. */
+struct StepJobForgotten {
+    JobId job;
+};
+
 /** A unit has changed. */
 struct UnitChanged {
     UnitKey unit;
@@ -52,7 +57,7 @@
     bool resigned = false;
 };
 
-using JobRecord = std::variant<StepJobSubmitted, StepJobCancelled, UnitChanged, PlannerSign>;
+using JobRecord = std::variant<StepJobSubmitted, StepJobCancelled, StepJobForgotten, UnitChanged, PlannerSign>;
 
 /** A record as it is stored. An empty value drops the key. */
 struct StoredRecord {
@@ -63,7 +68,10 @@
 /** @return @p record as it is stored. */
 StoredRecord encodeRecord(const JobRecord &record);
 
-/** Reads encodeRecord(). */
+/** @return the records that drop every key of @p job and its @p units. */
+std::vector<StoredRecord> encodeForgetting(const JobId &job, const std::vector<UnitKey> &units);
+
+/** Reads encodeRecord(); a record without a value is that of a forgotten job. */
 Result<JobRecord> decodeRecord(std::string_view key, std::string_view value);
 
 } // namespace Papaya
--- a/tests/integration/deployment.cpp
+++ b/tests/integration/deployment.cpp
@@ -62,7 +62,8 @@
         const std::string base = m_directory + "/node-" + std::to_string(i);
         const Json settings = {{"node", "node-" + std::to_string(i)}, {"place", "here"},
                                {"callers", m_callers[i].toString()},  {"ready", m_ready[i].toString()},
-                               {"store", store.address().toString()}, {"drainLimitMs", DRAIN_LIMIT_MS}};
+                               {"store", store.address().toString()}, {"drainLimitMs", DRAIN_LIMIT_MS},
+                               {"keepEndedMs", options.keepEndedMs}};
         std::ofstream(base + ".json") << settings.dump(2);
         nodes.push_back(std::make_unique<InstanceProcess>("", base + ".json", base + ".log",
                                                           std::vector<std::string> {"--platform"}));
--- a/tests/integration/deployment.h
+++ b/tests/integration/deployment.h
@@ -21,6 +21,7 @@
     std::size_t nodes = 2;
     std::size_t minions = 3;
     std::size_t minionsPerRack = 6;
+    std::int64_t keepEndedMs = 120'000;
 };
 
 /** What a test's task asks for. */
--- a/tests/integration/stepjobs.cpp
+++ b/tests/integration/stepjobs.cpp
@@ -136,6 +136,28 @@
     EXPECT_TRUE(deployment.becomes("plan", other, "completed"));
 }
 
+TEST(StepJobs, ThatEndedLongAgoAreForgottenEverywhere)
+{
+    DeploymentOptions options;
+    options.keepEndedMs = 700;
+    Deployment deployment(options);
+    deployment.start();
+    const std::string ended = deployment.newId();
+    const std::string open = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", ended, {Deployment::step(2)}).status);
+    ASSERT_EQ(200, deployment.submit(0, "plan", open, {Deployment::step(1)}, {{"workMs", 20'000}}).status);
+    ASSERT_TRUE(deployment.becomes("plan", ended, "completed"));
+    for (std::size_t i = 0; i < 2; ++i) {
+        EXPECT_TRUE(Cluster::eventually([&] { return deployment.call(i, "GET", "plan", ended).status == 410; }));
+        EXPECT_EQ("running", deployment.state(i, "plan", open));
+    }
+    for (const char *key : {"j/", "x/", "u/"}) {
+        EXPECT_EQ("", deployment.store.newest("keyed.journal", key + ended));
+    }
+    EXPECT_EQ("", deployment.store.newest("keyed.journal", "u/" + ended + ".0.0.1"));
+    EXPECT_NE("", deployment.store.newest("keyed.journal", "j/" + open));
+}
+
 TEST(StepJobs, OfASilentMinionRunAgainElsewhereOnceItsLeaseHasLapsed)
 {
     Deployment deployment;
