Split the planner and its tests by concern; let a lost claim end at once

Cause of a slow fail-over: in a condition of two co_await behind ||, g++ 12 evaluated them although the first operand had decided, so that a candidate whose claim had lost waited 2 to 4 s before it could claim again.

--- a/bench/stepscenario.cpp
+++ b/bench/stepscenario.cpp
@@ -67,7 +67,7 @@
         job.spec.steps.push_back(randomStep());
         if (m_random() % 2 == 0) {
             job.spec.steps.push_back(randomStep());
-            job.spec.steps.back().dependsOn = {0};
+            job.spec.steps.back().dependencies = {0};
         }
         m_book.apply(StepJobSubmitted {job});
     }
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -283,8 +283,14 @@
         // Of rival claims the first wins, and one that is carried out late has no effect.
         const AppendOutcome outcome =
             co_await platform.store->append(std::move(records), producer, journal.next(), Clock::now() + CLAIM_LIMIT);
-        const bool stored = outcome == AppendOutcome::Stored || outcome == AppendOutcome::Unknown;
-        if (!stored || draining || !co_await caughtUpWith(epoch) || !co_await loadMinions()) {
+        bool won = (outcome == AppendOutcome::Stored || outcome == AppendOutcome::Unknown) && !draining;
+        if (won) {
+            won = co_await caughtUpWith(epoch);
+        }
+        if (won) {
+            won = co_await loadMinions();
+        }
+        if (!won) {
             journal.setPace(FOLLOWER_PACE);
             logEvent(LogLevel::Info, "planner-claim-failed",
                      {{"epoch", epoch.value()}, {"outcome", toString(outcome)}});
--- /dev/null
+++ b/packages/dispatch/stepplannerhealth.cpp
@@ -0,0 +1,108 @@
+#include "dispatch/stepplanner.h"
+
+#include "dispatch/boottime.h"
+#include "process/logging.h"
+#include "steps/evacuation.h"
+#include "steps/progresswatch.h"
+
+#include <algorithm>
+
+// Runs that are lost, stuck or on minions that leave, and minions that fail what they are given.
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr std::int64_t STRIKE_PAUSE_MS = 8'000;
+constexpr std::uint32_t STRIKES = 2;     // failed runs in a row before a minion is left alone for a while
+constexpr double PROBATION_SHARE = 0.25; // of all minions, at most
+
+} // namespace
+
+void StepPlanner::strike(MinionLink &link, std::int64_t nowMs)
+{
+    const auto held = std::count_if(m_links.begin(), m_links.end(), [nowMs](const auto &item) {
+        return item.second.strikes >= STRIKES && item.second.heldBackUntilMs > nowMs;
+    });
+    // Jobs that fail everywhere must not take the fleet away.
+    if (++link.strikes >= STRIKES && double(held) < PROBATION_SHARE * double(m_links.size())) {
+        link.heldBackUntilMs = nowMs + STRIKE_PAUSE_MS;
+        logEvent(LogLevel::Warning, "minion-on-probation",
+                 {{"minion", link.entry.id.value()}, {"strikes", std::uint64_t(link.strikes)}});
+    }
+}
+
+void StepPlanner::loseLapsed()
+{
+    const std::int64_t now = bootMillis();
+    std::vector<std::pair<AssignmentPtr, std::size_t>> lost;
+    for (const auto &[unit, assignment] : m_assignments) {
+        for (std::size_t i = 0; i < assignment->members.size(); ++i) {
+            const Member &member = assignment->members[i];
+            const MinionLink &link = m_links.at(member.minion);
+            const bool lapsed =
+                link.clock.known() ? link.lookFailures > 0 && link.clock.lapsed(now) : now > link.blindUntilMs;
+            if (member.state != MemberState::Gone && lapsed) {
+                lost.emplace_back(assignment, i);
+            }
+        }
+    }
+    for (const auto &[assignment, index] : lost) {
+        logEvent(LogLevel::Warning, "lease-lapsed",
+                 {{"unit", assignment->unit.toString()},
+                  {"run", std::uint64_t(assignment->run)},
+                  {"minion", assignment->members[index].minion.value()}});
+        memberGone(assignment, index, EndKind::Lapsed);
+    }
+}
+
+void StepPlanner::evacuate()
+{
+    const std::int64_t now = bootMillis();
+    for (const auto &[unit, assignment] : m_assignments) {
+        for (const Member &member : assignment->members) {
+            const MinionLink &link = m_links.at(member.minion);
+            if (!link.entry.draining || member.state != MemberState::Running || assignment->outcome) {
+                continue;
+            }
+            const LeavingRun run {now - assignment->startedMs, assignment->percent, assignment->step.estimate.count(),
+                                  link.leavesAtMs - now, assignment->step.checkpointing};
+            if (shouldEvacuate(run)) {
+                stopAssignment(assignment, "minion-leaves");
+                break;
+            }
+        }
+    }
+}
+
+void StepPlanner::moveStuck()
+{
+    const std::int64_t now = bootMillis();
+    for (const auto &[unit, assignment] : m_assignments) {
+        if (assignment->stopping || assignment->outcome || assignment->step.longRunning) {
+            continue;
+        }
+        const QueueName &queue = m_context.book.find(unit.job)->job.queue;
+        const std::int64_t plausible = m_context.times.plausibleMs(queue, assignment->step.estimate.count());
+        for (const Member &member : assignment->members) {
+            const RunProgress run {member.percent, member.reportedMs - member.risenMs, plausible};
+            if (member.state != MemberState::Running || member.reportedMs == 0 || !isStuck(run)) {
+                continue;
+            }
+            logEvent(LogLevel::Info, "run-stuck",
+                     {{"unit", unit.toString()},
+                      {"minion", member.minion.value()},
+                      {"percent", run.percent},
+                      {"still_ms", run.stillMs},
+                      {"plausible_ms", plausible}});
+            m_avoid[unit].push_back(member.minion);
+            strike(m_links.at(member.minion), now);
+            stopAssignment(assignment, "stuck");
+            break;
+        }
+    }
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/packages/dispatch/stepplannerreports.cpp
@@ -0,0 +1,238 @@
+#include "dispatch/stepplanner.h"
+
+#include "dispatch/boottime.h"
+#include "process/logging.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+// What minions report, and what it means for the units that were placed on them.
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr std::int64_t STRAY_PAUSE_MS = 500;
+
+} // namespace
+
+StepPlanner::AssignmentPtr StepPlanner::findTask(const std::string &task, std::uint32_t run, std::size_t &index)
+{
+    UnitKey key;
+    if (!UnitKey::parse(task, key)) {
+        return nullptr;
+    }
+    index = 0;
+    auto found = m_assignments.find(key);
+    if (found == m_assignments.end()) {
+        index = static_cast<std::size_t>(key.index);
+        key.index = UnitKey::GANG;
+        found = m_assignments.find(key);
+    }
+    const bool known =
+        found != m_assignments.end() && found->second->run == run && index < found->second->members.size();
+    return known ? found->second : nullptr;
+}
+
+void StepPlanner::handleReport(MinionLink &link, const MinionReport &report, std::int64_t sentMs)
+{
+    for (const EndedTask &end : report.ended) {
+        if (end.number > link.endsHandled) {
+            link.endsHandled = end.number;
+            handleEnd(link, end);
+        }
+    }
+    if (link.endsHandled > link.endsStored) {
+        m_ends.emplace_back(link.entry.id, link.endsHandled);
+        flushSoon();
+    }
+    handleRunning(link, report, sentMs);
+}
+
+void StepPlanner::handleEnd(MinionLink &link, const EndedTask &end)
+{
+    std::size_t index = 0;
+    const AssignmentPtr assignment = findTask(end.task, end.run, index);
+    logEvent(LogLevel::Info, "run-ended",
+             {{"task", end.task},
+              {"run", std::uint64_t(end.run)},
+              {"minion", link.entry.id.value()},
+              {"how", toString(end.kind)},
+              {"known", assignment ? "yes" : "no"}});
+    if (end.kind == EndKind::Done) {
+        link.strikes = 0;
+    } else if (end.kind == EndKind::Failed) {
+        strike(link, bootMillis());
+    }
+    if (!assignment || assignment->members[index].minion != link.entry.id) {
+        return;
+    }
+    if (!end.checkpoint.empty()) {
+        assignment->checkpoint = end.checkpoint;
+    }
+    if (end.kind == EndKind::Failed) {
+        m_avoid[assignment->unit].push_back(link.entry.id);
+    }
+    memberGone(assignment, index, end.kind);
+}
+
+void StepPlanner::handleRunning(MinionLink &link, const MinionReport &report, std::int64_t sentMs)
+{
+    const std::int64_t now = bootMillis();
+    std::map<std::string, std::uint32_t> listed;
+    for (const RunningTask &running : report.running) {
+        std::size_t index = 0;
+        const AssignmentPtr assignment = findTask(running.task, running.run, index);
+        if (!assignment || assignment->members[index].minion != link.entry.id) {
+            std::int64_t &last = m_strayStops[running.task];
+            if (now - last >= STRAY_PAUSE_MS) {
+                last = now;
+                Asio::co_spawn(m_context.io, stopStray(shared_from_this(), link.entry.id, running.task, running.run),
+                               Asio::detached);
+            }
+            continue;
+        }
+        listed[running.task] = running.run;
+        assignment->percent = std::max(assignment->percent, running.percent);
+        Member &member = assignment->members[index];
+        if (running.percent > member.percent || member.reportedMs == 0) {
+            member.percent = running.percent;
+            member.risenMs = now;
+        }
+        member.reportedMs = now;
+        if (!running.checkpoint.empty() && running.checkpoint != assignment->checkpoint) {
+            assignment->checkpoint = running.checkpoint;
+            assignment->savedMs = now;
+        }
+    }
+    // What is not listed in a look that was sent after its start or stop was answered is not there.
+    std::vector<std::pair<AssignmentPtr, std::size_t>> missing;
+    for (const auto &[unit, assignment] : m_assignments) {
+        for (std::size_t i = 0; i < assignment->members.size(); ++i) {
+            const Member &member = assignment->members[i];
+            const bool settled = (member.state == MemberState::Running && member.confirmedMs < sentMs)
+                                 || (member.state == MemberState::Ordered && member.stopAnsweredMs > 0
+                                     && member.stopAnsweredMs < sentMs);
+            if (member.minion == link.entry.id && settled
+                && !listed.contains(unit.taskName(static_cast<std::uint32_t>(i)))) {
+                missing.emplace_back(assignment, i);
+            }
+        }
+    }
+    for (const auto &[assignment, index] : missing) {
+        memberGone(assignment, index, EndKind::Unknown);
+    }
+}
+
+void StepPlanner::newLife(MinionLink &link)
+{
+    logEvent(LogLevel::Warning, "minion-reborn",
+             {{"minion", link.entry.id.value()}, {"members", std::uint64_t(link.members)}});
+    std::vector<std::pair<AssignmentPtr, std::size_t>> lost;
+    for (const auto &[unit, assignment] : m_assignments) {
+        for (std::size_t i = 0; i < assignment->members.size(); ++i) {
+            const Member &member = assignment->members[i];
+            if (member.minion == link.entry.id && member.state != MemberState::Gone) {
+                lost.emplace_back(assignment, i);
+            }
+        }
+    }
+    for (const auto &[assignment, index] : lost) {
+        memberGone(assignment, index, EndKind::Unknown);
+    }
+    link.clock = MinionClock();
+    link.fenceRaised = false;
+    link.endsHandled = link.endsStored = link.endsAcked = 0;
+    link.strikes = 0;
+    std::erase_if(m_ends, [&](const auto &item) { return item.first == link.entry.id; });
+}
+
+void StepPlanner::memberGone(const AssignmentPtr &assignment, std::size_t index, EndKind kind)
+{
+    Member &member = assignment->members[index];
+    if (member.state == MemberState::Gone) {
+        return;
+    }
+    member.state = MemberState::Gone;
+    MinionLink &link = m_links.at(member.minion);
+    --link.members;
+    link.used -= assignment->need;
+    if (assignment->stopping) {
+        link.stopping -= assignment->need;
+    }
+    const bool better = kind == EndKind::Done || kind == EndKind::Failed;
+    if (!assignment->outcome || (better && *assignment->outcome != EndKind::Done)) {
+        assignment->outcome = kind;
+    }
+    settle(assignment);
+    requestPass();
+}
+
+void StepPlanner::settle(const AssignmentPtr &assignment)
+{
+    if (assignment->outcome == EndKind::Done) {
+        if (!assignment->doneStored) {
+            assignment->doneStored = true;
+            UnitStatus status = *m_context.book.find(assignment->unit);
+            status.state = assignment->step.longRunning ? UnitState::Placed : UnitState::Done;
+            record(assignment->unit, std::move(status));
+        }
+    } else if (!assignment->ended()) {
+        if (assignment->outcome == EndKind::Failed) {
+            countFailure(assignment); // the end may be acknowledged long before the other members have ended
+        }
+        stopAssignment(assignment, "member-lost");
+    }
+    if (assignment->ended()) {
+        finish(assignment);
+    }
+}
+
+void StepPlanner::countFailure(const Assignment &assignment, UnitStatus &status)
+{
+    if (assignment.outcome == EndKind::Failed && !assignment.step.longRunning && status.failedRun != assignment.run) {
+        ++status.failures;
+        status.failedRun = assignment.run;
+    }
+}
+
+void StepPlanner::countFailure(const AssignmentPtr &assignment)
+{
+    const UnitStatus &known = *m_context.book.find(assignment->unit);
+    UnitStatus status = known;
+    countFailure(*assignment, status);
+    if (!(status == known)) {
+        record(assignment->unit, std::move(status));
+    }
+}
+
+void StepPlanner::finish(const AssignmentPtr &assignment)
+{
+    const UnitKey unit = assignment->unit;
+    m_assignments.erase(unit);
+    const bool done = assignment->outcome == EndKind::Done && !assignment->step.longRunning;
+    const JobEntry *entry = m_context.book.find(unit.job);
+    if (done || entry == nullptr) {
+        m_avoid.erase(unit);
+        jobChanged(unit.job);
+        return;
+    }
+    UnitStatus status = *m_context.book.find(unit);
+    status.state = UnitState::Waiting;
+    status.minions.clear();
+    status.checkpoint = assignment->checkpoint;
+    countFailure(*assignment, status);
+    if (status.failures >= entry->job.attempts && !assignment->step.longRunning) {
+        status.state = UnitState::Failed;
+        logEvent(LogLevel::Info, "unit-given-up",
+                 {{"unit", unit.toString()}, {"failures", std::uint64_t(status.failures)}});
+    }
+    record(unit, std::move(status));
+    jobChanged(unit.job);
+}
+
+} // namespace Papaya
--- a/packages/steps/jobbook.cpp
+++ b/packages/steps/jobbook.cpp
@@ -72,7 +72,7 @@
 {
     const OccurrenceProgress &progress = occurrences[occurrence];
     return std::all_of(
-        job.spec.steps[step].dependsOn.begin(), job.spec.steps[step].dependsOn.end(),
+        job.spec.steps[step].dependencies.begin(), job.spec.steps[step].dependencies.end(),
         [&](std::uint32_t earlier) { return progress.steps[earlier].done == progress.steps[earlier].units.size(); });
 }
 
--- a/packages/steps/jobrecord.cpp
+++ b/packages/steps/jobrecord.cpp
@@ -45,7 +45,7 @@
 Json stepToJson(const StepSpec &step)
 {
     return Json::array({step.count, step.need.cores, step.need.memoryMb, step.need.gpus, step.estimate.count(),
-                        step.dependsOn, flagsOf(step), step.requiredLabel, step.dataRack.value(), step.maxPerMinion,
+                        step.dependencies, flagsOf(step), step.requiredLabel, step.dataRack.value(), step.maxPerMinion,
                         step.image, step.tailTarget.count(), step.maxUnavailable});
 }
 
@@ -55,7 +55,7 @@
     step.count = json.at(0).get<std::uint32_t>();
     step.need = {json.at(1).get<std::int64_t>(), json.at(2).get<std::int64_t>(), json.at(3).get<std::int64_t>()};
     step.estimate = Millis(json.at(4).get<std::int64_t>());
-    step.dependsOn = json.at(5).get<std::vector<std::uint32_t>>();
+    step.dependencies = json.at(5).get<std::vector<std::uint32_t>>();
     const auto flags = json.at(6).get<std::uint32_t>();
     step.checkpointing = (flags & Checkpointing) != 0;
     step.gang = (flags & Gang) != 0;
--- a/packages/steps/stepjob.h
+++ b/packages/steps/stepjob.h
@@ -21,7 +21,7 @@
     std::uint32_t count = 1;
     Resources need;
     Millis estimate {0}; ///< the caller's guess for one task, often far off
-    std::vector<std::uint32_t> dependsOn;
+    std::vector<std::uint32_t> dependencies;
     bool checkpointing = false;
     bool gang = false;
     bool sameRack = false;    ///< a gang over several racks runs slower
--- a/packages/steps/stepscheduler.h
+++ b/packages/steps/stepscheduler.h
@@ -3,6 +3,7 @@
 #include "steps/deploymentconfig.h"
 #include "steps/jobbook.h"
 #include "steps/runtimes.h"
+#include "steps/timeliness.h"
 
 #include <cstdint>
 #include <map>
@@ -76,12 +77,6 @@
 /** @return what a task of @p step takes of a minion; the cores of a task that fills are not counted. */
 Resources countedNeed(const StepSpec &step);
 
-/** How a job stands against its objective. */
-enum class Timeliness { InTime, Late, Worthless };
-
-/** @return how @p occurrence stands, by the learned times of the work that is left. */
-Timeliness timelinessOf(const JobEntry &entry, std::uint32_t occurrence, const RunTimes &times, std::int64_t nowMs);
-
 /** One pass. */
 PlanDecisions planSteps(PlanInput input);
 
--- a/tests/integration/deployment.cpp
+++ b/tests/integration/deployment.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/use_future.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -193,6 +194,22 @@
     return text.str();
 }
 
+bool Deployment::running(const std::string &id, std::size_t count)
+{
+    return Cluster::eventually([&] {
+        const auto all = runs.of(id);
+        const auto open = std::count_if(all.begin(), all.end(), [](const auto &run) { return run.endedMs == 0; });
+        return static_cast<std::size_t>(open) == count;
+    });
+}
+
+std::size_t Deployment::doneRuns(const std::string &id)
+{
+    const auto all = runs.of(id);
+    const auto done = std::count_if(all.begin(), all.end(), [](const auto &run) { return run.how == "done"; });
+    return static_cast<std::size_t>(done);
+}
+
 Standins::PlatformMinionStandin &Deployment::minion(const std::string &id)
 {
     for (auto &minion : minions) {
--- a/tests/integration/deployment.h
+++ b/tests/integration/deployment.h
@@ -64,6 +64,10 @@
     /** @return the text that the node has logged. */
     [[nodiscard]] std::string log(std::size_t node) const;
     Standins::PlatformMinionStandin &minion(const std::string &id);
+    /** Waits until just @p count runs of job @p id are in progress. */
+    bool running(const std::string &id, std::size_t count);
+    /** @return the runs of job @p id that were done. */
+    std::size_t doneRuns(const std::string &id);
 
     static Json step(std::uint32_t count, const TaskShape &shape = {}, const Json &more = Json::object());
 
--- /dev/null
+++ b/tests/integration/stepplanner.cpp
@@ -0,0 +1,180 @@
+#include "deployment.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <csignal>
+#include <set>
+
+// The planner of jobs of steps: killed, frozen, cut off and stopped. The judge is what the minions saw.
+
+namespace Papaya::Testing
+{
+
+namespace
+{
+
+using Standins::PlatformMinionFaults;
+using Standins::StoreFaults;
+using Standins::TaskRun;
+
+TEST(StepPlanner, KilledIsReplacedAndItsRunsAreTakenOver)
+{
+    Deployment deployment({3, 3});
+    deployment.start();
+    const std::string id = deployment.newId();
+    const Json work = {{"workMs", 3'000}, {"gang", 3}};
+    ASSERT_EQ(200, deployment.submit(0, "plan", id, {Deployment::step(3, {}, {{"gang", true}})}, work).status);
+    ASSERT_TRUE(deployment.running(id, 3));
+    const std::size_t leader = *deployment.leader();
+    deployment.nodes[leader]->kill();
+    const std::size_t other = (leader + 1) % 3;
+    ASSERT_TRUE(deployment.becomes("plan", id, "completed", Millis(10'000), other));
+    EXPECT_EQ(3U, deployment.runs.of(id).size());
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+}
+
+TEST(StepPlanner, KilledAtAnyMomentOfAStartLeavesNothingDoubledOrLost)
+{
+    for (const int afterMs : {0, 4, 8, 12, 20, 40}) {
+        Deployment deployment({2, 3});
+        deployment.start();
+        const std::size_t leader = *deployment.leader();
+        const std::size_t other = 1 - leader;
+        const std::string id = deployment.newId();
+        const Json steps = {Deployment::step(3, {}, {{"gang", true}}), Deployment::step(4)};
+        ASSERT_EQ(200, deployment.submit(other, "plan", id, steps, {{"workMs", 400}}).status);
+        std::this_thread::sleep_for(Millis(afterMs)); // the moment is what is tested
+        deployment.nodes[leader]->kill();
+        EXPECT_TRUE(deployment.becomes("plan", id, "completed", Millis(12'000), other)) << afterMs;
+        EXPECT_TRUE(deployment.runs.doubled().empty()) << afterMs;
+    }
+}
+
+TEST(StepPlanner, KilledBetweenAMembersFailureAndTheEndOfItsGangForgetsNoAttempt)
+{
+    Deployment deployment({2, 3});
+    deployment.start();
+    const std::size_t leader = *deployment.leader();
+    const std::size_t other = 1 - leader;
+    const std::string id = deployment.newId();
+    // One member to a minion; the job may fail twice.
+    const Json steps = {Deployment::step(3, {1'000, 1'000, 8}, {{"gang", true}})};
+    ASSERT_EQ(200, deployment.submit(other, "plan", id, steps, {{"workMs", 20'000}, {"gang", 3}}).status);
+    ASSERT_TRUE(deployment.running(id, 3));
+    PlatformMinionFaults failing;
+    failing.failAll = true;
+    PlatformMinionFaults deaf;
+    deaf.deaf = true;
+    deployment.minion(deployment.runs.of(id)[1].minion).setFaults(deaf); // it holds the gang's end up
+    auto &first = deployment.minion(deployment.runs.of(id)[0].minion);
+    first.setFaults(failing);
+    ASSERT_TRUE(
+        Cluster::eventually([&] { return deployment.runs.of(id)[0].how == "failed" && first.endsListed() == 0; }));
+    deployment.nodes[leader]->kill();
+    ASSERT_TRUE(Cluster::eventually([&] { return deployment.leader() == other; }));
+    for (auto &minion : deployment.minions) {
+        minion->setFaults({});
+    }
+    const auto secondRun = [&] {
+        const auto runs = deployment.runs.of(id);
+        return std::count_if(runs.begin(), runs.end(),
+                             [](const TaskRun &run) { return run.run == 2 && run.endedMs == 0; })
+               == 3;
+    };
+    ASSERT_TRUE(Cluster::eventually(secondRun));
+    for (auto &minion : deployment.minions) {
+        minion->setFaults(failing);
+    }
+    ASSERT_TRUE(deployment.becomes("plan", id, "failed", Millis(15'000), other));
+    std::set<std::uint32_t> failed;
+    for (const TaskRun &run : deployment.runs.of(id)) {
+        if (run.how == "failed") {
+            failed.insert(run.run);
+        }
+    }
+    EXPECT_EQ(2U, failed.size());
+}
+
+TEST(StepPlanner, FrozenIsReplacedAndChangesNothingWhenItWakes)
+{
+    Deployment deployment({2, 3});
+    deployment.start();
+    const std::size_t leader = *deployment.leader();
+    const std::size_t other = 1 - leader;
+    const std::string id = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(other, "plan", id, {Deployment::step(6)}, {{"workMs", 2'500}}).status);
+    ASSERT_TRUE(deployment.running(id, 6));
+    deployment.nodes[leader]->signal(SIGSTOP);
+    ASSERT_TRUE(Cluster::eventually([&] { return deployment.leader() == other; }));
+    const std::string second = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(other, "plan", second, {Deployment::step(3)}, {{"workMs", 500}}).status);
+    ASSERT_TRUE(deployment.becomes("plan", second, "completed", Millis(8'000), other));
+    deployment.nodes[leader]->signal(SIGCONT);
+    ASSERT_TRUE(deployment.becomes("plan", id, "completed", Millis(8'000), other));
+    EXPECT_TRUE(deployment.becomes("plan", id, "completed", Millis(8'000), leader));
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+    EXPECT_EQ(other, *deployment.leader());
+}
+
+TEST(StepPlanner, IsNotReplacedByAClaimThatIsCarriedOutLate)
+{
+    // The late claim has the higher epoch in about half of the rounds.
+    for (int round = 0; round < 4; ++round) {
+        Deployment deployment({2, 1});
+        StoreFaults late;
+        late.lateAppends = 1;
+        late.lateMs = 900;
+        deployment.store.setFaults(late);
+        deployment.start();
+        const std::size_t leader = *deployment.leader();
+        std::this_thread::sleep_for(Millis(1'200)); // the late claim is carried out meanwhile
+        EXPECT_EQ(leader, deployment.leader().value_or(9));
+        const std::string log = deployment.log(leader);
+        EXPECT_EQ(std::string::npos, log.find("event=leadership-lost"));
+        EXPECT_EQ(std::string::npos, log.find("event=planner-lost"));
+    }
+}
+
+TEST(StepPlanner, ThatCannotReachAMinionWaitsOutItsPredecessorsLeases)
+{
+    Deployment deployment({2, 3});
+    deployment.start();
+    const std::size_t leader = *deployment.leader();
+    const std::size_t other = 1 - leader;
+    const std::string id = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(other, "plan", id, {Deployment::step(1)}, {{"workMs", 4'000}}).status);
+    ASSERT_TRUE(deployment.running(id, 1));
+    PlatformMinionFaults deaf;
+    deaf.deaf = true;
+    deaf.hang = true;
+    deployment.minion(deployment.runs.of(id).front().minion).setFaults(deaf);
+    deployment.nodes[leader]->kill();
+    ASSERT_TRUE(deployment.becomes("plan", id, "completed", Millis(30'000), other));
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+    EXPECT_EQ(2U, deployment.runs.of(id).size());
+}
+
+TEST(StepPlanner, ResignsOnSigtermAndCutsNoRequest)
+{
+    Deployment deployment({2, 3});
+    deployment.start();
+    const std::size_t leader = *deployment.leader();
+    const std::size_t other = 1 - leader;
+    const std::string id = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(leader, "plan", id, {Deployment::step(3)}, {{"workMs", 1'500}}).status);
+    ASSERT_TRUE(deployment.running(id, 3));
+    deployment.nodes[leader]->signal(SIGTERM);
+    EXPECT_TRUE(Cluster::eventually([&] { return deployment.leader() == other; }, Millis(1'500)));
+    // It goes on taking work until the balancer has looked elsewhere.
+    EXPECT_EQ(200, deployment.submit(leader, "plan", deployment.newId(), {Deployment::step(1)}).status);
+    EXPECT_FALSE(deployment.ready(leader));
+    EXPECT_EQ(0, deployment.nodes[leader]->waitForEnd(Millis(4'000)).value_or(-1));
+    ASSERT_TRUE(deployment.becomes("plan", id, "completed", Millis(8'000), other));
+    EXPECT_EQ(3U, deployment.runs.of(id).size());
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+}
+
+} // namespace
+
+} // namespace Papaya::Testing
--- /dev/null
+++ b/tests/integration/stepstore.cpp
@@ -0,0 +1,185 @@
+#include "deployment.h"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+// Jobs of steps while the platform's store is out, silent, forgetful, or loses answers; configuration and signals.
+
+namespace Papaya::Testing
+{
+
+namespace
+{
+
+using Standins::StoreFaults;
+
+TEST(StepStore, OutForAWhileLosesNothingAndRefusesTruly)
+{
+    Deployment deployment;
+    deployment.start();
+    const std::string before = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", before, {Deployment::step(3)}, {{"workMs", 1'000}}).status);
+    ASSERT_TRUE(deployment.running(before, 3));
+    StoreFaults busy;
+    busy.busy = true;
+    deployment.store.setFaults(busy);
+    const std::string refused = deployment.newId();
+    EXPECT_EQ(503, deployment.submit(0, "plan", refused, {Deployment::step(1)}).status);
+    deployment.store.setFaults({});
+    ASSERT_TRUE(deployment.becomes("plan", before, "completed"));
+    EXPECT_EQ(3U, deployment.runs.of(before).size());
+    EXPECT_TRUE(deployment.runs.of(refused).empty());
+    EXPECT_TRUE(Cluster::eventually([&] { return deployment.ready(0) && deployment.ready(1); }));
+}
+
+TEST(StepStore, ThatIsSilentGivesNoFalseRefusal)
+{
+    Deployment deployment;
+    deployment.start();
+    StoreFaults silent;
+    silent.silent = true;
+    deployment.store.setFaults(silent);
+    EXPECT_EQ(504, deployment.submit(0, "plan", deployment.newId(), {Deployment::step(1)}).status);
+    deployment.store.setFaults({});
+    const std::string after = deployment.newId();
+    EXPECT_TRUE(
+        Cluster::eventually([&] { return deployment.submit(0, "plan", after, {Deployment::step(1)}).status == 200; }));
+    EXPECT_TRUE(deployment.becomes("plan", after, "completed"));
+}
+
+TEST(StepStore, ThatLosesAnAnswerAndThenIsBusyIsNoReasonToRefuse)
+{
+    Deployment deployment;
+    deployment.start();
+    // The connection of the lost answer has been used before, so that a call could hide that it was sent twice.
+    ASSERT_EQ(200, deployment.submit(0, "plan", deployment.newId(), {Deployment::step(1)}).status);
+    StoreFaults faults;
+    faults.loseAnswers = 1;
+    faults.busyAfterLoss = true;
+    deployment.store.setFaults(faults);
+    const std::string id = deployment.newId();
+    EXPECT_EQ(504, deployment.submit(0, "plan", id, {Deployment::step(1)}).status);
+    deployment.store.setFaults({});
+    EXPECT_TRUE(deployment.becomes("plan", id, "completed"));
+}
+
+TEST(StepStore, ThatLosesAnswersOrActsLateDoublesNothing)
+{
+    Deployment deployment;
+    deployment.start();
+    std::vector<std::string> ids;
+    for (int i = 0; i < 12; ++i) {
+        StoreFaults faults;
+        faults.loseAnswers = i % 3 == 0 ? 2 : 0;
+        faults.lateAppends = i % 3 == 1 ? 2 : 0;
+        faults.lateMs = 700;
+        deployment.store.setFaults(faults);
+        ids.push_back(deployment.newId());
+        const int status =
+            deployment.submit(static_cast<std::size_t>(i % 2), "plan", ids.back(), {Deployment::step(2)}).status;
+        EXPECT_TRUE(status == 200 || status == 504) << status;
+    }
+    deployment.store.setFaults({});
+    for (const std::string &id : ids) {
+        EXPECT_EQ(200, deployment.submit(0, "plan", id, {Deployment::step(2)}).status);
+        EXPECT_TRUE(deployment.becomes("plan", id, "completed", Millis(10'000)));
+        EXPECT_EQ(2U, deployment.doneRuns(id));
+    }
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+}
+
+TEST(StepStore, WhoseHistoryIsGoneStillHoldsAllJobs)
+{
+    Deployment deployment;
+    deployment.start();
+    const std::string done = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", done, {Deployment::step(2)}).status);
+    ASSERT_TRUE(deployment.becomes("plan", done, "completed"));
+    const std::string open = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", open, {Deployment::step(2)}, {{"workMs", 3'000}}).status);
+    ASSERT_TRUE(deployment.running(open, 2));
+    for (const char *topic : {"keyed.journal", "keyed.op", "keyed.servers"}) {
+        deployment.store.compact(topic);
+    }
+    for (std::size_t i = 0; i < 2; ++i) {
+        deployment.nodes[i]->kill();
+        deployment.startNode(i);
+    }
+    ASSERT_TRUE(Cluster::eventually([&] { return deployment.ready(0) && deployment.ready(1); }));
+    EXPECT_EQ("completed", deployment.state(0, "plan", done));
+    EXPECT_TRUE(deployment.becomes("plan", open, "completed", Millis(15'000)));
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+}
+
+TEST(StepStore, OutAtTheStartIsWaitedFor)
+{
+    Deployment deployment({1, 1});
+    StoreFaults busy;
+    busy.busy = true;
+    deployment.store.setFaults(busy);
+    deployment.configure();
+    deployment.startNode(0);
+    ASSERT_TRUE(
+        Cluster::eventually([&] { return deployment.log(0).find("event=store-read-lost") != std::string::npos; }));
+    EXPECT_FALSE(deployment.ready(0));
+    EXPECT_EQ(503, deployment.submit(0, "plan", deployment.newId(), {Deployment::step(1)}).status);
+    deployment.store.setFaults({});
+    EXPECT_TRUE(Cluster::eventually([&] { return deployment.ready(0); }));
+}
+
+TEST(StepNodes, TakeANewVersionWithinSecondsAndNeverGoBack)
+{
+    Deployment deployment;
+    deployment.start();
+    const std::string old = deployment.store.newest("keyed.op", "config");
+    deployment.configure([](Json &config) {
+        Json route = config["routes"][0];
+        route["name"] = route["pathPrefix"] = "/new/";
+        config["routes"].push_back(route);
+        config["tenants"][1]["apiKeys"] = Json::array();
+    });
+    for (std::size_t i = 0; i < 2; ++i) {
+        EXPECT_TRUE(
+            Cluster::eventually([&] { return deployment.call(i, "GET", "new", "").status == 200; }, Millis(2'000)));
+        EXPECT_EQ(401, deployment.call(i, "GET", "plan", "", "", "key-b").status);
+    }
+    deployment.store.put("keyed.op", "config", old);
+    deployment.store.put("keyed.op", "config", "{broken");
+    const std::string id = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", id, {Deployment::step(1)}).status);
+    ASSERT_TRUE(deployment.becomes("plan", id, "completed"));
+    for (std::size_t i = 0; i < 2; ++i) {
+        EXPECT_TRUE(
+            Cluster::eventually([&] { return deployment.log(i).find("event=config-ignored") != std::string::npos; }));
+        EXPECT_EQ(200, deployment.call(i, "GET", "new", "").status);
+    }
+}
+
+TEST(StepNodes, PassOverEntriesOfOtherWriters)
+{
+    Deployment deployment({1, 2});
+    deployment.store.put("keyed.servers", "i-bad-1", "not json");
+    deployment.store.put("keyed.servers", "i-bad-2", R"({"service":"desk","address":7,"state":"ready"})");
+    deployment.store.put(
+        "keyed.servers", "i-bad-3",
+        R"({"service":"desk","address":"127.0.0.1:1","zone":"z","state":"asleep","capacity":{},"labels":[]})");
+    deployment.start();
+    const std::string id = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", id, {Deployment::step(4)}).status);
+    EXPECT_TRUE(deployment.becomes("plan", id, "completed"));
+}
+
+TEST(StepNodes, ReadTheirSettingsAgainOnSighup)
+{
+    Deployment deployment({1, 1});
+    deployment.start();
+    deployment.nodes[0]->signal(SIGHUP);
+    EXPECT_TRUE(
+        Cluster::eventually([&] { return deployment.log(0).find("event=settings-reloaded") != std::string::npos; }));
+    EXPECT_TRUE(deployment.ready(0));
+}
+
+} // namespace
+
+} // namespace Papaya::Testing
--- a/tests/unit/jobbook.cpp
+++ b/tests/unit/jobbook.cpp
@@ -38,7 +38,7 @@
     second.gang = true;
     second.sameRack = true;
     second.checkpointing = true;
-    second.dependsOn = {0};
+    second.dependencies = {0};
     job.spec.steps = {first, second};
     job.spec.timetable = {2, 1'000, 500};
     return job;
