Name the scores of placement, and forget minions that have left

Read through as a newcomer: scores and waits have names, one loss factor that nothing used is gone, the planner's links to minions end a minute after their entries. Decisions unchanged.

--- a/packages/dispatch/minionlink.h
+++ b/packages/dispatch/minionlink.h
@@ -13,6 +13,7 @@
     MinionEntry entry;
     MinionClock clock;
     bool listed = true;               ///< its entry is still there
+    std::int64_t unlistedMs = 0;      ///< when the entry went
     bool fenceRaised = false;         ///< it does nothing any more for earlier planners
     bool watched = false;             ///< a loop looks at it
     std::uint64_t endsHandled = 0;    ///< ends up to this number have been taken into the book
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -22,6 +22,7 @@
 constexpr Millis PASS_GAP {4};             // what comes within it shares a pass
 constexpr std::int64_t ENTRY_LAG_MS = 600; // an entry may have been written so long before it was read
 constexpr std::int64_t FORGET_INTERVAL_MS = 1'000;
+constexpr std::int64_t FORGET_MINION_MS = 60'000; // after its entry has gone; no order to it lasts so long
 constexpr std::int64_t RESTORE_MS = 600; // a stop saves the work of a task that checkpoints; resuming takes this long
 constexpr std::int64_t NEARLY_DONE_PERCENT = 85; // beyond it work is not stopped for other work
 
@@ -97,6 +98,7 @@
         if (added) {
             link.entry.id = minion;
             link.listed = false;
+            link.unlistedMs = bootMillis();
             link.blindUntilMs = m_begunMs + BLIND_MS;
         }
         ++link.members;
@@ -142,6 +144,7 @@
         logEvent(LogLevel::Info, "minion-unlisted",
                  {{"minion", id.value()}, {"members", std::uint64_t(found->second.members)}});
         found->second.listed = false;
+        found->second.unlistedMs = bootMillis();
     }
 }
 
@@ -166,6 +169,11 @@
     loseLapsed();
     evacuate();
     moveStuck();
+    std::erase_if(m_links, [now](const auto &item) {
+        const MinionLink &link = item.second;
+        const bool quiet = !link.listed && link.members == 0 && !link.watched;
+        return quiet && now - link.unlistedMs > FORGET_MINION_MS;
+    });
     for (auto &[id, link] : m_links) {
         ensureWatched(link);
     }
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -24,9 +24,11 @@
 constexpr int START_TRIES = 2;
 constexpr Millis LOOK_RETRY {150};
 constexpr std::uint32_t RENEWALS_UNANSWERED = 1; // a look that was lost on a dead connection is repeated with its grant
+constexpr Millis STORED_LIMIT {400};             // a renewal must not wait longer for the journal
+constexpr Millis STORED_POLL {10};
 constexpr Millis STOP_RETRY {300};
-constexpr Millis STOP_CONFIRM {250}; // a stop takes up to 200 ms
-constexpr std::int64_t NO_ROOM_PAUSE_MS = 500;
+constexpr Millis STOP_CONFIRM {250};           // a stop takes up to 200 ms
+constexpr std::int64_t REFUSED_PAUSE_MS = 500; // before a minion that refused a start is tried again
 constexpr std::int64_t UNHEALTHY_PAUSE_MS = 2'000;
 
 } // namespace
@@ -91,16 +93,9 @@
         self->stopAssignment(assignment, "start-in-doubt");
         self->ensureWatched(link);
         break;
-    case OrderOutcome::NoRoom:
-        link.heldBackUntilMs = now + NO_ROOM_PAUSE_MS;
-        self->memberGone(assignment, index, EndKind::Unknown);
-        break;
-    case OrderOutcome::Unhealthy:
-        link.heldBackUntilMs = now + UNHEALTHY_PAUSE_MS;
-        self->memberGone(assignment, index, EndKind::Unknown);
-        break;
     default:
-        link.heldBackUntilMs = now + NO_ROOM_PAUSE_MS;
+        link.heldBackUntilMs =
+            now + (answer.outcome == OrderOutcome::Unhealthy ? UNHEALTHY_PAUSE_MS : REFUSED_PAUSE_MS);
         self->memberGone(assignment, index, EndKind::Unknown);
         break;
     }
@@ -182,8 +177,9 @@
             co_await sleepFor(LOOK_RETRY);
         } else if (link.endsStored < link.endsHandled) {
             // The next look would list the same ends again at once; waits for the journal, but not for long.
-            for (int i = 0; i < 40 && link.endsStored < link.endsHandled && self->m_leading; ++i) {
-                co_await sleepFor(Millis(10));
+            const TimePoint limit = Clock::now() + STORED_LIMIT;
+            while (link.endsStored < link.endsHandled && self->m_leading && Clock::now() < limit) {
+                co_await sleepFor(STORED_POLL);
             }
         }
     }
--- a/packages/steps/stepscheduler.cpp
+++ b/packages/steps/stepscheduler.cpp
@@ -14,9 +14,14 @@
 constexpr std::int64_t DUE_MARGIN_MS = 20; // clocks of nodes differ slightly; a start before its time is an error
 constexpr double GPU_IN_CORES = 8;         // a GPU weighs as much as this many cores
 constexpr double STOP_COST = 1;            // core-seconds; keeps needless stops away
+// Scores of a minion for a member, each above all that come after it: where the unit has failed, minions that have
+// failed others, GPUs that stay free, the share of memory that does; the share of cores counts 1.
+constexpr double AVOIDED_SCORE = 1e8;
+constexpr double PENALTY_SCORE = 1e6;
+constexpr double GPU_SCORE = 100;
+constexpr double MEMORY_SCORE = 10;
 constexpr std::uint32_t MAX_MEMBERS_A_MINION = 64;
-constexpr double URGENT_LOSS = 1;
-constexpr double OTHER_LOSS = 0.1;
+constexpr double URGENT_LOSS = 1; // what other work may lose for an urgent unit, in units of its own work
 constexpr double NO_ROOM = std::numeric_limits<double>::max();
 
 double weightOf(const Resources &need)
@@ -181,12 +186,14 @@
     /** How little a member of @p need on @p minion leaves behind; smaller is better. */
     [[nodiscard]] double leftOver(const UnitKey &unit, const MinionView &minion, const Resources &need) const
     {
-        double score = 1e6 * minion.penalty;
-        score += avoided(unit, minion) ? 1e8 : 0;
-        score += 100 * double(minion.free.gpus - need.gpus);
-        score += 10 * double(minion.free.memoryMb - need.memoryMb)
-                 / double(std::max<std::int64_t>(1, minion.capacity.memoryMb));
-        score += double(minion.free.cores - need.cores) / double(std::max<std::int64_t>(1, minion.capacity.cores));
+        const auto share = [](std::int64_t left, std::int64_t capacity) {
+            return double(left) / double(std::max<std::int64_t>(1, capacity));
+        };
+        double score = avoided(unit, minion) ? AVOIDED_SCORE : 0;
+        score += PENALTY_SCORE * minion.penalty;
+        score += GPU_SCORE * double(minion.free.gpus - need.gpus);
+        score += MEMORY_SCORE * share(minion.free.memoryMb - need.memoryMb, minion.capacity.memoryMb);
+        score += share(minion.free.cores - need.cores, minion.capacity.cores);
         return score;
     }
 
@@ -355,7 +362,7 @@
         const double members = step.gang ? step.count : 1;
         const std::int64_t expected = m_input.times.expectedMs(candidate.entry->job.queue, step.estimate.count());
         const double work = weightOf(step.need) * members * double(expected) / 1000;
-        return work * (candidate.entry->job.priority == 0 ? URGENT_LOSS : OTHER_LOSS);
+        return work * URGENT_LOSS;
     }
 
     /** Room that can be had by stopping units. */
