--- a/packages/steps/jobrecord.cpp
+++ b/packages/steps/jobrecord.cpp
@@ -190,6 +190,7 @@
 std::vector<StoredRecord> encodeForgetting(const JobId &job, const std::vector<UnitKey> &units)
 {
     std::vector<StoredRecord> records;
+    records.reserve(units.size() + 2);
     for (const UnitKey &unit : units) {
         records.push_back({std::string(UNIT_PREFIX) + unit.toString(), ""});
     }
