--- a/apps/papayahalld/main.cpp
+++ b/apps/papayahalld/main.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/stepnode.h"
 #include "platformcodec.h"
 #include "platformminions.h"
+#include "platformservices.h"
 #include "platformstore.h"
 #include "process/instance.h"
 #include "process/logging.h"
@@ -44,7 +45,13 @@
         boost::asio::io_context io(1); // the machines have one core
         Papaya::HttpPool pool(io);
         Papaya::Platform platform {Papaya::makePlatformStore(pool, settings->store), Papaya::makePlatformMinions(pool),
-                                   Papaya::makePlatformCodec()};
+                                   Papaya::makePlatformCodec(), nullptr, nullptr};
+        if (settings->oracle) {
+            platform.oracle = Papaya::makePlatformOracle(pool, *settings->oracle);
+        }
+        if (settings->machines) {
+            platform.machines = Papaya::makePlatformMachines(pool, *settings->machines);
+        }
         const auto node = Papaya::StepNode::start(io, *settings, path, std::move(platform));
         io.run();
     } catch (const std::exception &error) {
--- a/bench/stepscenario.cpp
+++ b/bench/stepscenario.cpp
@@ -117,7 +117,7 @@
 
     void decide()
     {
-        PlanInput input {m_book, m_config, m_times, m_minions, {}, {}, {}, m_now};
+        PlanInput input {m_book, m_config, m_times, m_tickets, m_minions, {}, {}, {}, m_now, m_now};
         for (const auto &[key, run] : m_runs) {
             input.active.push_back(run.unit);
         }
@@ -163,6 +163,7 @@
     std::int64_t m_now = 0;
     JobBook m_book;
     RunTimes m_times;
+    TicketBook m_tickets;
     DeploymentConfig m_config;
     std::vector<MinionView> m_minions;
     std::map<UnitKey, Run> m_runs;
--- a/packages/dispatch/assignment.h
+++ b/packages/dispatch/assignment.h
@@ -29,6 +29,9 @@
     std::int64_t percent = 0; ///< of its work, as last reported
     std::int64_t risenMs = 0; ///< when its percentage last rose
     std::int64_t reportedMs = 0;
+    std::int64_t tailMs = 0;         ///< of its users' response times, if it serves
+    std::optional<int> pacedPercent; ///< the share that it was told to use; nothing if not known
+    bool pacing = false;             ///< an order on its share is on its way
 };
 
 /** A run of a unit from its start to the end of its last member. */
--- a/packages/dispatch/deploymentcodec.h
+++ b/packages/dispatch/deploymentcodec.h
@@ -2,7 +2,9 @@
 
 #include "base/result.h"
 #include "dispatch/minionorders.h"
+#include "dispatch/recordstore.h"
 #include "steps/deploymentconfig.h"
+#include "steps/upkeep.h"
 
 #include <memory>
 #include <string>
@@ -14,6 +16,9 @@
 namespace Papaya
 {
 
+/** What the operator is told of a maintenance wave. */
+enum class WaveStatus { Running, Completed };
+
 /** The documents of a deployment. */
 class DeploymentCodec
 {
@@ -23,6 +28,10 @@
     /** @return true if the record under @p key is a configuration. */
     [[nodiscard]] virtual bool isConfig(std::string_view key) const = 0;
     [[nodiscard]] virtual Result<DeploymentConfig> decodeConfig(std::string_view value) const = 0;
+    /** @return true if the record under @p key asks for a maintenance wave. */
+    [[nodiscard]] virtual bool isWave(std::string_view key) const = 0;
+    [[nodiscard]] virtual Result<UpkeepWave> decodeWave(std::string_view key, std::string_view value) const = 0;
+    [[nodiscard]] virtual StoredRecord encodeWaveStatus(WaveNumber wave, WaveStatus status) const = 0;
     [[nodiscard]] virtual Result<MinionEntry> decodeMinion(std::string_view key, std::string_view value) const = 0;
     [[nodiscard]] virtual Result<JobSpec> decodeJob(std::string_view body) const = 0;
     /** @return the body of an answer about a job's state. */
--- a/packages/dispatch/journalwriter.cpp
+++ b/packages/dispatch/journalwriter.cpp
@@ -31,15 +31,16 @@
 } // namespace
 
 std::shared_ptr<JournalWriter> JournalWriter::create(Asio::io_context &io, RecordStore &store,
-                                                     std::optional<Producer> producer)
+                                                     std::optional<Producer> producer, Topic topic)
 {
-    return std::shared_ptr<JournalWriter>(new JournalWriter(io, store, std::move(producer)));
+    return std::shared_ptr<JournalWriter>(new JournalWriter(io, store, std::move(producer), topic));
 }
 
-JournalWriter::JournalWriter(Asio::io_context &io, RecordStore &store, std::optional<Producer> producer)
+JournalWriter::JournalWriter(Asio::io_context &io, RecordStore &store, std::optional<Producer> producer, Topic topic)
     : m_io(io)
     , m_store(store)
     , m_producer(std::move(producer))
+    , m_topic(topic)
 {
 }
 
@@ -127,7 +128,8 @@
             records.insert(records.end(), entry.records.begin(), entry.records.end());
         }
         const std::int64_t sent = bootMillis();
-        const AppendOutcome outcome = co_await m_store.append(std::move(records), m_producer, std::nullopt, limit);
+        const AppendOutcome outcome =
+            co_await m_store.append(m_topic, std::move(records), m_producer, std::nullopt, limit);
         if (outcome == AppendOutcome::Stored) {
             m_lastStoredMs = std::max(m_lastStoredMs, sent);
         }
--- a/packages/dispatch/journalwriter.h
+++ b/packages/dispatch/journalwriter.h
@@ -12,7 +12,7 @@
 #include <optional>
 #include <vector>
 
-// Appends to the journal with one append in flight: what comes meanwhile rides in the next one.
+// Appends to a topic, most often the journal, with one append in flight: what comes meanwhile rides in the next one.
 
 namespace Papaya
 {
@@ -28,7 +28,7 @@
      * fenced, in order and without a second copy; without it an append ends at its deadline
      */
     static std::shared_ptr<JournalWriter> create(Asio::io_context &io, RecordStore &store,
-                                                 std::optional<Producer> producer);
+                                                 std::optional<Producer> producer, Topic topic = Topic::Journal);
 
     /** Appends @p records together; @p done is called once. */
     void append(std::vector<StoredRecord> records, TimePoint deadline, Callback done);
@@ -55,7 +55,7 @@
         bool doubtful = false; ///< an earlier try may have been carried out
     };
 
-    JournalWriter(Asio::io_context &io, RecordStore &store, std::optional<Producer> producer);
+    JournalWriter(Asio::io_context &io, RecordStore &store, std::optional<Producer> producer, Topic topic);
     static Asio::awaitable<void> drive(std::shared_ptr<JournalWriter> self);
     Asio::awaitable<void> send(std::vector<Entry> &batch);
     std::vector<Entry> takeBatch();
@@ -65,6 +65,7 @@
     Asio::io_context &m_io;
     RecordStore &m_store;
     std::optional<Producer> m_producer;
+    Topic m_topic;
     std::deque<Entry> m_queue;
     bool m_inFlight = false;
     bool m_driving = false;
--- a/packages/dispatch/minionlink.h
+++ b/packages/dispatch/minionlink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/minionorders.h"
+#include "steps/fillpace.h"
 #include "steps/minionclock.h"
 
 #include <cstdint>
@@ -26,6 +27,8 @@
     std::uint32_t strikes = 0;        ///< failed runs without a good one between
     std::int64_t heldBackUntilMs = 0; ///< takes nothing new before
     std::int64_t leavesAtMs = 0;      ///< not before, while draining
+    FillPace fillPace;                ///< of the tasks that fill, beside those that serve
+    bool shared = false;              ///< runs tasks that fill beside tasks that serve
     std::int64_t blindUntilMs = 0;    ///< while never heard: an earlier planner's leases may last until then
 };
 
--- a/packages/dispatch/minionorders.h
+++ b/packages/dispatch/minionorders.h
@@ -39,6 +39,7 @@
     std::uint32_t run = 0;
     std::string checkpoint; ///< the last one saved
     std::int64_t percent = 0;
+    std::int64_t tailMs = 0; ///< of the response times of a task that serves; means nothing for others
 };
 
 /** How a run ended. */
@@ -100,10 +101,19 @@
     std::uint32_t run = 0;
     std::string payload;
     std::string checkpoint;
+    std::string ticket;            ///< of the admission oracle; empty where none is asked for
     std::int64_t leaseUntilMs = 0; ///< on the minion's clock
     Epoch fence;
 };
 
+/** Lets a run work at a share of its speed. */
+struct PaceOrder {
+    std::string task;
+    std::uint32_t run = 0;
+    int percent = 100;
+    Epoch fence;
+};
+
 /** Looks at a minion, acknowledges ends and extends its lease. */
 struct LookOrder {
     Epoch fence;
@@ -126,6 +136,7 @@
     virtual Asio::awaitable<OrderAnswer> start(const MinionEntry &minion, StartOrder order, Millis limit) = 0;
     virtual Asio::awaitable<OrderAnswer> stop(const MinionEntry &minion, std::string task, std::uint32_t run,
                                               Epoch fence, Millis limit) = 0;
+    virtual Asio::awaitable<OrderAnswer> pace(const MinionEntry &minion, PaceOrder order, Millis limit) = 0;
     virtual Asio::awaitable<LookAnswer> look(const MinionEntry &minion, LookOrder order, Millis limit) = 0;
 };
 
--- a/packages/dispatch/nodesettings.cpp
+++ b/packages/dispatch/nodesettings.cpp
@@ -29,6 +29,20 @@
     return *endpoint;
 }
 
+std::optional<Endpoint> readOptionalEndpoint(ObjectReader &reader, const char *key, Errors &errors)
+{
+    const auto text = reader.text(key, Presence::Optional);
+    if (!text || text->empty()) {
+        return std::nullopt;
+    }
+    const auto endpoint = Endpoint::parse(*text);
+    if (!endpoint) {
+        errors.push_back({"wrong-value", "must be ip:port", reader.pathOf(key)});
+        return std::nullopt;
+    }
+    return *endpoint;
+}
+
 } // namespace
 
 Result<NodeSettings> NodeSettings::fromText(std::string_view text)
@@ -49,6 +63,8 @@
     settings.callers = readEndpoint(root, "callers", errors);
     settings.ready = readEndpoint(root, "ready", errors);
     settings.store = readEndpoint(root, "store", errors);
+    settings.oracle = readOptionalEndpoint(root, "oracle", errors);
+    settings.machines = readOptionalEndpoint(root, "machines", errors);
     if (const auto limit = root.integer("drainLimitMs", 1'000, MAX_DRAIN_MS)) {
         settings.drainLimit = Millis(*limit);
     }
--- a/packages/dispatch/recordstore.h
+++ b/packages/dispatch/recordstore.h
@@ -19,8 +19,8 @@
 
 namespace Asio = boost::asio;
 
-/** The topics that the system reads; it writes to its journal only. */
-enum class Topic { Journal, Config, Minions };
+/** The topics of the store; the system writes to its journal and to the status that the operator reads. */
+enum class Topic { Journal, Config, Minions, Status };
 
 /** Who appends. The store refuses a producer's appends of an earlier epoch, and repeats of a sequence change nothing.
  */
@@ -68,11 +68,12 @@
     virtual ~RecordStore() = default;
 
     /**
-     * Appends @p records to the journal, all or none.
-     * @param expectedEnd if given, only if the journal ends there, so that a late append has no effect
+     * Appends @p records to @p topic, all or none.
+     * @param expectedEnd if given, only if the topic ends there, so that a late append has no effect
      */
-    virtual Asio::awaitable<AppendOutcome> append(std::vector<StoredRecord> records, std::optional<Producer> producer,
-                                                  std::optional<Offset> expectedEnd, TimePoint deadline) = 0;
+    virtual Asio::awaitable<AppendOutcome> append(Topic topic, std::vector<StoredRecord> records,
+                                                  std::optional<Producer> producer, std::optional<Offset> expectedEnd,
+                                                  TimePoint deadline) = 0;
     /**
      * Reads on from @p from; waits up to @p wait for a record.
      * @throws StoreError
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -126,6 +126,9 @@
     void configReceived(const std::vector<StoredRecord> &records)
     {
         for (const StoredRecord &record : records) {
+            if (platform.codec->isWave(record.key)) {
+                waveReceived(record);
+            }
             if (!platform.codec->isConfig(record.key)) {
                 continue;
             }
@@ -143,6 +146,22 @@
         }
     }
 
+    void waveReceived(const StoredRecord &record)
+    {
+        auto decoded = platform.codec->decodeWave(record.key, record.value);
+        if (!decoded) {
+            logEvent(LogLevel::Warning, "wave-ignored",
+                     {{"key", record.key}, {"error", decoded.errors().front().message}});
+            return;
+        }
+        logEvent(LogLevel::Info, "wave-received",
+                 {{"wave", decoded->number.value()},
+                  {"machines", std::uint64_t(decoded->machines.size())},
+                  {"within_ms", std::int64_t(decoded->within.count())},
+                  {"maximum", std::uint64_t(decoded->maximum)}});
+        waves[decoded->number] = std::move(*decoded);
+    }
+
     // --- Journal ---
 
     void journalLoaded(const std::vector<StoredRecord> &records)
@@ -179,7 +198,9 @@
         if (ofPlanner) {
             plannerHeardMs = bootMillis();
         }
-        if (planner && std::holds_alternative<UnitChanged>(record)) {
+        const bool decided =
+            std::holds_alternative<UnitChanged>(record) || std::holds_alternative<WaveProgress>(record);
+        if (planner && decided) {
             return; // the planner's own book is ahead of the journal
         }
         if (const auto *change = std::get_if<UnitChanged>(&record)) {
@@ -281,8 +302,8 @@
         std::vector<StoredRecord> records;
         records.push_back(encodeRecord(PlannerSign {epoch, settings.node.value(), false}));
         // Of rival claims the first wins, and one that is carried out late has no effect.
-        const AppendOutcome outcome =
-            co_await platform.store->append(std::move(records), producer, journal.next(), Clock::now() + CLAIM_LIMIT);
+        const AppendOutcome outcome = co_await platform.store->append(Topic::Journal, std::move(records), producer,
+                                                                      journal.next(), Clock::now() + CLAIM_LIMIT);
         bool won = (outcome == AppendOutcome::Stored || outcome == AppendOutcome::Unknown) && !draining;
         if (won) {
             won = co_await caughtUpWith(epoch);
@@ -296,11 +317,15 @@
                      {{"epoch", epoch.value()}, {"outcome", toString(outcome)}});
             co_return;
         }
-        auto claimWriter = JournalWriter::create(io, *platform.store, std::move(producer));
-        planner = StepPlanner::begin({io, *platform.store, *platform.orders, book, times,
-                                      [this] { return configInForce(); }, settings.node.value(), settings.keepEnded,
-                                      [this](const char *reason) { loseLeadership(reason); }},
-                                     claimWriter, epoch, minions);
+        auto claimWriter = JournalWriter::create(io, *platform.store, producer);
+        auto statusWriter =
+            JournalWriter::create(io, *platform.store, Producer {producerName(), epoch, 0}, Topic::Status);
+        planner = StepPlanner::begin(
+            {io, *platform.store, *platform.orders, platform.oracle.get(), platform.machines.get(), *platform.codec,
+             book, times, [this] { return configInForce(); },
+             [this]() -> const std::map<WaveNumber, UpkeepWave> & { return waves; }, settings.node.value(),
+             settings.keepEnded, [this](const char *reason) { loseLeadership(reason); }},
+            claimWriter, statusWriter, epoch, minions);
     }
 
     /** Waits until everything that was journaled before the claim of @p epoch is in the book. */
@@ -412,6 +437,7 @@
     JobBook book;
     RunTimes times;
     std::unique_ptr<DeploymentConfig> config;
+    std::map<WaveNumber, UpkeepWave> waves;
     std::map<MinionId, MinionEntry> minions;
     std::set<std::string> badEntries;
     Records journalRecords;
--- a/packages/dispatch/stepnode.h
+++ b/packages/dispatch/stepnode.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "dispatch/admissionoracle.h"
 #include "dispatch/deploymentcodec.h"
+#include "dispatch/machinecontrol.h"
 #include "dispatch/minionorders.h"
 #include "dispatch/nodesettings.h"
 #include "dispatch/recordstore.h"
@@ -20,6 +22,8 @@
     std::unique_ptr<RecordStore> store;
     std::unique_ptr<MinionOrders> orders;
     std::unique_ptr<DeploymentCodec> codec;
+    std::unique_ptr<AdmissionOracle> oracle;  ///< null where the deployment has none
+    std::unique_ptr<MachineControl> machines; ///< null where the deployment has none
 };
 
 /** A running node. */
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -37,7 +37,8 @@
 {
 }
 
-std::shared_ptr<StepPlanner> StepPlanner::begin(Context context, std::shared_ptr<JournalWriter> writer, Epoch epoch,
+std::shared_ptr<StepPlanner> StepPlanner::begin(Context context, std::shared_ptr<JournalWriter> writer,
+                                                std::shared_ptr<JournalWriter> status, Epoch epoch,
                                                 const std::map<MinionId, MinionEntry> &minions)
 {
     std::shared_ptr<StepPlanner> planner(new StepPlanner(std::move(context), std::move(writer), epoch));
@@ -51,6 +52,11 @@
               {"placed", std::uint64_t(planner->m_assignments.size())},
               {"jobs", std::uint64_t(planner->m_context.book.size())}});
     planner->requestPass();
+    if (planner->m_context.machines != nullptr) {
+        const Context &own = planner->m_context;
+        UpkeepKeeper::begin({own.io, *own.machines, std::shared_ptr<FleetAccess>(planner, planner.get()), own.book,
+                             own.waves, own.codec, std::move(status), own.node, epoch});
+    }
     return planner;
 }
 
@@ -92,7 +98,7 @@
     assignment->checkpoint = status.checkpoint;
     assignment->startedMs = assignment->savedMs = bootMillis();
     for (const MinionId &minion : status.minions) {
-        assignment->members.push_back({minion});
+        assignment->members.emplace_back().minion = minion;
         const auto [place, added] = m_links.try_emplace(minion);
         MinionLink &link = place->second;
         if (added) {
@@ -233,7 +239,8 @@
 PlanInput StepPlanner::planInput(std::vector<MinionId> &ids)
 {
     const std::int64_t now = bootMillis();
-    PlanInput input {m_context.book, *m_context.config(), m_context.times, {}, {}, {}, m_avoid, wallMillis()};
+    PlanInput input {
+        m_context.book, *m_context.config(), m_context.times, m_tickets, {}, {}, {}, m_avoid, wallMillis(), now};
     std::map<MinionId, std::size_t> places;
     for (const auto &[id, link] : m_links) {
         MinionView view;
@@ -246,7 +253,7 @@
         view.free -= link.used;
         view.soon = link.stopping;
         view.usable = link.listed && !link.entry.draining && link.fenceRaised && link.clock.known()
-                      && link.lookFailures == 0 && now >= link.heldBackUntilMs;
+                      && link.lookFailures == 0 && now >= link.heldBackUntilMs && !m_reserved.contains(id);
         view.penalty = link.strikes;
         places[id] = ids.size();
         ids.push_back(id);
@@ -291,6 +298,7 @@
     for (const UnitStart &start : decisions.starts) {
         startUnit(start, ids);
     }
+    askForAdvice(decisions.advice);
 }
 
 void StepPlanner::startUnit(const UnitStart &decision, const std::vector<MinionId> &ids)
@@ -358,6 +366,7 @@
         m_records.insert(m_records.end(), records.begin(), records.end());
         m_context.book.apply(StepJobForgotten {id});
         m_endedMs.erase(id);
+        m_tickets.forget(id);
         flushSoon();
     }
     if (!old.empty()) {
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "dispatch/admissionoracle.h"
 #include "dispatch/assignment.h"
 #include "dispatch/journalwriter.h"
 #include "dispatch/minionlink.h"
+#include "dispatch/upkeepkeeper.h"
 #include "steps/stepscheduler.h"
 
 #include <boost/asio/io_context.hpp>
@@ -11,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,7 +32,7 @@
 {
 
 /** Runs while this node leads. */
-class StepPlanner : public std::enable_shared_from_this<StepPlanner>
+class StepPlanner : public std::enable_shared_from_this<StepPlanner>, private FleetAccess
 {
 public:
     /** What the planner is built from; all outlive it. */
@@ -37,16 +40,21 @@
         Asio::io_context &io;
         RecordStore &store;
         MinionOrders &orders;
+        AdmissionOracle *oracle;  ///< null where the deployment has none
+        MachineControl *machines; ///< null where the deployment has none
+        const DeploymentCodec &codec;
         JobBook &book;
         RunTimes &times;
         std::function<const DeploymentConfig *()> config;
+        std::function<const std::map<WaveNumber, UpkeepWave> &()> waves;
         std::string node;
         Millis keepEnded;                             ///< how long an ended job stays known
         std::function<void(const char *reason)> lost; ///< called once when leadership has been lost
     };
 
-    /** Takes over with @p writer, whose epoch is @p epoch and has been claimed. */
-    static std::shared_ptr<StepPlanner> begin(Context context, std::shared_ptr<JournalWriter> writer, Epoch epoch,
+    /** Takes over with @p writer and @p status, of @p epoch, which has been claimed. */
+    static std::shared_ptr<StepPlanner> begin(Context context, std::shared_ptr<JournalWriter> writer,
+                                              std::shared_ptr<JournalWriter> status, Epoch epoch,
                                               const std::map<MinionId, MinionEntry> &minions);
 
     /** A minion's entry has changed. */
@@ -93,6 +101,29 @@
     void ensureWatched(MinionLink &link);
     [[nodiscard]] bool mayRenew() const;
 
+    // Admission oracle
+    /** Asks about the first step that wants it, one call at a time. */
+    void askForAdvice(const std::vector<AdviceWanted> &wanted);
+    static Asio::awaitable<void> ask(std::shared_ptr<StepPlanner> self, AdviceWanted wanted, AdviceTerms terms);
+
+    // Work that fills beside work that serves
+    void paceFills(MinionLink &link, std::int64_t nowMs);
+    static Asio::awaitable<void> paceMember(std::shared_ptr<StepPlanner> self, AssignmentPtr assignment,
+                                            std::size_t index, int percent);
+
+    // Upkeep
+    [[nodiscard]] bool leading() const override
+    {
+        return m_leading;
+    }
+    [[nodiscard]] MinionWork workOn(const MinionId &minion) const override;
+    void reserve(std::set<MinionId> minions) override;
+    void vacate(const MinionId &minion) override;
+    void setGoingDown(const MinionId &minion, bool goingDown) override;
+    Asio::awaitable<bool> store(WaveProgress progress) override;
+    /** @return how many tasks of @p step are not at work. */
+    [[nodiscard]] std::uint32_t awayFrom(const StepKey &step, const StepSpec &spec) const;
+
     // Reports
     void handleReport(MinionLink &link, const MinionReport &report, std::int64_t sentMs);
     void handleEnd(MinionLink &link, const EndedTask &end);
@@ -140,6 +171,11 @@
     std::int64_t m_lastSignMs = 0;
     std::int64_t m_begunMs = 0;
     std::map<std::string, std::int64_t> m_strayStops; ///< when each was last ordered
+    TicketBook m_tickets;
+    bool m_asking = false;
+    std::int64_t m_askNotBeforeMs = 0;
+    std::set<MinionId> m_reserved;  ///< take nothing new before their upkeep
+    std::set<MinionId> m_goingDown; ///< ordered to; what is known to run there may have ended
 };
 
 } // namespace Papaya
--- a/packages/dispatch/stepplannerhealth.cpp
+++ b/packages/dispatch/stepplannerhealth.cpp
@@ -87,7 +87,9 @@
         const QueueName &queue = m_context.book.find(unit.job)->job.queue;
         const std::int64_t plausible = m_context.times.plausibleMs(queue, assignment->step.estimate.count());
         for (const Member &member : assignment->members) {
-            const RunProgress run {member.percent, member.reportedMs - member.risenMs, plausible};
+            const bool paced = member.pacedPercent != FillPace::FULL;
+            const RunProgress run {member.percent, member.reportedMs - member.risenMs, plausible,
+                                   assignment->step.fills, assignment->step.fills && paced};
             if (member.state != MemberState::Running || member.reportedMs == 0 || !isStuck(run)) {
                 continue;
             }
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -18,8 +18,9 @@
 namespace
 {
 
-constexpr Millis LOOK_WAIT {1'500}; // for an end
-constexpr Millis LOOK_LIMIT {700};  // beyond the wait
+constexpr Millis LOOK_WAIT {1'500};      // for an end
+constexpr Millis SHARED_LOOK_WAIT {500}; // where tasks that fill disturb tasks that serve
+constexpr Millis LOOK_LIMIT {700};       // beyond the wait
 constexpr Millis ORDER_LIMIT {700};
 constexpr int START_TRIES = 2;
 constexpr Millis LOOK_RETRY {150};
@@ -49,6 +50,7 @@
     order.run = assignment->run;
     order.payload = entry->job.spec.payload;
     order.checkpoint = assignment->checkpoint;
+    order.ticket = self->m_tickets.ticket(assignment->unit.stepKey(), member.minion, bootMillis());
     order.fence = self->m_epoch;
     OrderAnswer answer;
     bool doubtful = false;
@@ -81,6 +83,7 @@
         if (member.state == MemberState::Ordered) {
             member.state = MemberState::Running;
             member.confirmedMs = now;
+            member.pacedPercent = FillPace::FULL;
             assignment->savedMs = assignment->startedMs = now;
         }
         self->ensureWatched(link);
@@ -93,6 +96,10 @@
         self->stopAssignment(assignment, "start-in-doubt");
         self->ensureWatched(link);
         break;
+    case OrderOutcome::NoTicket:
+        self->m_tickets.expire(assignment->unit.stepKey(), member.minion);
+        self->memberGone(assignment, index, EndKind::Unknown);
+        break;
     default:
         link.heldBackUntilMs =
             now + (answer.outcome == OrderOutcome::Unhealthy ? UNHEALTHY_PAUSE_MS : REFUSED_PAUSE_MS);
@@ -201,7 +208,8 @@
     }
     const bool calm =
         link->fenceRaised && link->lookFailures == 0 && link->endsStored == link->endsHandled && link->members > 0;
-    order.wait = calm ? LOOK_WAIT : Millis(0);
+    const Millis calmWait = link->shared ? SHARED_LOOK_WAIT : LOOK_WAIT;
+    order.wait = calm ? calmWait : Millis(0);
     const std::int64_t life = link->entry.bornMs;
     const LookAnswer answer = co_await m_context.orders.look(link->entry, order, order.wait + LOOK_LIMIT);
     if (!m_leading) {
--- a/packages/dispatch/stepplannerreports.cpp
+++ b/packages/dispatch/stepplannerreports.cpp
@@ -51,6 +51,7 @@
         flushSoon();
     }
     handleRunning(link, report, sentMs);
+    paceFills(link, bootMillis());
 }
 
 void StepPlanner::handleEnd(MinionLink &link, const EndedTask &end)
@@ -104,6 +105,7 @@
             member.risenMs = now;
         }
         member.reportedMs = now;
+        member.tailMs = running.tailMs;
         if (!running.checkpoint.empty() && running.checkpoint != assignment->checkpoint) {
             assignment->checkpoint = running.checkpoint;
             assignment->savedMs = now;
@@ -148,6 +150,8 @@
     link.fenceRaised = false;
     link.endsHandled = link.endsStored = link.endsAcked = 0;
     link.strikes = 0;
+    link.fillPace = FillPace();
+    m_tickets.expireAll(link.entry.id);
     std::erase_if(m_ends, [&](const auto &item) { return item.first == link.entry.id; });
 }
 
--- /dev/null
+++ b/packages/dispatch/stepplannershares.cpp
@@ -0,0 +1,169 @@
+#include "dispatch/stepplanner.h"
+
+#include "dispatch/boottime.h"
+#include "process/logging.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+// What minions share: tasks that fill are paced beside tasks that serve, and machines are kept free for their upkeep
+// without taking more of a service than it may miss.
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr Millis PACE_LIMIT {700};
+constexpr Millis STORE_LIMIT {1'000}; // an order to a machine must follow its record closely
+constexpr std::int64_t AT_WORK_PERCENT = 100;
+constexpr std::int64_t RESTORE_MS = 600;
+
+} // namespace
+
+void StepPlanner::paceFills(MinionLink &link, std::int64_t nowMs)
+{
+    std::vector<ServingTail> tails;
+    std::vector<std::pair<AssignmentPtr, std::size_t>> fills;
+    for (const auto &[unit, assignment] : m_assignments) {
+        const bool serves = assignment->step.serves();
+        if (!serves && !assignment->step.fills) {
+            continue;
+        }
+        for (std::size_t i = 0; i < assignment->members.size(); ++i) {
+            const Member &member = assignment->members[i];
+            if (member.minion != link.entry.id || member.state != MemberState::Running) {
+                continue;
+            }
+            if (serves) {
+                tails.push_back({member.tailMs, assignment->step.tailTarget.count()});
+            } else {
+                fills.emplace_back(assignment, i);
+            }
+        }
+    }
+    link.shared = !tails.empty() && !fills.empty();
+    if (tails.empty() || !fills.empty()) {
+        link.fillPace.observe(tails, nowMs); // without tasks that fill, tails say nothing about their share
+    }
+    for (const auto &[assignment, index] : fills) {
+        Member &member = assignment->members[index];
+        if (member.pacedPercent != link.fillPace.percent() && !member.pacing) {
+            member.pacing = true;
+            Asio::co_spawn(m_context.io, paceMember(shared_from_this(), assignment, index, link.fillPace.percent()),
+                           Asio::detached);
+        }
+    }
+}
+
+Asio::awaitable<void> StepPlanner::paceMember(std::shared_ptr<StepPlanner> self, AssignmentPtr assignment,
+                                              std::size_t index, int percent)
+{
+    Member &member = assignment->members[index];
+    PaceOrder order {assignment->unit.taskName(static_cast<std::uint32_t>(index)), assignment->run, percent,
+                     self->m_epoch};
+    const MinionEntry entry = self->m_links.at(member.minion).entry;
+    const OrderAnswer answer = co_await self->m_context.orders.pace(entry, order, PACE_LIMIT);
+    member.pacing = false;
+    if (!self->m_leading) {
+        co_return;
+    }
+    if (answer.outcome == OrderOutcome::Fenced) {
+        self->leave("fenced-by-minion");
+        co_return;
+    }
+    if (answer.outcome == OrderOutcome::Done) {
+        member.pacedPercent = percent;
+    } else {
+        member.pacedPercent.reset(); // the next report has it repeated
+    }
+    logEvent(LogLevel::Info, "run-paced",
+             {{"task", order.task},
+              {"minion", member.minion.value()},
+              {"percent", std::int64_t(percent)},
+              {"outcome", toString(answer.outcome)}});
+}
+
+std::uint32_t StepPlanner::awayFrom(const StepKey &step, const StepSpec &spec) const
+{
+    std::uint32_t atWork = 0;
+    auto place = m_assignments.lower_bound({step.job, step.occurrence, step.step, UnitKey::GANG});
+    for (; place != m_assignments.end() && place->first.stepKey() == step; ++place) {
+        const Assignment &assignment = *place->second;
+        for (const Member &member : assignment.members) {
+            const bool works = member.state == MemberState::Running && member.percent >= AT_WORK_PERCENT;
+            atWork += works && !assignment.stopping && !m_goingDown.contains(member.minion) ? 1 : 0;
+        }
+    }
+    return spec.count - std::min(spec.count, atWork);
+}
+
+MinionWork StepPlanner::workOn(const MinionId &minion) const
+{
+    MinionWork work;
+    std::map<StepKey, std::uint32_t> here; // of services that may miss only so many tasks
+    const std::int64_t now = bootMillis();
+    for (const auto &[unit, assignment] : m_assignments) {
+        for (const Member &member : assignment->members) {
+            if (member.minion != minion || member.state == MemberState::Gone) {
+                continue;
+            }
+            ++work.running;
+            work.lossMs += assignment->step.checkpointing ? RESTORE_MS : now - assignment->startedMs;
+            const bool works =
+                member.percent >= AT_WORK_PERCENT && !assignment->stopping && !m_goingDown.contains(minion);
+            if (assignment->step.maxUnavailable > 0 && works) {
+                ++here[unit.stepKey()];
+            }
+        }
+    }
+    for (const auto &[step, count] : here) {
+        const StepSpec &spec = m_context.book.find(step.job)->job.spec.steps[step.step];
+        work.needed = work.needed || exceedsBudget(spec.maxUnavailable, awayFrom(step, spec), count);
+    }
+    return work;
+}
+
+void StepPlanner::reserve(std::set<MinionId> minions)
+{
+    const bool released = !std::includes(minions.begin(), minions.end(), m_reserved.begin(), m_reserved.end());
+    m_reserved = std::move(minions);
+    if (released) {
+        requestPass();
+    }
+}
+
+void StepPlanner::setGoingDown(const MinionId &minion, bool goingDown)
+{
+    if (goingDown) {
+        m_goingDown.insert(minion);
+    } else {
+        m_goingDown.erase(minion);
+    }
+}
+
+void StepPlanner::vacate(const MinionId &minion)
+{
+    for (const auto &[unit, assignment] : m_assignments) {
+        for (const Member &member : assignment->members) {
+            if (member.minion == minion && member.state != MemberState::Gone) {
+                stopAssignment(assignment, "upkeep");
+                break;
+            }
+        }
+    }
+}
+
+Asio::awaitable<bool> StepPlanner::store(WaveProgress progress)
+{
+    std::vector<StoredRecord> records;
+    records.push_back(encodeRecord(progress));
+    m_context.book.apply(std::move(progress));
+    const AppendOutcome outcome = co_await m_writer->append(std::move(records), Clock::now() + STORE_LIMIT);
+    co_return outcome == AppendOutcome::Stored &&m_leading;
+}
+
+} // namespace Papaya
--- a/packages/dispatch/topicfollower.cpp
+++ b/packages/dispatch/topicfollower.cpp
@@ -22,6 +22,8 @@
         return "journal";
     case Topic::Config:
         return "config";
+    case Topic::Status:
+        return "status";
     case Topic::Minions:
         break;
     }
--- /dev/null
+++ b/packages/dispatch/upkeepkeeper.cpp
@@ -0,0 +1,256 @@
+#include "dispatch/upkeepkeeper.h"
+
+#include "connection/waiter.h"
+#include "dispatch/boottime.h"
+#include "process/logging.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr Millis INTERVAL {500};         // between passes; every one reads the list of machines
+constexpr Millis IDLE_INTERVAL {1'000};  // while no wave is open
+constexpr Millis TAKEOVER_PAUSE {4'000}; // longer than the platform lets two holders take turns at a machine
+constexpr Millis LIST_LIMIT {2'000};
+constexpr Millis ORDER_LIMIT {2'000};
+
+} // namespace
+
+std::string_view toString(MachineOutcome outcome)
+{
+    constexpr std::array<std::string_view, 7> NAMES {"done",    "fenced",  "busy",     "other-wave",
+                                                     "unknown", "refused", "no-answer"};
+    return NAMES[static_cast<std::size_t>(outcome)];
+}
+
+UpkeepKeeper::UpkeepKeeper(Context context)
+    : m_context(std::move(context))
+{
+}
+
+void UpkeepKeeper::begin(Context context)
+{
+    std::shared_ptr<UpkeepKeeper> keeper(new UpkeepKeeper(std::move(context)));
+    Asio::co_spawn(keeper->m_context.io, run(keeper), Asio::detached);
+}
+
+Asio::awaitable<void> UpkeepKeeper::run(std::shared_ptr<UpkeepKeeper> self)
+{
+    co_await sleepFor(TAKEOVER_PAUSE);
+    while (self->m_context.fleet->leading()) {
+        const bool busy = self->hasWork();
+        if (busy) {
+            co_await self->step();
+        }
+        co_await sleepFor(busy ? INTERVAL : IDLE_INTERVAL);
+    }
+}
+
+/** A wave that was completed by a predecessor is said to be so once more, in case that it had no time to. */
+bool UpkeepKeeper::hasWork() const
+{
+    const auto &waves = m_context.waves();
+    return std::any_of(waves.begin(), waves.end(), [this](const auto &item) {
+        const auto published = m_published.find(item.first);
+        return published == m_published.end() || published->second != WaveStatus::Completed;
+    });
+}
+
+Asio::awaitable<void> UpkeepKeeper::step()
+{
+    const std::int64_t sent = bootMillis();
+    std::map<MachineId, MachineEntry> listed;
+    std::string problem;
+    try {
+        for (MachineEntry &entry : co_await m_context.machines.list(LIST_LIMIT)) {
+            const MachineId id = entry.id;
+            listed.emplace(id, std::move(entry));
+        }
+    } catch (const MachineListError &error) {
+        problem = error.what();
+    }
+    if (m_listLost != !problem.empty()) {
+        m_listLost = !problem.empty();
+        logEvent(m_listLost ? LogLevel::Warning : LogLevel::Info, m_listLost ? "machines-lost" : "machines-regained",
+                 {{"error", problem}});
+    }
+    if (m_listLost) {
+        co_return;
+    }
+    m_reserved.clear();
+    const std::map<WaveNumber, UpkeepWave> waves = m_context.waves(); // may change meanwhile
+    for (const auto &[number, wave] : waves) {
+        if (m_context.fleet->leading()) {
+            co_await advance(wave, listed, sent);
+        }
+    }
+    m_context.fleet->reserve(m_reserved);
+}
+
+WaveProgress UpkeepKeeper::observed(const UpkeepWave &wave, const std::map<MachineId, MachineEntry> &listed,
+                                    std::int64_t listedMs)
+{
+    WaveProgress progress;
+    const auto known = m_context.book.waves().find(wave.number);
+    if (known != m_context.book.waves().end()) {
+        progress = known->second;
+    } else {
+        progress.number = wave.number;
+        progress.firstSeenMs = wallMillis();
+    }
+    for (const MachineId &machine : wave.machines) {
+        UpkeepState &state = progress.machines.try_emplace(machine, UpkeepState::Pending).first->second;
+        const auto entry = listed.find(machine);
+        const Order &given = m_orders[machine];
+        if (entry == listed.end()) {
+            state = state == UpkeepState::Done ? state : UpkeepState::Left;
+        } else if (state == UpkeepState::Begun && given.confirmed && given.confirmedMs < listedMs && entry->second.up) {
+            state = UpkeepState::Done;
+            m_context.fleet->setGoingDown(given.minion, false);
+            logEvent(LogLevel::Info, "upkeep-done", {{"wave", wave.number.value()}, {"machine", machine.value()}});
+        }
+    }
+    return progress;
+}
+
+UpkeepDecisions UpkeepKeeper::decide(const UpkeepWave &wave, const WaveProgress &progress,
+                                     const std::map<MachineId, MachineEntry> &listed)
+{
+    const std::int64_t now = bootMillis();
+    std::uint32_t down = 0;
+    std::vector<UpkeepCandidate> pending;
+    for (const auto &[machine, state] : progress.machines) {
+        down += state == UpkeepState::Begun ? 1 : 0;
+        if (state != UpkeepState::Pending) {
+            m_reservedMs.erase(machine);
+            m_vacatedMs.erase(machine);
+            continue;
+        }
+        const MachineEntry &entry = listed.at(machine);
+        const MinionWork work = m_context.fleet->workOn(entry.minion);
+        const auto since = [&machine = machine, now](const std::map<MachineId, std::int64_t> &times) {
+            const auto found = times.find(machine);
+            return found == times.end() ? -1 : now - found->second;
+        };
+        pending.push_back(
+            {machine, entry.up, work.needed, work.running, work.lossMs, since(m_reservedMs), since(m_vacatedMs)});
+    }
+    const std::int64_t elapsed = wallMillis() - progress.firstSeenMs;
+    return planUpkeep(wave.maximum, down, std::move(pending), wave.within.count() - elapsed);
+}
+
+Asio::awaitable<void> UpkeepKeeper::advance(const UpkeepWave &wave, const std::map<MachineId, MachineEntry> &listed,
+                                            std::int64_t listedMs)
+{
+    // 1. Takes in what the list shows.
+    const WaveProgress progress = observed(wave, listed, listedMs);
+    const auto known = m_context.book.waves().find(wave.number);
+    const bool changed = known == m_context.book.waves().end() || known->second.machines != progress.machines;
+    if (changed && !co_await m_context.fleet->store(progress)) {
+        co_return;
+    }
+    if (progress.completed()) {
+        publish(wave.number, WaveStatus::Completed);
+        co_return;
+    }
+    publish(wave.number, WaveStatus::Running);
+    // 2. Repeats orders that are in doubt, those of a predecessor too.
+    for (const auto &[machine, state] : progress.machines) {
+        if (state == UpkeepState::Begun && !m_orders[machine].confirmed) {
+            m_orders[machine].doubtful = true;
+            co_await order(wave.number, listed.at(machine));
+        }
+    }
+    // 3. Keeps the next machines free of new work, and has them go down when their turn has come.
+    const UpkeepDecisions decisions = decide(wave, progress, listed);
+    for (const MachineId &machine : decisions.reserve) {
+        m_reservedMs.try_emplace(machine, bootMillis());
+        m_reserved.insert(listed.at(machine).minion);
+    }
+    m_context.fleet->reserve(m_reserved);
+    // What one machine takes of a service changes what the next one may take.
+    for (const MachineId &machine : decisions.vacate) {
+        const MinionId &minion = listed.at(machine).minion;
+        if (!m_context.fleet->workOn(minion).needed) {
+            m_vacatedMs.try_emplace(machine, bootMillis());
+            m_context.fleet->vacate(minion);
+        }
+    }
+    for (const MachineId &machine : decisions.begin) {
+        if (!m_context.fleet->workOn(listed.at(machine).minion).needed) {
+            co_await order(wave.number, listed.at(machine));
+        }
+    }
+}
+
+Asio::awaitable<void> UpkeepKeeper::order(WaveNumber wave, MachineEntry machine)
+{
+    const auto known = m_context.book.waves().find(wave);
+    if (known == m_context.book.waves().end() || !m_context.fleet->leading()) {
+        co_return;
+    }
+    // 1. Journaled before it is ordered.
+    WaveProgress progress = known->second;
+    progress.machines[machine.id] = UpkeepState::Begun;
+    if (!co_await m_context.fleet->store(progress) || !m_context.fleet->leading()) {
+        co_return;
+    }
+    // 2. Ordered; from now on the machine may be down.
+    Order &given = m_orders[machine.id];
+    given.minion = machine.minion;
+    m_context.fleet->setGoingDown(machine.minion, true);
+    const MachineOutcome outcome =
+        co_await m_context.machines.beginUpkeep(machine.id, wave, m_context.node, m_context.epoch, ORDER_LIMIT);
+    logEvent(LogLevel::Info, "upkeep-ordered",
+             {{"wave", wave.value()}, {"machine", machine.id.value()}, {"outcome", toString(outcome)}});
+    switch (outcome) {
+    case MachineOutcome::Done:
+        given.confirmed = true;
+        given.confirmedMs = bootMillis();
+        co_return;
+    case MachineOutcome::NoAnswer:
+        given.doubtful = true;
+        co_return;
+    case MachineOutcome::OtherWave:
+    case MachineOutcome::Unknown:
+        progress.machines[machine.id] = UpkeepState::Left;
+        break;
+    default:
+        if (given.doubtful) {
+            co_return; // an earlier order may have been carried out: it counts as down until that is answered
+        }
+        progress.machines[machine.id] = UpkeepState::Pending;
+        break;
+    }
+    // 3. Nothing was done. Where this is not stored, the machine counts as down until the order is repeated.
+    m_context.fleet->setGoingDown(machine.minion, false);
+    co_await m_context.fleet->store(std::move(progress));
+}
+
+void UpkeepKeeper::publish(WaveNumber wave, WaveStatus status)
+{
+    const auto [published, isNew] = m_published.try_emplace(wave, status);
+    if (!isNew && published->second == status) {
+        return;
+    }
+    published->second = status;
+    logEvent(LogLevel::Info, "wave-status",
+             {{"wave", wave.value()}, {"state", status == WaveStatus::Completed ? "completed" : "running"}});
+    std::vector<StoredRecord> records;
+    records.push_back(m_context.codec.encodeWaveStatus(wave, status));
+    m_context.status->append(std::move(records), TimePoint::max(), [](AppendOutcome outcome) {
+        if (outcome != AppendOutcome::Stored) {
+            logEvent(LogLevel::Warning, "wave-status-not-stored", {{"outcome", toString(outcome)}});
+        }
+    });
+}
+
+} // namespace Papaya
--- a/packages/steps/deploymentconfig.h
+++ b/packages/steps/deploymentconfig.h
@@ -14,6 +14,13 @@
 namespace Papaya
 {
 
+/** How the admission oracle of a queue answers. */
+struct AdviceTerms {
+    Millis decision {0};  ///< of one call
+    Millis perMinion {0}; ///< more for each minion that is asked about
+    Millis validFor {0};  ///< a ticket, from its answer
+};
+
 /** A queue of jobs: where callers reach it, who runs its tasks and on what terms. */
 struct QueueConfig {
     QueueName name;
@@ -24,8 +31,8 @@
     std::uint32_t attempts = 1;
     double stretch = 1;
     std::int64_t targetMs = 0;
-    bool open = false;    ///< no key is asked for
-    bool advised = false; ///< an admission oracle says which minions may run a step
+    bool open = false;                 ///< no key is asked for
+    std::optional<AdviceTerms> advice; ///< if set, an admission oracle says which minions may run a step
 };
 
 /** What a team may count on. */
--- a/packages/steps/jobbook.cpp
+++ b/packages/steps/jobbook.cpp
@@ -96,6 +96,8 @@
         changed(change->unit, change->status);
     } else if (const auto *forgotten = std::get_if<StepJobForgotten>(&record)) {
         forget(forgotten->job);
+    } else if (const auto *wave = std::get_if<WaveProgress>(&record)) {
+        m_waves[wave->number] = *wave;
     } else if (const auto *sign = std::get_if<PlannerSign>(&record)) {
         if (sign->epoch >= m_planner.epoch) {
             m_planner = *sign;
--- a/packages/steps/jobbook.h
+++ b/packages/steps/jobbook.h
@@ -83,6 +83,11 @@
     {
         return m_planner;
     }
+    /** @return the maintenance waves that have been begun. */
+    [[nodiscard]] const std::map<WaveNumber, WaveProgress> &waves() const
+    {
+        return m_waves;
+    }
     [[nodiscard]] std::size_t size() const
     {
         return m_jobs.size();
@@ -98,6 +103,7 @@
     std::map<std::pair<std::int64_t, JobId>, JobEntry *> m_live;
     std::unordered_map<JobId, std::vector<JobRecord>> m_early; ///< records of jobs that have not come yet
     PlannerSign m_planner;
+    std::map<WaveNumber, WaveProgress> m_waves;
 };
 
 } // namespace Papaya
--- a/packages/steps/jobrecord.cpp
+++ b/packages/steps/jobrecord.cpp
@@ -17,6 +17,7 @@
 constexpr std::string_view JOB_PREFIX = "j/";
 constexpr std::string_view CANCEL_PREFIX = "x/";
 constexpr std::string_view UNIT_PREFIX = "u/";
+constexpr std::string_view WAVE_PREFIX = "w/";
 constexpr std::string_view PLANNER_KEY = "q";
 constexpr char FIELD_END = ' ';
 
@@ -105,6 +106,31 @@
     return job;
 }
 
+std::string encodeWave(const WaveProgress &wave)
+{
+    Json machines = Json::array();
+    for (const auto &[machine, state] : wave.machines) {
+        machines.push_back({machine.value(), std::string(1, static_cast<char>(state))});
+    }
+    return toCbor(Json::array({wave.firstSeenMs, std::move(machines)}));
+}
+
+/** @throws Json::exception or std::invalid_argument if @p json is no wave */
+WaveProgress decodeWave(std::string_view number, const Json &json)
+{
+    WaveProgress wave;
+    wave.number = WaveNumber(std::stoull(std::string(number)));
+    wave.firstSeenMs = json.at(0).get<std::int64_t>();
+    for (const Json &row : json.at(1)) {
+        const auto state = row.at(1).get<std::string>();
+        if (state.size() != 1 || std::string_view("pbdl").find(state[0]) == std::string_view::npos) {
+            throw std::invalid_argument("a state of upkeep that this version does not know");
+        }
+        wave.machines[MachineId(row.at(0).get<std::string>())] = static_cast<UpkeepState>(state[0]);
+    }
+    return wave;
+}
+
 /** Unit records are the many; they are a line of words: state, run, failures, last failed run, checkpoint or "-",
  * minions. */
 std::string encodeStatus(const UnitStatus &status)
@@ -174,6 +200,10 @@
     {
         return {std::string(UNIT_PREFIX) + record.unit.toString(), encodeStatus(record.status)};
     }
+    StoredRecord operator()(const WaveProgress &record) const
+    {
+        return {std::string(WAVE_PREFIX) + std::to_string(record.number.value()), encodeWave(record)};
+    }
     StoredRecord operator()(const PlannerSign &record) const
     {
         return {std::string(PLANNER_KEY), toCbor(Json::array({record.epoch.value(), record.node, record.resigned}))};
@@ -223,12 +253,17 @@
         if (key.starts_with(JOB_PREFIX)) {
             return JobRecord(StepJobSubmitted {decodeJob(key.substr(JOB_PREFIX.size()), *json)});
         }
+        if (key.starts_with(WAVE_PREFIX)) {
+            return JobRecord(decodeWave(key.substr(WAVE_PREFIX.size()), *json));
+        }
         if (key == PLANNER_KEY) {
             return JobRecord(PlannerSign {Epoch(json->at(0).get<std::uint64_t>()), json->at(1).get<std::string>(),
                                           json->at(2).get<bool>()});
         }
     } catch (const Json::exception &) {
         return malformed(key);
+    } catch (const std::logic_error &) { // a number or a state that is none
+        return malformed(key);
     }
     return malformed(key);
 }
--- a/packages/steps/jobrecord.h
+++ b/packages/steps/jobrecord.h
@@ -2,6 +2,7 @@
 
 #include "base/result.h"
 #include "steps/stepjob.h"
+#include "steps/upkeep.h"
 
 #include <cstdint>
 #include <string>
@@ -57,7 +58,8 @@
     bool resigned = false;
 };
 
-using JobRecord = std::variant<StepJobSubmitted, StepJobCancelled, StepJobForgotten, UnitChanged, PlannerSign>;
+using JobRecord =
+    std::variant<StepJobSubmitted, StepJobCancelled, StepJobForgotten, UnitChanged, PlannerSign, WaveProgress>;
 
 /** A record as it is stored. An empty value drops the key. */
 struct StoredRecord {
--- a/packages/steps/progresswatch.h
+++ b/packages/steps/progresswatch.h
@@ -14,6 +14,8 @@
     std::int64_t percent = 0;     ///< of its work that is done
     std::int64_t stillMs = 0;     ///< since its percentage last rose, up to the last report
     std::int64_t plausibleMs = 0; ///< a time that few such runs exceed on sound minions
+    bool fills = false;           ///< it works only on what other tasks leave
+    bool paced = false;           ///< it was told to work at less than its full share
 };
 
 /** @return true if @p run makes no progress and should be moved. */
--- a/packages/steps/stepjob.cpp
+++ b/packages/steps/stepjob.cpp
@@ -6,19 +6,19 @@
 namespace Papaya
 {
 
-std::string UnitKey::stepName() const
+std::string StepKey::toString() const
 {
     return job.value() + "." + std::to_string(occurrence) + "." + std::to_string(step);
 }
 
 std::string UnitKey::toString() const
 {
-    return stepName() + "." + (index == GANG ? std::string("g") : std::to_string(index));
+    return stepKey().toString() + "." + (index == GANG ? std::string("g") : std::to_string(index));
 }
 
 std::string UnitKey::taskName(std::uint32_t member) const
 {
-    return stepName() + "." + std::to_string(index == GANG ? static_cast<std::int32_t>(member) : index);
+    return stepKey().toString() + "." + std::to_string(index == GANG ? static_cast<std::int32_t>(member) : index);
 }
 
 bool UnitKey::parse(std::string_view text, UnitKey &key)
--- a/packages/steps/stepjob.h
+++ b/packages/steps/stepjob.h
@@ -33,7 +33,13 @@
     std::uint32_t maxPerMinion = 0; ///< of this step and occurrence; 0 is no limit
     std::string image;
     Millis tailTarget {0};            ///< bound on the response times of a long-running task's own users
-    std::uint32_t maxUnavailable = 0; ///< of a long-running step, by the system's own actions
+    std::uint32_t maxUnavailable = 0; ///< of a long-running step, by the system's own actions; 0 is no limit
+
+    /** @return true if its tasks serve users of their own, whose response times are bounded. */
+    [[nodiscard]] bool serves() const
+    {
+        return longRunning && tailTarget.count() > 0;
+    }
 };
 
 /** When a scheduled job runs; a job without a timetable has no runs here and runs once. */
@@ -70,6 +76,18 @@
     std::int64_t targetMs = 0;
 };
 
+/** Names a step of one occurrence of a job. */
+struct StepKey {
+    JobId job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+
+    auto operator<=>(const StepKey &) const = default;
+
+    /** @return "job.occurrence.step". */
+    [[nodiscard]] std::string toString() const;
+};
+
 /** Names a unit: a task, or a whole gang. */
 struct UnitKey {
     static constexpr std::int32_t GANG = -1;
@@ -85,8 +103,10 @@
     [[nodiscard]] std::string toString() const;
     /** @return the name of task @p member of this unit. */
     [[nodiscard]] std::string taskName(std::uint32_t member) const;
-    /** @return "job.occurrence.step". */
-    [[nodiscard]] std::string stepName() const;
+    [[nodiscard]] StepKey stepKey() const
+    {
+        return {job, occurrence, step};
+    }
     /** Reads toString(). @return false if @p text is not one */
     static bool parse(std::string_view text, UnitKey &key);
 };
--- a/packages/steps/stepscheduler.cpp
+++ b/packages/steps/stepscheduler.cpp
@@ -21,7 +21,9 @@
 constexpr double GPU_SCORE = 100;
 constexpr double MEMORY_SCORE = 10;
 constexpr std::uint32_t MAX_MEMBERS_A_MINION = 64;
-constexpr double URGENT_LOSS = 1; // what other work may lose for an urgent unit, in units of its own work
+constexpr double URGENT_LOSS = 1;       // what other work may lose for an urgent unit, in units of its own work
+constexpr std::size_t LEAST_ASKED = 30; // minions in one call to the admission oracle, which takes longer for more
+constexpr std::size_t MAX_ASKED = 100;
 constexpr double NO_ROOM = std::numeric_limits<double>::max();
 
 double weightOf(const Resources &need)
@@ -45,6 +47,10 @@
     {
         return entry->job.spec.steps[step];
     }
+    [[nodiscard]] StepKey stepKey() const
+    {
+        return {entry->job.id, occurrence, step};
+    }
     [[nodiscard]] UnitKey unit(std::size_t index) const
     {
         return {entry->job.id, occurrence, step, spec().gang ? UnitKey::GANG : static_cast<std::int32_t>(index)};
@@ -131,7 +137,7 @@
             if (startIfRoom(candidate, unit, perMinion)) {
                 continue;
             }
-            m_decisions.blocked.push_back(unit);
+            wantAdvice(candidate);
             if (mayPreempt(candidate) && makeRoom(candidate, unit, perMinion)) {
                 continue;
             }
@@ -161,7 +167,8 @@
         return placed;
     }
 
-    [[nodiscard]] bool eligible(const Candidate &candidate, const MinionView &minion) const
+    /** Whether @p minion may run tasks of @p candidate as far as the caller and the configuration say. */
+    [[nodiscard]] bool suits(const Candidate &candidate, const MinionView &minion) const
     {
         const StepSpec &step = candidate.spec();
         return minion.usable && minion.service == serviceOf(candidate)
@@ -169,6 +176,54 @@
                    || std::find(minion.labels.begin(), minion.labels.end(), step.requiredLabel) != minion.labels.end());
     }
 
+    [[nodiscard]] bool eligible(const Candidate &candidate, const MinionView &minion) const
+    {
+        return suits(candidate, minion)
+               && (!isAdvised(candidate)
+                   || !m_input.tickets.ticket(candidate.stepKey(), minion.id, m_input.steadyMs).empty());
+    }
+
+    [[nodiscard]] bool isAdvised(const Candidate &candidate) const
+    {
+        const QueueConfig *queue = m_input.config.queue(candidate.entry->job.queue);
+        return queue != nullptr && queue->advice.has_value();
+    }
+
+    /**
+     * Names the minions to ask the oracle about: those that have room now first, and of them those that it has admitted
+     * before, whose tickets have expired.
+     */
+    void wantAdvice(const Candidate &candidate)
+    {
+        if (!isAdvised(candidate)) {
+            return;
+        }
+        const StepSpec &step = candidate.spec();
+        const Resources need = countedNeed(step);
+        const StepKey key = candidate.stepKey();
+        std::vector<std::tuple<bool, bool, std::size_t>> order;
+        for (std::size_t m = 0; m < m_input.minions.size(); ++m) {
+            const MinionView &minion = m_input.minions[m];
+            const bool known = m_input.tickets.admitted(key, minion.id);
+            const bool room = minion.free.covers(need);
+            const bool ask = suits(candidate, minion) && minion.capacity.covers(need)
+                             && !m_input.tickets.refused(key, minion.id) && !eligible(candidate, minion);
+            if (ask && (room || !known)) {
+                order.emplace_back(!room, !known, m);
+            }
+        }
+        std::sort(order.begin(), order.end());
+        const std::size_t members = step.gang ? step.count : 1;
+        const std::size_t most = std::min(MAX_ASKED, std::max(LEAST_ASKED, 2 * members));
+        AdviceWanted wanted {key, {}};
+        for (std::size_t i = 0; i < std::min(most, order.size()); ++i) {
+            wanted.minions.push_back(m_input.minions[std::get<2>(order[i])].id);
+        }
+        if (!wanted.minions.empty()) {
+            m_decisions.advice.push_back(std::move(wanted));
+        }
+    }
+
     /** The queue's present service; the one of the submission if the queue has been dropped. */
     [[nodiscard]] const ServiceName &serviceOf(const Candidate &candidate) const
     {
--- a/packages/steps/stepscheduler.h
+++ b/packages/steps/stepscheduler.h
@@ -3,6 +3,7 @@
 #include "steps/deploymentconfig.h"
 #include "steps/jobbook.h"
 #include "steps/runtimes.h"
+#include "steps/ticketbook.h"
 #include "steps/timeliness.h"
 
 #include <cstdint>
@@ -17,6 +18,9 @@
 // Units are taken in this order: urgent work of a team within its guarantee; what can still be in time; what is late;
 // what has lost its worth; and among these by priority, then by age. What does not fit waits, and what comes after it
 // may fill the room. Urgent work that does not fit has less urgent work stopped; its room is then kept for it.
+//
+// Steps of an advised queue start only where the admission oracle has admitted them. Where that leaves no room, the
+// pass names the minions to ask about.
 
 namespace Papaya
 {
@@ -51,11 +55,19 @@
     const JobBook &book;
     const DeploymentConfig &config;
     const RunTimes &times;
+    const TicketBook &tickets;
     std::vector<MinionView> minions;
     std::vector<ActiveUnit> active;
     std::set<UnitKey> heldBack;                     ///< units that must not start now
     std::map<UnitKey, std::vector<MinionId>> avoid; ///< where a unit has failed
     std::int64_t nowMs = 0;                         ///< milliseconds since 1970
+    std::int64_t steadyMs = 0;                      ///< the clock of the tickets
+};
+
+/** Minions that the admission oracle should be asked about. */
+struct AdviceWanted {
+    StepKey step;
+    std::vector<MinionId> minions;
 };
 
 struct UnitStart {
@@ -71,7 +83,7 @@
 struct PlanDecisions {
     std::vector<UnitStart> starts;
     std::vector<UnitStop> stops;
-    std::vector<UnitKey> blocked; ///< the first unit of each step that found no room
+    std::vector<AdviceWanted> advice; ///< in the order in which the steps are served
 };
 
 /** @return what a task of @p step takes of a minion; the cores of a task that fills are not counted. */
--- /dev/null
+++ b/packages/steps/upkeep.cpp
@@ -0,0 +1,64 @@
+#include "steps/upkeep.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr std::int64_t TURN_MS = 4'000;     // a machine is down for about 2 s, and comes and goes with some delay
+constexpr std::int64_t VACATE_MS = 1'000;   // stops take 0.2 s; the ends have to be reported
+constexpr std::int64_t LONGEST_MS = 15'000; // no machine is kept empty for longer, however much time there is
+
+} // namespace
+
+bool WaveProgress::completed() const
+{
+    return std::all_of(machines.begin(), machines.end(), [](const auto &item) {
+        return item.second == UpkeepState::Done || item.second == UpkeepState::Left;
+    });
+}
+
+bool exceedsBudget(std::uint32_t mayMiss, std::uint32_t away, std::uint32_t here)
+{
+    return mayMiss > 0 && here > 0 && away + here > mayMiss;
+}
+
+UpkeepDecisions planUpkeep(std::uint32_t maximum, std::uint32_t down, std::vector<UpkeepCandidate> pending,
+                           std::int64_t remainingMs)
+{
+    // 1. Machines that are reserved already keep their turn; then those that lose least.
+    std::sort(pending.begin(), pending.end(), [](const UpkeepCandidate &a, const UpkeepCandidate &b) {
+        return std::make_tuple(a.reservedMs < 0, a.lossMs, a.running, a.machine)
+               < std::make_tuple(b.reservedMs < 0, b.lossMs, b.running, b.machine);
+    });
+    // 2. The time that the wave can spare is shared by the turns that are left.
+    const std::uint32_t atOnce = std::max<std::uint32_t>(1, maximum);
+    const auto turns = static_cast<std::int64_t>((pending.size() + atOnce - 1) / atOnce);
+    const std::int64_t spare = turns == 0 ? 0 : remainingMs / turns - TURN_MS;
+    const std::int64_t patience = std::clamp<std::int64_t>(spare, 0, LONGEST_MS);
+    // 3. The first ones take the free turns.
+    UpkeepDecisions decisions;
+    std::uint32_t turnsTaken = down;
+    for (const UpkeepCandidate &candidate : pending) {
+        if (turnsTaken >= atOnce) {
+            break;
+        }
+        if (!candidate.up || candidate.needed) {
+            continue;
+        }
+        ++turnsTaken;
+        decisions.reserve.push_back(candidate.machine);
+        if (candidate.running == 0 || candidate.vacatedMs >= VACATE_MS) {
+            decisions.begin.push_back(candidate.machine);
+        } else if (candidate.reservedMs >= patience) {
+            decisions.vacate.push_back(candidate.machine);
+        }
+    }
+    return decisions;
+}
+
+} // namespace Papaya
--- a/tests/integration/deployment.cpp
+++ b/tests/integration/deployment.cpp
@@ -51,20 +51,24 @@
         m_threads.emplace_back([this] { io.run(); });
     }
     store.listen(io, {"127.0.0.1", 0});
+    oracle.listen(io, {"127.0.0.1", 0});
+    machines.start(io, Millis(options.upkeepMs));
     for (std::size_t i = 0; i < options.minions; ++i) {
         const std::string rack = "r" + std::to_string(i / options.minionsPerRack);
         minions.push_back(
             std::make_unique<Standins::PlatformMinionStandin>("i-" + std::to_string(i), "desk", rack, runs));
         minions.back()->start(io, store);
+        machines.add(*minions.back());
     }
     for (std::size_t i = 0; i < options.nodes; ++i) {
         m_callers.push_back(freeEndpoint(io));
         m_ready.push_back(freeEndpoint(io));
         const std::string base = m_directory + "/node-" + std::to_string(i);
-        const Json settings = {{"node", "node-" + std::to_string(i)}, {"place", "here"},
-                               {"callers", m_callers[i].toString()},  {"ready", m_ready[i].toString()},
-                               {"store", store.address().toString()}, {"drainLimitMs", DRAIN_LIMIT_MS},
-                               {"keepEndedMs", options.keepEndedMs}};
+        const Json settings = {{"node", "node-" + std::to_string(i)},      {"place", "here"},
+                               {"callers", m_callers[i].toString()},       {"ready", m_ready[i].toString()},
+                               {"store", store.address().toString()},      {"drainLimitMs", DRAIN_LIMIT_MS},
+                               {"keepEndedMs", options.keepEndedMs},       {"oracle", oracle.address().toString()},
+                               {"machines", machines.address().toString()}};
         std::ofstream(base + ".json") << settings.dump(2);
         nodes.push_back(std::make_unique<InstanceProcess>("", base + ".json", base + ".log",
                                                           std::vector<std::string> {"--platform"}));
@@ -117,6 +121,19 @@
     return m_version;
 }
 
+void Deployment::configureAdvised(std::int64_t validMs)
+{
+    oracle.setValidity(validMs);
+    configure([](Json &config) {
+        Json queue = queueConfig("advised", 2);
+        queue["advice"] = {{"decisionMs", 20}, {"periodMs", 1}, {"validMs", 0}};
+        config["routes"].push_back(queue);
+    });
+    for (auto &minion : minions) {
+        minion->askForTickets(oracle);
+    }
+}
+
 std::string Deployment::newId()
 {
     std::ostringstream id;
--- a/tests/integration/deployment.h
+++ b/tests/integration/deployment.h
@@ -2,6 +2,7 @@
 
 #include "cluster.h"
 #include "standins/platformminionstandin.h"
+#include "standins/platformservicestandins.h"
 #include "standins/platformstorestandin.h"
 
 #include <functional>
@@ -22,6 +23,7 @@
     std::size_t minions = 3;
     std::size_t minionsPerRack = 6;
     std::int64_t keepEndedMs = 120'000;
+    std::int64_t upkeepMs = 300; ///< how long a machine is down
 };
 
 /** What a test's task asks for. */
@@ -46,6 +48,8 @@
     /** Writes the next version of the configuration; @p change edits it. */
     std::uint64_t configure(const std::function<void(Json &)> &change = {});
 
+    /** Adds the queue "advised", whose minions ask for tickets that are good for @p validMs. */
+    void configureAdvised(std::int64_t validMs);
     /** @return a job id that no other call has returned. */
     std::string newId();
     /** Hands a job of @p steps in; the tasks are given @p work as their specification. */
@@ -74,6 +78,8 @@
     Asio::io_context io;
     Standins::PlatformStoreStandin store;
     Standins::PlatformRuns runs;
+    Standins::PlatformOracleStandin oracle;
+    Standins::PlatformMachinesStandin machines;
     std::vector<std::unique_ptr<Standins::PlatformMinionStandin>> minions;
     std::vector<std::unique_ptr<InstanceProcess>> nodes;
 
--- a/tests/standins/platformminionstandin.cpp
+++ b/tests/standins/platformminionstandin.cpp
@@ -1,5 +1,6 @@
 #include "standins/platformminionstandin.h"
 
+#include "standins/platformservicestandins.h"
 #include "standins/platformstorestandin.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -17,6 +18,7 @@
 constexpr std::int64_t STOP_MS = 50;
 constexpr std::int64_t MAX_HOLD_MS = 10'000;
 constexpr std::int64_t CHECKPOINT_MS = 200;
+constexpr std::int64_t STARTUP_MS = 100;           // of a task that lasts
 constexpr std::int64_t CLOCK_AHEAD_MS = 1'000'000; // a clock of its own
 
 HttpResponse noAnswer()
@@ -116,24 +118,83 @@
     list();
 }
 
+void PlatformMinionStandin::forgetLife()
+{
+    for (const auto &[task, running] : m_running) {
+        m_runs.end(running.index, "gone");
+    }
+    m_running.clear();
+    m_ends.clear();
+    m_lastRun.clear();
+    m_fence = 0;
+    m_endCount = 0;
+    m_leaseUntilMs = 0;
+    m_bornMs = nowMs();
+}
+
 void PlatformMinionStandin::reborn()
 {
     {
         const std::lock_guard lock(m_mutex);
-        for (const auto &[task, running] : m_running) {
-            m_runs.end(running.index, "gone");
-        }
-        m_running.clear();
-        m_ends.clear();
-        m_lastRun.clear();
-        m_fence = 0;
-        m_endCount = 0;
-        m_leaseUntilMs = 0;
-        m_bornMs = nowMs();
+        forgetLife();
+    }
+    list();
+}
+
+void PlatformMinionStandin::powerOff()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        forgetLife();
+        m_off = true;
+    }
+    m_store->put("keyed.servers", m_id, "");
+}
+
+void PlatformMinionStandin::powerOn()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        forgetLife();
+        m_off = false;
     }
     list();
 }
 
+void PlatformMinionStandin::askForTickets(const PlatformOracleStandin &oracle)
+{
+    m_oracle = &oracle;
+}
+
+std::optional<int> PlatformMinionStandin::paceOf(const std::string &task) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_running.find(task);
+    return found == m_running.end() ? std::nullopt : std::optional<int>(found->second.pacePercent);
+}
+
+std::int64_t PlatformMinionStandin::tailOf(const std::string &task) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_running.find(task);
+    return found == m_running.end() ? 0 : tailOf(found->second);
+}
+
+std::int64_t PlatformMinionStandin::tailOf(const Running &running) const
+{
+    int fills = 0;
+    for (const auto &[task, other] : m_running) {
+        fills += other.fills ? other.pacePercent : 0;
+    }
+    return running.tailMs + running.disturbedMs * std::min(fills, 100) / 100;
+}
+
+std::size_t PlatformMinionStandin::ticketsRefused() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_ticketsRefused;
+}
+
 void PlatformMinionStandin::setCapacity(std::int64_t cpu, std::int64_t memoryMb, std::int64_t gpus)
 {
     const std::lock_guard lock(m_mutex);
@@ -216,8 +277,8 @@
         } else if (m_faults.failAll || running.run <= running.fails) {
             ended.emplace_back(task, "failed");
         } else if (!m_faults.hang && gangPresent(task, running)) {
-            running.doneMs += byMs;
-            if (running.doneMs >= running.workMs) {
+            running.doneMs += byMs * running.pacePercent / 100;
+            if (!running.lasts && running.doneMs >= running.workMs) {
                 ended.emplace_back(task, "done");
             }
         }
@@ -259,7 +320,7 @@
     std::int64_t lateMs = 0;
     {
         const std::lock_guard lock(m_mutex);
-        if (m_faults.deaf) {
+        if (m_faults.deaf || m_off) {
             co_return noAnswer();
         }
         if (path == "/-/run-start" && m_faults.lateStarts > 0) {
@@ -278,6 +339,9 @@
     if (path == "/-/run-stop") {
         co_return stopRun(body);
     }
+    if (path == "/-/pace") {
+        co_return pace(body);
+    }
     if (path == "/-/hold") {
         co_return co_await hold(body);
     }
@@ -308,6 +372,11 @@
         return refusal("room");
     }
     const Json spec = Json::parse(body.value("taskSpec", "{}"), nullptr, false);
+    const bool advised = m_oracle != nullptr && spec.value("advised", true);
+    if (advised && !m_oracle->accepts(stepOf(task), m_id, body.value("ticket", ""))) {
+        ++m_ticketsRefused;
+        return refusal("ticket");
+    }
     const std::string checkpoint = body.value("checkpoint", "");
     Running running;
     running.run = run;
@@ -315,6 +384,10 @@
     running.doneMs = checkpoint.empty() ? 0 : std::stoll(checkpoint);
     running.gang = spec.value("gang", 1U);
     running.fails = spec.value("fails", 0U);
+    running.lasts = spec.value("lasts", false);
+    running.fills = spec.value("fills", false);
+    running.tailMs = spec.value("tailMs", std::int64_t(0));
+    running.disturbedMs = spec.value("disturbedMs", std::int64_t(0));
     running.startedMs = clock();
     TaskRun record;
     record.task = task;
@@ -345,13 +418,28 @@
     return jsonAnswer(200, {{"clockMs", clock()}});
 }
 
+HttpResponse PlatformMinionStandin::pace(const Json &body)
+{
+    const std::lock_guard lock(m_mutex);
+    if (fenced(body)) {
+        return refusal("fence");
+    }
+    const auto found = m_running.find(body.at("task"));
+    if (found == m_running.end() || found->second.run != body.at("run").get<std::uint32_t>()) {
+        return refusal("old");
+    }
+    found->second.pacePercent = body.at("percent");
+    return jsonAnswer(200, {{"clockMs", clock()}});
+}
+
 Json PlatformMinionStandin::report() const
 {
     Json running = Json::array();
     for (const auto &[task, run] : m_running) {
         const std::int64_t saved = run.doneMs / CHECKPOINT_MS * CHECKPOINT_MS;
-        const std::int64_t percent = run.workMs > 0 ? 100 * run.doneMs / run.workMs : 0;
-        running.push_back({task, run.run, saved > 0 ? std::to_string(saved) : "", percent, 0});
+        const std::int64_t work = run.lasts ? STARTUP_MS : run.workMs;
+        const std::int64_t percent = work > 0 ? std::min<std::int64_t>(100, 100 * run.doneMs / work) : 0;
+        running.push_back({task, run.run, saved > 0 ? std::to_string(saved) : "", percent, tailOf(run)});
     }
     Json ended = Json::array();
     for (const End &end : m_ends) {
@@ -368,7 +456,7 @@
     for (;;) {
         {
             const std::lock_guard lock(m_mutex);
-            if (m_faults.deaf) {
+            if (m_faults.deaf || m_off) {
                 co_return noAnswer();
             }
             if (first && fenced(body)) {
--- a/tests/standins/platformminionstandin.h
+++ b/tests/standins/platformminionstandin.h
@@ -36,7 +36,9 @@
 
 /**
  * What the minions of a test have done. The specification of a task is JSON: {"workMs": n, "gang": members, "fails":
- * runs}.
+ * runs}. A task that {"lasts": true} is at work after 100 ms until it is stopped, and serves with a tail of "tailMs"
+ * and up to "disturbedMs" more, by the share at which tasks with {"fills": true} work beside it. One that is
+ * {"advised": false} needs no ticket.
  */
 class PlatformRuns
 {
@@ -69,6 +71,18 @@
     void drain(std::int64_t remainingMs);
     /** Ends everything and begins a new life under the same id. */
     void reborn();
+    /** Loses power: everything ends and its entry goes. */
+    void powerOff();
+    /** Begins a new life after powerOff(). */
+    void powerOn();
+    /** Asks @p oracle whether the ticket of a start is good. */
+    void askForTickets(const class PlatformOracleStandin &oracle);
+    /** @return the share at which @p task works, in percent; nothing if it does not run. */
+    [[nodiscard]] std::optional<int> paceOf(const std::string &task) const;
+    /** @return the present tail of @p task. */
+    [[nodiscard]] std::int64_t tailOf(const std::string &task) const;
+    /** @return starts that were refused for their ticket. */
+    [[nodiscard]] std::size_t ticketsRefused() const;
     /** Gives itself this capacity (thousandths of a core, MB, GPUs) from now on. */
     void setCapacity(std::int64_t cpu, std::int64_t memoryMb, std::int64_t gpus);
     [[nodiscard]] const std::string &id() const
@@ -95,6 +109,11 @@
         std::int64_t startedMs = 0;
         std::size_t index = 0; ///< in the runs of the test
         std::optional<std::int64_t> stopAtMs;
+        bool lasts = false;
+        bool fills = false;
+        std::int64_t tailMs = 0;
+        std::int64_t disturbedMs = 0;
+        int pacePercent = 100;
     };
     struct End {
         std::uint64_t number = 0;
@@ -111,6 +130,9 @@
     void endRun(const std::string &task, const std::string &how);
     HttpResponse startRun(const Json &body);
     HttpResponse stopRun(const Json &body);
+    HttpResponse pace(const Json &body);
+    [[nodiscard]] std::int64_t tailOf(const Running &running) const;
+    void forgetLife();
     Asio::awaitable<HttpResponse> hold(Json body);
     Json report() const;
     HttpResponse refusal(const std::string &reason) const;
@@ -121,6 +143,9 @@
     std::string m_rack;
     PlatformRuns &m_runs;
     class PlatformStoreStandin *m_store = nullptr;
+    const class PlatformOracleStandin *m_oracle = nullptr;
+    std::size_t m_ticketsRefused = 0;
+    bool m_off = false;
     mutable std::mutex m_mutex;
     PlatformMinionFaults m_faults;
     std::int64_t m_bornMs;
--- a/tests/unit/stepscheduling.cpp
+++ b/tests/unit/stepscheduling.cpp
@@ -114,13 +114,14 @@
 
     PlanDecisions plan() const
     {
-        PlanInput input {book, config, times, minions, active, {}, {}, NOW};
+        PlanInput input {book, config, times, tickets, minions, active, {}, {}, NOW, NOW};
         return planSteps(std::move(input));
     }
 
     DeploymentConfig config;
     JobBook book;
     RunTimes times;
+    TicketBook tickets;
     std::vector<MinionView> minions;
     std::vector<ActiveUnit> active;
     int jobs = 0;
@@ -354,11 +355,11 @@
             RC_ASSERT(step.requiredLabel.empty() || minions[m].labels.back() == step.requiredLabel);
         }
     }
-    std::map<std::pair<std::string, std::size_t>, std::uint32_t> together;
+    std::map<std::pair<StepKey, std::size_t>, std::uint32_t> together;
     for (const UnitStart &start : decisions.starts) {
         for (const std::size_t m : start.minions) {
             const std::uint32_t limit = scene.book.stepOf(start.unit).maxPerMinion;
-            RC_ASSERT(++together[std::make_pair(start.unit.stepName(), m)] <= limit || limit == 0);
+            RC_ASSERT(++together[std::make_pair(start.unit.stepKey(), m)] <= limit || limit == 0);
         }
     }
     const PlanDecisions again = scene.plan();
--- /dev/null
+++ b/tests/unit/stepservices.cpp
@@ -0,0 +1,228 @@
+#include "steps/fillpace.h"
+#include "steps/stepscheduler.h"
+#include "steps/ticketbook.h"
+#include "steps/upkeep.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+// The decisions on what minions share with other work, with an admission oracle and with their own upkeep. Each replays
+// the load pattern that its policy answers.
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr std::int64_t LOOK_MS = 500;
+constexpr std::int64_t HARM_MS = 4'000;
+
+/** Plays a service whose tail rises by @p disturbedMs at the full share; @return when it was last over its target. */
+std::int64_t lastHarm(FillPace &pace, std::int64_t tailMs, std::int64_t disturbedMs, std::int64_t forMs)
+{
+    constexpr std::int64_t TARGET_MS = 100;
+    std::int64_t last = 0;
+    for (std::int64_t now = 10'000; now < 10'000 + forMs; now += LOOK_MS) {
+        const std::int64_t tail = tailMs + disturbedMs * pace.percent() / 100;
+        last = tail > TARGET_MS ? now - 10'000 : last;
+        pace.observe({{tail, TARGET_MS}}, now);
+    }
+    return last;
+}
+
+TEST(FillPace, EndsHarmInTimeHoweverStrongTheDisturbance)
+{
+    for (const std::int64_t disturbed : {60, 200, 1'000, 10'000}) {
+        FillPace pace;
+        EXPECT_LT(lastHarm(pace, 60, disturbed, 4'500), HARM_MS) << disturbed;
+    }
+}
+
+TEST(FillPace, LeavesFillingWorkAloneWhereItDoesNoHarm)
+{
+    FillPace pace;
+    lastHarm(pace, 40, 30, 20'000);
+    EXPECT_EQ(FillPace::FULL, pace.percent());
+}
+
+TEST(FillPace, HaltsWorkBesideAServiceThatIsOverItsTargetAnywayAndBringsItBack)
+{
+    FillPace pace;
+    lastHarm(pace, 120, 50, 5'000);
+    EXPECT_EQ(0, pace.percent());
+    for (std::int64_t now = 100'000; now < 120'000; now += LOOK_MS) {
+        pace.observe({{20, 100}}, now);
+    }
+    EXPECT_EQ(FillPace::FULL, pace.percent());
+}
+
+const StepKey STEP {JobId("job"), 0, 0};
+const MinionId GOOD("good");
+const MinionId BAD("bad");
+
+TEST(TicketBook, GivesTicketsUntilTheyExpireOrTheMinionIsNew)
+{
+    TicketBook book;
+    EXPECT_FALSE(book.refused(STEP, BAD));
+    book.add(STEP, {GOOD, BAD}, {{GOOD, "t1"}}, 5'000);
+    EXPECT_EQ("t1", book.ticket(STEP, GOOD, 1'000));
+    EXPECT_EQ("", book.ticket(STEP, GOOD, 4'900)); // it would come too late
+    EXPECT_EQ("", book.ticket(STEP, BAD, 1'000));
+    EXPECT_TRUE(book.refused(STEP, BAD));
+    EXPECT_TRUE(book.admitted(STEP, GOOD));
+    EXPECT_EQ("", book.ticket({JobId("job"), 0, 1}, GOOD, 1'000));
+    book.expireAll(GOOD);
+    EXPECT_EQ("", book.ticket(STEP, GOOD, 1'000));
+    EXPECT_TRUE(book.admitted(STEP, GOOD));
+    book.forget(JobId("job"));
+    EXPECT_FALSE(book.admitted(STEP, GOOD));
+}
+
+/** A fleet of single-GPU minions with one advised step of two tasks. */
+struct AdvisedScene {
+    explicit AdvisedScene(std::size_t minionCount)
+    {
+        QueueConfig queue;
+        queue.name = QueueName("advised");
+        queue.service = ServiceName("desk");
+        queue.advice = AdviceTerms {};
+        config.queues = {queue};
+        for (std::size_t i = 0; i < minionCount; ++i) {
+            MinionView minion;
+            minion.id = MinionId("m" + std::to_string(i));
+            minion.service = queue.service;
+            minion.capacity = minion.free = {1'000, 1'000, 1};
+            minions.push_back(minion);
+        }
+        StepJob job;
+        job.id = STEP.job;
+        job.queue = queue.name;
+        job.service = queue.service;
+        StepSpec step;
+        step.count = 2;
+        step.need = {1'000, 1'000, 1};
+        job.spec.steps = {step};
+        book.apply(StepJobSubmitted {job});
+    }
+
+    PlanDecisions plan(std::int64_t now)
+    {
+        return planSteps({book, config, times, tickets, minions, {}, {}, {}, now, now});
+    }
+
+    JobBook book;
+    DeploymentConfig config;
+    RunTimes times;
+    TicketBook tickets;
+    std::vector<MinionView> minions;
+};
+
+TEST(AdvisedSteps, StartNowhereWithoutATicketAndAskAboutABoundedNumber)
+{
+    AdvisedScene scene(250);
+    const PlanDecisions decisions = scene.plan(1'000);
+    EXPECT_TRUE(decisions.starts.empty());
+    ASSERT_EQ(1U, decisions.advice.size());
+    EXPECT_EQ(STEP, decisions.advice[0].step);
+    EXPECT_EQ(30U, decisions.advice[0].minions.size());
+}
+
+TEST(AdvisedSteps, AskOnlyAboutMinionsThatMayYetBeAdmittedAndHaveRoom)
+{
+    AdvisedScene scene(4);
+    scene.minions[3].free = {};
+    scene.tickets.add(STEP, {scene.minions[0].id, scene.minions[1].id}, {{scene.minions[1].id, "t"}}, 10'000);
+    const PlanDecisions decisions = scene.plan(1'000);
+    ASSERT_EQ(1U, decisions.starts.size());
+    EXPECT_EQ(std::vector<std::size_t> {1}, decisions.starts[0].minions);
+    ASSERT_EQ(1U, decisions.advice.size());
+    // m0 was refused, m1 is admitted; m3 is full and comes last.
+    const std::vector<MinionId> expected {scene.minions[2].id, scene.minions[3].id};
+    EXPECT_EQ(expected, decisions.advice[0].minions);
+    // An expired ticket is asked for again while there is room.
+    EXPECT_EQ(scene.minions[1].id, scene.plan(20'000).advice.at(0).minions.at(0));
+}
+
+UpkeepCandidate candidate(const std::string &name, std::size_t running, std::int64_t lossMs, std::int64_t reservedMs)
+{
+    UpkeepCandidate machine;
+    machine.machine = MachineId(name);
+    machine.running = running;
+    machine.lossMs = lossMs;
+    machine.reservedMs = reservedMs;
+    return machine;
+}
+
+TEST(Upkeep, BeginsWithEmptyMachinesAndLetsWorkEndWhileThereIsTime)
+{
+    const auto decisions = planUpkeep(
+        2, 0, {candidate("busy", 3, 9'000, -1), candidate("idle", 0, 0, -1), candidate("light", 1, 1'000, -1)}, 60'000);
+    EXPECT_EQ((std::vector<MachineId> {MachineId("idle"), MachineId("light")}), decisions.reserve);
+    EXPECT_EQ(std::vector<MachineId> {MachineId("idle")}, decisions.begin);
+    EXPECT_TRUE(decisions.vacate.empty());
+}
+
+TEST(Upkeep, StopsWorkOnceTheWaveCannotWaitAndGoesDownAfterItHasSaved)
+{
+    UpkeepCandidate late = candidate("late", 2, 5'000, 0);
+    EXPECT_EQ(std::vector<MachineId> {late.machine}, planUpkeep(1, 0, {late}, -1'000).vacate);
+    late.vacatedMs = 200;
+    EXPECT_TRUE(planUpkeep(1, 0, {late}, -1'000).begin.empty());
+    late.vacatedMs = 1'500;
+    EXPECT_EQ(std::vector<MachineId> {late.machine}, planUpkeep(1, 0, {late}, -1'000).begin);
+}
+
+RC_GTEST_PROP(UpkeepProperties, NeverExceedsItsMaximumNorTakesWhatAServiceNeeds, ())
+{
+    const auto maximum = *rc::gen::inRange<std::uint32_t>(1, 5);
+    const auto down = *rc::gen::inRange<std::uint32_t>(0, 6);
+    std::vector<UpkeepCandidate> pending;
+    const auto count = *rc::gen::inRange<std::size_t>(0, 12);
+    for (std::size_t i = 0; i < count; ++i) {
+        UpkeepCandidate machine = candidate("m" + std::to_string(i), *rc::gen::inRange<std::size_t>(0, 3),
+                                            *rc::gen::inRange(0, 9'000), *rc::gen::inRange(-1, 20'000));
+        machine.vacatedMs = *rc::gen::inRange(-1, 3'000);
+        machine.up = *rc::gen::arbitrary<bool>();
+        machine.needed = *rc::gen::arbitrary<bool>();
+        pending.push_back(machine);
+    }
+    const auto decisions = planUpkeep(maximum, down, pending, *rc::gen::inRange(-10'000, 90'000));
+    RC_ASSERT(decisions.begin.size() + std::min(down, maximum) <= maximum);
+    for (const MachineId &machine : decisions.begin) {
+        const auto found = std::find_if(pending.begin(), pending.end(),
+                                        [&](const UpkeepCandidate &item) { return item.machine == machine; });
+        RC_ASSERT(found->up && !found->needed);
+        RC_ASSERT(found->running == 0 || found->vacatedMs > 0);
+    }
+}
+
+TEST(Upkeep, CountsWhatAServiceWouldMiss)
+{
+    EXPECT_FALSE(exceedsBudget(0, 5, 1)); // no limit
+    EXPECT_FALSE(exceedsBudget(2, 1, 1));
+    EXPECT_TRUE(exceedsBudget(2, 1, 2));
+    EXPECT_TRUE(exceedsBudget(1, 1, 1));
+    EXPECT_FALSE(exceedsBudget(1, 1, 0)); // takes nothing of it
+}
+
+TEST(JobRecords, KeepTheProgressOfAWave)
+{
+    WaveProgress wave {
+        WaveNumber(12), 99, {{MachineId("m-1"), UpkeepState::Begun}, {MachineId("m-2"), UpkeepState::Done}}};
+    const StoredRecord stored = encodeRecord(wave);
+    const auto decoded = decodeRecord(stored.key, stored.value);
+    ASSERT_TRUE(decoded);
+    JobBook book;
+    book.apply(*decoded);
+    EXPECT_EQ(wave.machines, book.waves().at(wave.number).machines);
+    EXPECT_EQ(99, book.waves().at(wave.number).firstSeenMs);
+    EXPECT_FALSE(decodeRecord("w/x", stored.value));
+    EXPECT_FALSE(decodeRecord("w/3", "junk"));
+}
+
+} // namespace
+
+} // namespace Papaya
