Give nodes an interface of their own: jobs of steps, why a unit waits, status and metrics

Cause: on the platform only its own wire could hand in a job; operators had neither metrics nor a reason for a job that waits, and the command line knew nothing of steps.

OperatorApi on the listener that the balancer probes: POST, GET, DELETE /v1/jobs in the product's own form (checked whole, every error with its path), /admin/status, /admin/jobs/ID/explain, /metrics. explainWait is pure and looks at the scheduler's own input, through the same suits(), serviceOf() and membersThatFit().

Found while testing: the first count of "started" looked at the number of placed units and missed jobs whose first two units were placed together.

--- a/apps/papayactl/httpcaller.h
+++ b/apps/papayactl/httpcaller.h
@@ -27,6 +27,7 @@
     std::string key;
     std::string body;
     std::vector<std::string> parameters; ///< name=value
+    std::string stepsFile;               ///< of a job of steps
     bool json = false;
     bool wait = false;
     Millis timeout {30'000};
--- a/apps/papayactl/main.cpp
+++ b/apps/papayactl/main.cpp
@@ -22,6 +22,7 @@
     "  config apply FILE        put a configuration in force (--wait: on every instance)\n"
     "  config show | diff FILE  show the one in force, or what FILE would change\n"
     "  job submit TEMPLATE      submit a job (--param name=value, --key, --wait)\n"
+    "  job submit QUEUE --steps FILE  submit the job of steps in FILE\n"
     "  job status|cancel JOB    state or end of a job\n"
     "  job list                 this team's jobs\n"
     "  request TEMPLATE         send one request (--body, --key)\n"
@@ -72,6 +73,8 @@
                                            "KEY", line);
     const TCLAP::ValueArg<std::string> body("b", "body", "Body of a request", false, "", "TEXT", line);
     const TCLAP::MultiArg<std::string> parameters("p", "param", "Parameter of a job", false, "NAME=VALUE", line);
+    const TCLAP::ValueArg<std::string> steps("s", "steps", "JSON file with the steps of a job", false, "", "FILE",
+                                             line);
     const TCLAP::SwitchArg json("j", "json", "Print JSON for scripts", line);
     const TCLAP::SwitchArg wait("w", "wait", "Wait for the end, or until in force everywhere", line);
     const TCLAP::ValueArg<std::int64_t> timeout("", "timeout-ms", "Longest wait", false, 30'000, "MS", line);
@@ -92,6 +95,7 @@
     options.key = key.getValue();
     options.body = body.getValue();
     options.parameters = parameters.getValue();
+    options.stepsFile = steps.getValue();
     options.json = json.getValue();
     options.wait = wait.getValue();
     options.timeout = Millis(timeout.getValue());
--- a/apps/papayactl/operatorcommands.cpp
+++ b/apps/papayactl/operatorcommands.cpp
@@ -177,9 +177,9 @@
         job) COMPREPLY=($(compgen -W "submit status cancel list" -- "$word")) ;;
         team) COMPREPLY=($(compgen -W "show" -- "$word")) ;;
         worker) COMPREPLY=($(compgen -W "list drain undrain" -- "$word")) ;;
-        check|apply|diff) COMPREPLY=($(compgen -f -- "$word")) ;;
+        check|apply|diff|--steps) COMPREPLY=($(compgen -f -- "$word")) ;;
         *) COMPREPLY=($(compgen -W "config job request team worker status explain bench completion
-            --callers --admin --team --token --admin-token --key --body --param --json --wait --timeout-ms --help" -- "$word")) ;;
+            --callers --admin --team --token --admin-token --key --body --param --steps --json --wait --timeout-ms --help" -- "$word")) ;;
     esac
 }
 complete -F _papayactl papayactl
--- a/apps/papayactl/workcommands.cpp
+++ b/apps/papayactl/workcommands.cpp
@@ -1,6 +1,8 @@
 #include "commands.h"
 
+#include <fstream>
 #include <iostream>
+#include <optional>
 
 namespace Papaya::Ctl
 {
@@ -14,7 +16,7 @@
 
 bool isFinal(const std::string &state)
 {
-    return state == "succeeded" || state == "failed" || state == "cancelled";
+    return state == "succeeded" || state == "completed" || state == "failed" || state == "cancelled";
 }
 
 /** @return the parameters of the command line; numbers, true and false keep their types. */
@@ -55,7 +57,7 @@
         const std::string state = result.json().value("state", "");
         if (isFinal(state)) {
             printJob(options, result);
-            return state == "succeeded" ? ExitCode::Done : ExitCode::Refused;
+            return state == "succeeded" || state == "completed" ? ExitCode::Done : ExitCode::Refused;
         }
         if (state != last) {
             std::cerr << job << " " << state << "\n";
@@ -66,10 +68,29 @@
     return ExitCode::Refused;
 }
 
+/** @return the body of a job's submission: of a template, or of the steps in a file; nothing if that is unusable. */
+std::optional<Json> submissionOf(const Options &options, const std::string &work)
+{
+    if (options.stepsFile.empty()) {
+        return Json {{"template", work}, {"parameters", parametersOf(options)}};
+    }
+    std::ifstream file(options.stepsFile);
+    Json body = Json::parse(file, nullptr, false, true); // comments are allowed
+    if (!body.is_object()) {
+        std::cerr << options.stepsFile << ": cannot be read, or is no JSON object\n";
+        return std::nullopt;
+    }
+    body["queue"] = work;
+    return body;
+}
+
 ExitCode submit(const Options &options, const std::string &work)
 {
-    HttpRequest request {
-        "POST", "/v1/jobs", {}, Json {{"template", work}, {"parameters", parametersOf(options)}}.dump()};
+    const auto body = submissionOf(options, work);
+    if (!body) {
+        return ExitCode::Usage;
+    }
+    HttpRequest request {"POST", "/v1/jobs", {}, body->dump()};
     const CallResult result = callCallers(options, std::move(request));
     if (!result.good()) {
         return reportFailure(options, result, options.callers);
@@ -129,7 +150,7 @@
         return list(options);
     }
     if (words.size() != 2) {
-        return usageError("job submit TEMPLATE | status JOB | cancel JOB | list");
+        return usageError("job submit TEMPLATE | submit QUEUE --steps FILE | status JOB | cancel JOB | list");
     }
     if (verb == "submit") {
         return submit(options, words[1]);
--- a/packages/dispatch/admissionoracle.h
+++ b/packages/dispatch/admissionoracle.h
@@ -16,7 +16,7 @@
 /** The oracle's answer. */
 struct Advice {
     bool answered = false; ///< false: too many calls wait there, or there was no answer
-    std::vector<Ticket> good;
+    std::vector<AdmissionTicket> good;
     Millis validFor {0}; ///< of the tickets, from the answer; 0 if it does not say
 };
 
--- a/packages/dispatch/deploymentcodec.h
+++ b/packages/dispatch/deploymentcodec.h
@@ -38,6 +38,8 @@
     [[nodiscard]] virtual std::string encodeState(std::string_view state) const = 0;
     /** @return the body of an answer about a queue. */
     [[nodiscard]] virtual std::string encodeWaiting(std::size_t waiting) const = 0;
+    /** @return the path at which the balancer asks whether this node takes connections. */
+    [[nodiscard]] virtual std::string_view readyPath() const = 0;
     /** @return the name of the header field with a caller's key. */
     [[nodiscard]] virtual std::string_view keyHeader() const = 0;
     /** @return the name of the header field with the milliseconds that a caller still waits. */
--- a/packages/dispatch/jobfront.cpp
+++ b/packages/dispatch/jobfront.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/jobfront.h"
 
 #include "dispatch/boottime.h"
+#include "dispatch/jobspecreader.h"
 #include "process/logging.h"
 
 #include <algorithm>
@@ -17,7 +18,6 @@
 constexpr Millis ANSWER_MARGIN {150}; // an answer must reach the caller before it gives up
 constexpr Millis HEARSAY_LIMIT {500}; // nodes read the journal every 200 ms
 constexpr Millis HEARSAY_POLL {20};
-constexpr std::size_t ID_DIGITS = 16;
 constexpr const char *RETRY_SOON = "1"; // seconds
 
 HttpResponse answer(int status, std::string body = {})
@@ -44,11 +44,6 @@
     return response;
 }
 
-bool isJobId(std::string_view text)
-{
-    return text.size() == ID_DIGITS && text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
-}
-
 } // namespace
 
 JobFront::JobFront(Context context)
@@ -65,22 +60,35 @@
     return Clock::now() + std::min(STORE_LIMIT, std::max(limit - ANSWER_MARGIN, limit / 2));
 }
 
+HttpResponse JobFront::refuse(int status, std::string_view code) const
+{
+    m_context.metrics.count(StepEvent::Refusal, code);
+    return errorAnswer(status, code);
+}
+
 Asio::awaitable<HttpResponse> JobFront::handle(HttpRequest request)
+{
+    HttpResponse response = co_await respond(request);
+    m_context.metrics.count(StepEvent::Answer, std::to_string(response.status));
+    co_return response;
+}
+
+Asio::awaitable<HttpResponse> JobFront::respond(const HttpRequest &request)
 {
     const DeploymentConfig *config = m_context.config();
     if (config == nullptr) {
-        co_return errorAnswer(503, "no-configuration");
+        co_return refuse(503, "no-configuration");
     }
     const std::string path(request.path());
     const QueueConfig *queue = config->route(request.fields.get("Host"), path);
     if (queue == nullptr) {
-        co_return errorAnswer(404, "no-such-queue");
+        co_return refuse(404, "no-such-queue");
     }
     TeamName team;
     if (!queue->open) {
         const auto found = config->teamByKey.find(request.fields.get(m_context.codec.keyHeader()));
         if (found == config->teamByKey.end()) {
-            co_return errorAnswer(401, "unknown-key");
+            co_return refuse(401, "unknown-key");
         }
         team = found->second;
     }
@@ -89,7 +97,7 @@
         co_return answer(200, m_context.codec.encodeWaiting(m_context.book.waiting(queue->name)));
     }
     if (!isJobId(rest)) {
-        co_return errorAnswer(400, "no-job-id");
+        co_return refuse(400, "no-job-id");
     }
     const JobId id(rest);
     if (request.method == "POST") {
@@ -99,9 +107,9 @@
         co_return state(id);
     }
     if (request.method == "DELETE") {
-        co_return co_await cancel(id, request);
+        co_return co_await cancel(id, deadlineOf(request));
     }
-    co_return errorAnswer(405, "method-not-allowed");
+    co_return refuse(405, "method-not-allowed");
 }
 
 Asio::awaitable<HttpResponse> JobFront::submit(const QueueConfig &queue, const TeamName &team, JobId id,
@@ -113,14 +121,23 @@
     auto spec = m_context.codec.decodeJob(request.body);
     if (!spec) {
         logEvent(LogLevel::Info, "job-malformed", {{"job", id.value()}, {"error", spec.errors().front().message}});
-        co_return errorAnswer(400, "malformed");
+        co_return refuse(400, "malformed");
+    }
+    co_return co_await accept(queue, team, id, std::move(*spec), deadlineOf(request));
+}
+
+Asio::awaitable<HttpResponse> JobFront::accept(const QueueConfig &queue, const TeamName &team, JobId id, JobSpec spec,
+                                               TimePoint deadline)
+{
+    if (m_context.book.find(id) != nullptr) {
+        co_return answer(200); // handed in before
     }
     StepJob job;
     job.id = id;
     job.queue = queue.name;
     job.service = queue.service;
     job.team = team;
-    job.spec = std::move(*spec);
+    job.spec = std::move(spec);
     job.submittedMs = wallMillis();
     job.priority = queue.priority;
     job.attempts = queue.attempts;
@@ -142,31 +159,32 @@
               {"rack", job.spec.steps.front().dataRack.value()},
               {"gang", job.spec.steps.front().gang ? "yes" : "no"}});
     JobRecord record = StepJobSubmitted {std::move(job)};
-    co_return co_await store(std::move(record), request, id, "job-submitted");
+    co_return co_await store(std::move(record), deadline, id, "job-submitted");
 }
 
-Asio::awaitable<HttpResponse> JobFront::cancel(JobId id, const HttpRequest &request)
+Asio::awaitable<HttpResponse> JobFront::cancel(JobId id, TimePoint deadline)
 {
     JobRecord record = StepJobCancelled {id};
-    HttpResponse response = co_await store(std::move(record), request, id, "job-cancelled");
+    HttpResponse response = co_await store(std::move(record), deadline, id, "job-cancelled");
     // Another node may have accepted the job a moment ago; the record cancels it too, and this node hears of it soon.
     const TimePoint limit = Clock::now() + HEARSAY_LIMIT;
     while (response.status == 200 && m_context.book.find(id) == nullptr && Clock::now() < limit) {
         co_await sleepFor(HEARSAY_POLL);
     }
     const bool known = m_context.book.find(id) != nullptr;
-    co_return response.status == 200 && !known ? errorAnswer(410, "no-such-job") : response;
+    co_return response.status == 200 && !known ? refuse(410, "no-such-job") : response;
 }
 
-Asio::awaitable<HttpResponse> JobFront::store(JobRecord record, const HttpRequest &request, const JobId &id,
-                                              const char *event)
+Asio::awaitable<HttpResponse> JobFront::store(JobRecord record, TimePoint deadline, const JobId &id, const char *event)
 {
     const std::int64_t begun = bootMillis();
     std::vector<StoredRecord> records;
     records.push_back(encodeRecord(record));
-    const AppendOutcome outcome = co_await m_context.writer->append(std::move(records), deadlineOf(request));
+    const AppendOutcome outcome = co_await m_context.writer->append(std::move(records), deadline);
+    m_context.metrics.count(StepEvent::Store, toString(outcome));
     if (outcome == AppendOutcome::Stored) {
         m_context.stored(record);
+        m_context.metrics.record(JobStage::Stored, bootMillis() - begun);
     }
     logEvent(LogLevel::Info, event,
              {{"job", id.value()}, {"outcome", toString(outcome)}, {"took_ms", bootMillis() - begun}});
@@ -174,9 +192,9 @@
     case AppendOutcome::Stored:
         co_return answer(200);
     case AppendOutcome::NotStored:
-        co_return errorAnswer(503, "store-unavailable");
+        co_return refuse(503, "store-unavailable");
     default:
-        co_return errorAnswer(504, "unknown-outcome");
+        co_return refuse(504, "unknown-outcome");
     }
 }
 
@@ -187,7 +205,7 @@
         return answer(200, m_context.codec.encodeState(toString(entry->state())));
     }
     // A node that does not read the journal cannot know that there is no such job.
-    return m_context.fresh() ? errorAnswer(410, "no-such-job") : errorAnswer(503, "journal-unread");
+    return m_context.fresh() ? refuse(410, "no-such-job") : refuse(503, "journal-unread");
 }
 
 } // namespace Papaya
--- a/packages/dispatch/jobfront.h
+++ b/packages/dispatch/jobfront.h
@@ -3,6 +3,7 @@
 #include "connection/httpserver.h"
 #include "dispatch/deploymentcodec.h"
 #include "dispatch/journalwriter.h"
+#include "dispatch/stepmetrics.h"
 #include "steps/jobbook.h"
 
 #include <functional>
@@ -26,19 +27,26 @@
         std::function<const DeploymentConfig *()> config;
         std::function<bool()> fresh;                   ///< whether the book holds what was stored a moment ago
         std::function<void(const JobRecord &)> stored; ///< called with each record that this front has stored
+        StepMetrics &metrics;
     };
 
     explicit JobFront(Context context);
 
     Asio::awaitable<HttpResponse> handle(HttpRequest request) override;
 
+    /** Stores a job of @p team. @return 200 once it is stored, also if it was before */
+    Asio::awaitable<HttpResponse> accept(const QueueConfig &queue, const TeamName &team, JobId id, JobSpec spec,
+                                         TimePoint deadline);
+    /** Stores a cancellation. @return 200 once it is stored, 410 if there is no such job */
+    Asio::awaitable<HttpResponse> cancel(JobId id, TimePoint deadline);
+
 private:
+    Asio::awaitable<HttpResponse> respond(const HttpRequest &request);
     Asio::awaitable<HttpResponse> submit(const QueueConfig &queue, const TeamName &team, JobId id,
                                          const HttpRequest &request);
-    Asio::awaitable<HttpResponse> cancel(JobId id, const HttpRequest &request);
-    HttpResponse state(const JobId &id) const;
-    Asio::awaitable<HttpResponse> store(JobRecord record, const HttpRequest &request, const JobId &id,
-                                        const char *event);
+    [[nodiscard]] HttpResponse state(const JobId &id) const;
+    Asio::awaitable<HttpResponse> store(JobRecord record, TimePoint deadline, const JobId &id, const char *event);
+    HttpResponse refuse(int status, std::string_view code) const;
     TimePoint deadlineOf(const HttpRequest &request) const;
 
     Context m_context;
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -4,6 +4,7 @@
 #include "connection/httpserver.h"
 #include "dispatch/boottime.h"
 #include "dispatch/jobfront.h"
+#include "dispatch/operatorapi.h"
 #include "dispatch/stepplanner.h"
 #include "dispatch/topicfollower.h"
 #include "process/logging.h"
@@ -43,7 +44,7 @@
 } // namespace
 
 /** The parts of a node. */
-struct StepNode::Parts : public HttpHandler {
+struct StepNode::Parts {
     /** Forwards one topic's records to a method. */
     struct Records : public TopicHandler {
         Records(std::function<void(const std::vector<StoredRecord> &)> onLoaded,
@@ -79,11 +80,16 @@
         , configTopic(io, *platform.store, Topic::Config, configRecords, CONFIG_WAIT)
         , writer(JournalWriter::create(io, *platform.store, std::nullopt))
         , front({*platform.codec, writer, book, [this] { return configInForce(); }, [this] { return fresh(); },
-                 [this](const JobRecord &record) { ownRecordStored(record); }})
+                 [this](const JobRecord &record) { ownRecordStored(record); }, metrics})
+        , operators({*platform.codec, front, book, metrics, [this] { return configInForce(); },
+                     [this] { return status(); },
+                     [this](const JobId &job) {
+                         return planner ? planner->explain(job) : std::map<UnitKey, WaitExplanation>();
+                     }})
         , signals(io, SIGTERM, SIGINT, SIGHUP)
         , random(std::random_device {}())
         , callers(HttpServer::listen(io, settings.callers, HttpLimits {}, front))
-        , readyServer(HttpServer::listen(io, settings.ready, HttpLimits {}, *this))
+        , readyServer(HttpServer::listen(io, settings.ready, HttpLimits {}, operators))
     {
         journal.setPace(FOLLOWER_PACE);
     }
@@ -114,11 +120,21 @@
         return !draining && config && fresh() && !journal.isFailing();
     }
 
-    Asio::awaitable<HttpResponse> handle(HttpRequest) override
+    [[nodiscard]] NodeStatus status() const
     {
-        HttpResponse response;
-        response.status = ready() ? 200 : 503;
-        co_return response;
+        NodeStatus status;
+        status.node = settings.node.value();
+        status.ready = ready();
+        status.leading = planner != nullptr;
+        status.planner = book.planner().resigned ? "" : book.planner().node;
+        status.epoch = book.planner().epoch.value();
+        status.configVersion = config ? config->version.value() : 0;
+        status.journalAgeMs = bootMillis() - journal.lastSuccessMs();
+        status.journalOffset = journal.next().value();
+        status.jobs = book.size();
+        status.liveJobs = book.live().size();
+        status.minions = planner ? planner->minionCount() : 0;
+        return status;
     }
 
     // --- Configuration ---
@@ -208,7 +224,7 @@
                 times.observe(entry->job, *change, bootMillis());
             }
         }
-        book.apply(record);
+        applyToBook(record);
         if (!planner) {
             return;
         }
@@ -221,6 +237,17 @@
         }
     }
 
+    void applyToBook(const JobRecord &record)
+    {
+        const auto *change = std::get_if<UnitChanged>(&record);
+        const JobEntry *entry = change == nullptr ? nullptr : book.find(change->unit.job);
+        const bool lived = entry != nullptr && entry->live();
+        book.apply(record);
+        if (lived && !entry->live() && journal.isLoaded()) {
+            metrics.record(JobStage::Shown, wallMillis() - entry->job.submittedMs);
+        }
+    }
+
     void ownRecordStored(const JobRecord &record)
     {
         applyRecord(record);
@@ -313,16 +340,18 @@
         }
         if (!won) {
             journal.setPace(FOLLOWER_PACE);
+            metrics.count(StepEvent::Claim, toString(outcome));
             logEvent(LogLevel::Info, "planner-claim-failed",
                      {{"epoch", epoch.value()}, {"outcome", toString(outcome)}});
             co_return;
         }
+        metrics.count(StepEvent::Claim, "won");
         auto claimWriter = JournalWriter::create(io, *platform.store, producer);
         auto statusWriter =
             JournalWriter::create(io, *platform.store, Producer {producerName(), epoch, 0}, Topic::Status);
         planner = StepPlanner::begin(
             {io, *platform.store, *platform.orders, platform.oracle.get(), platform.machines.get(), *platform.codec,
-             book, times, [this] { return configInForce(); },
+             book, times, metrics, [this] { return configInForce(); },
              [this]() -> const std::map<WaveNumber, UpkeepWave> & { return waves; }, settings.node.value(),
              settings.keepEnded, [this](const char *reason) { loseLeadership(reason); }},
             claimWriter, statusWriter, epoch, minions);
@@ -447,7 +476,9 @@
     TopicFollower configTopic;
     std::unique_ptr<TopicFollower> minionTopic;
     std::shared_ptr<JournalWriter> writer;
+    StepMetrics metrics;
     JobFront front;
+    OperatorApi operators;
     std::shared_ptr<StepPlanner> planner;
     Asio::signal_set signals;
     std::mt19937 random;
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -216,6 +216,7 @@
     if (!m_leading) {
         return;
     }
+    m_context.metrics.count(StepEvent::LeadershipLoss, reason);
     logEvent(LogLevel::Warning, "planner-lost", {{"epoch", m_epoch.value()}, {"reason", reason}});
     stop();
     m_context.lost(reason);
@@ -236,7 +237,7 @@
     });
 }
 
-PlanInput StepPlanner::planInput(std::vector<MinionId> &ids)
+PlanInput StepPlanner::planInput(std::vector<MinionId> &ids) const
 {
     const std::int64_t now = bootMillis();
     PlanInput input {
@@ -283,6 +284,23 @@
     return input;
 }
 
+std::map<UnitKey, WaitExplanation> StepPlanner::explain(const JobId &job) const
+{
+    std::map<UnitKey, WaitExplanation> reasons;
+    const JobEntry *entry = m_context.book.find(job);
+    if (entry == nullptr || m_context.config() == nullptr) {
+        return reasons;
+    }
+    std::vector<MinionId> ids;
+    const PlanInput input = planInput(ids);
+    for (const UnitKey &unit : JobBook::unitsOf(*entry)) {
+        if (m_context.book.find(unit)->state != UnitState::Done) {
+            reasons.emplace(unit, explainWait(input, unit));
+        }
+    }
+    return reasons;
+}
+
 void StepPlanner::pass()
 {
     if (m_context.config() == nullptr || !mayRenew()) {
@@ -312,6 +330,7 @@
     }
     record(decision.unit, status);
     m_notBefore.erase(decision.unit);
+    m_context.metrics.count(StepEvent::Placement, m_context.book.find(decision.unit.job)->job.queue.value());
     m_starts.push_back(track(*m_context.book.find(decision.unit.job), decision.unit, status));
     logEvent(LogLevel::Info, "unit-placed",
              {{"unit", decision.unit.toString()},
@@ -326,6 +345,7 @@
         return;
     }
     assignment->stopping = true;
+    m_context.metrics.count(StepEvent::Stop, reason);
     logEvent(LogLevel::Info, "unit-stopped",
              {{"unit", assignment->unit.toString()}, {"run", std::uint64_t(assignment->run)}, {"reason", reason}});
     for (std::size_t i = 0; i < assignment->members.size(); ++i) {
@@ -367,6 +387,7 @@
         m_context.book.apply(StepJobForgotten {id});
         m_endedMs.erase(id);
         m_tickets.forget(id);
+        m_startedJobs.erase(id);
         flushSoon();
     }
     if (!old.empty()) {
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -4,8 +4,10 @@
 #include "dispatch/assignment.h"
 #include "dispatch/journalwriter.h"
 #include "dispatch/minionlink.h"
+#include "dispatch/stepmetrics.h"
 #include "dispatch/upkeepkeeper.h"
 #include "steps/stepscheduler.h"
+#include "steps/waitreason.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -45,6 +47,7 @@
         const DeploymentCodec &codec;
         JobBook &book;
         RunTimes &times;
+        StepMetrics &metrics;
         std::function<const DeploymentConfig *()> config;
         std::function<const std::map<WaveNumber, UpkeepWave> &()> waves;
         std::string node;
@@ -69,6 +72,12 @@
     /** Ends without a word. */
     void stop();
 
+    /** @return why each unit of @p job that has not ended does not run, or where it does. */
+    [[nodiscard]] std::map<UnitKey, WaitExplanation> explain(const JobId &job) const;
+    [[nodiscard]] std::size_t minionCount() const
+    {
+        return m_links.size();
+    }
     [[nodiscard]] Epoch epoch() const
     {
         return m_epoch;
@@ -85,7 +94,7 @@
     // Decisions
     void requestPass();
     void pass();
-    PlanInput planInput(std::vector<MinionId> &ids);
+    PlanInput planInput(std::vector<MinionId> &ids) const;
     void startUnit(const UnitStart &decision, const std::vector<MinionId> &ids);
     void stopAssignment(const AssignmentPtr &assignment, const char *reason);
 
@@ -166,6 +175,7 @@
     bool m_flushPosted = false;
     bool m_passPosted = false;
     Asio::steady_timer m_passTimer;
+    std::set<JobId> m_startedJobs;           ///< whose first task has been seen to start
     std::map<JobId, std::int64_t> m_endedMs; ///< when each job was first seen to have ended
     std::int64_t m_lastForgettingMs = 0;
     std::int64_t m_lastSignMs = 0;
--- a/packages/dispatch/stepplannerhealth.cpp
+++ b/packages/dispatch/stepplannerhealth.cpp
@@ -50,6 +50,7 @@
         }
     }
     for (const auto &[assignment, index] : lost) {
+        m_context.metrics.count(StepEvent::RunLost, "lease-lapsed");
         logEvent(LogLevel::Warning, "lease-lapsed",
                  {{"unit", assignment->unit.toString()},
                   {"run", std::uint64_t(assignment->run)},
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -68,6 +68,7 @@
     }
     MinionLink &link = self->m_links.at(member.minion);
     if (answer.outcome != OrderOutcome::Done) {
+        self->m_context.metrics.count(StepEvent::StartRefusal, toString(answer.outcome));
         logEvent(LogLevel::Info, "start-refused",
                  {{"task", order.task},
                   {"run", std::uint64_t(order.run)},
@@ -84,6 +85,9 @@
             member.state = MemberState::Running;
             member.confirmedMs = now;
             member.pacedPercent = FillPace::FULL;
+            if (self->m_startedJobs.insert(entry->job.id).second) {
+                self->m_context.metrics.record(JobStage::Started, wallMillis() - entry->job.submittedMs);
+            }
             assignment->savedMs = assignment->startedMs = now;
         }
         self->ensureWatched(link);
--- a/packages/dispatch/stepplannerreports.cpp
+++ b/packages/dispatch/stepplannerreports.cpp
@@ -58,6 +58,7 @@
 {
     std::size_t index = 0;
     const AssignmentPtr assignment = findTask(end.task, end.run, index);
+    m_context.metrics.count(StepEvent::RunEnd, toString(end.kind));
     logEvent(LogLevel::Info, "run-ended",
              {{"task", end.task},
               {"run", std::uint64_t(end.run)},
@@ -126,6 +127,7 @@
         }
     }
     for (const auto &[assignment, index] : missing) {
+        m_context.metrics.count(StepEvent::RunLost, "missing");
         memberGone(assignment, index, EndKind::Unknown);
     }
 }
@@ -144,6 +146,7 @@
         }
     }
     for (const auto &[assignment, index] : lost) {
+        m_context.metrics.count(StepEvent::RunLost, "minion-reborn");
         memberGone(assignment, index, EndKind::Unknown);
     }
     link.clock = MinionClock();
--- a/packages/process/metrics.cpp
+++ b/packages/process/metrics.cpp
@@ -1,8 +1,7 @@
 #include "process/metrics.h"
 
-#include <boost/histogram.hpp>
+#include "process/latencyhistogram.h"
 
-#include <mutex>
 #include <sstream>
 
 namespace Papaya
@@ -11,8 +10,6 @@
 namespace
 {
 
-namespace Bh = boost::histogram;
-
 constexpr std::array<const char *, static_cast<std::size_t>(Counter::Count)> COUNTER_NAMES {
     "requests_answered_total",
     "hedges_sent_total",
@@ -59,56 +56,28 @@
     "denied-not-idempotent",
 };
 
-constexpr unsigned LATENCY_BINS = 60;
-constexpr double LATENCY_LOW_SECONDS = 0.0001;
-constexpr double LATENCY_HIGH_SECONDS = 60.0;
-
-using LatencyAxis = Bh::axis::regular<double, Bh::axis::transform::log>;
-using LatencyHistogram =
-    decltype(Bh::make_histogram(LatencyAxis(LATENCY_BINS, LATENCY_LOW_SECONDS, LATENCY_HIGH_SECONDS)));
-
 } // namespace
 
-/** One latency histogram for each urgency, each under its own lock. */
+/** One latency histogram for each urgency. */
 class Metrics::Histograms
 {
 public:
     void record(Urgency urgency, double seconds)
     {
-        Shard &shard = m_shards[static_cast<std::size_t>(urgency)];
-        const std::lock_guard lock(shard.mutex);
-        shard.histogram(seconds);
-        shard.sum += seconds;
+        m_histograms[static_cast<std::size_t>(urgency)].record(seconds);
     }
 
     void write(std::ostream &out) const
     {
         out << "# TYPE papayahall_request_seconds histogram\n";
         for (std::size_t i = 0; i < URGENCY_COUNT; ++i) {
-            const Shard &shard = m_shards[i];
-            const std::lock_guard lock(shard.mutex);
             const std::string label = std::string("urgency=\"") + toString(static_cast<Urgency>(i)) + "\"";
-            double total = shard.histogram.at(-1);
-            for (unsigned bin = 0; bin < LATENCY_BINS; ++bin) {
-                total += shard.histogram.at(static_cast<int>(bin));
-                const double upper = shard.histogram.axis().bin(static_cast<int>(bin)).upper();
-                out << "papayahall_request_seconds_bucket{" << label << ",le=\"" << upper << "\"} " << total << "\n";
-            }
-            total += shard.histogram.at(static_cast<int>(LATENCY_BINS));
-            out << "papayahall_request_seconds_bucket{" << label << ",le=\"+Inf\"} " << total << "\n";
-            out << "papayahall_request_seconds_sum{" << label << "} " << shard.sum << "\n";
-            out << "papayahall_request_seconds_count{" << label << "} " << total << "\n";
+            m_histograms[i].write(out, "papayahall_request_seconds", label);
         }
     }
 
 private:
-    struct Shard {
-        mutable std::mutex mutex;
-        LatencyHistogram histogram =
-            Bh::make_histogram(LatencyAxis(LATENCY_BINS, LATENCY_LOW_SECONDS, LATENCY_HIGH_SECONDS));
-        double sum = 0;
-    };
-    std::array<Shard, URGENCY_COUNT> m_shards;
+    std::array<LatencyHistogram, URGENCY_COUNT> m_histograms;
 };
 
 Metrics::Metrics()
--- a/packages/steps/stepscheduler.cpp
+++ b/packages/steps/stepscheduler.cpp
@@ -167,18 +167,9 @@
         return placed;
     }
 
-    /** Whether @p minion may run tasks of @p candidate as far as the caller and the configuration say. */
-    [[nodiscard]] bool suits(const Candidate &candidate, const MinionView &minion) const
-    {
-        const StepSpec &step = candidate.spec();
-        return minion.usable && minion.service == serviceOf(candidate)
-               && (step.requiredLabel.empty()
-                   || std::find(minion.labels.begin(), minion.labels.end(), step.requiredLabel) != minion.labels.end());
-    }
-
     [[nodiscard]] bool eligible(const Candidate &candidate, const MinionView &minion) const
     {
-        return suits(candidate, minion)
+        return suits(minion, serviceOf(m_input.config, candidate.entry->job), candidate.spec())
                && (!isAdvised(candidate)
                    || !m_input.tickets.ticket(candidate.stepKey(), minion.id, m_input.steadyMs).empty());
     }
@@ -206,8 +197,9 @@
             const MinionView &minion = m_input.minions[m];
             const bool known = m_input.tickets.admitted(key, minion.id);
             const bool room = minion.free.covers(need);
-            const bool ask = suits(candidate, minion) && minion.capacity.covers(need)
-                             && !m_input.tickets.refused(key, minion.id) && !eligible(candidate, minion);
+            const bool ask = suits(minion, serviceOf(m_input.config, candidate.entry->job), step)
+                             && minion.capacity.covers(need) && !m_input.tickets.refused(key, minion.id)
+                             && !eligible(candidate, minion);
             if (ask && (room || !known)) {
                 order.emplace_back(!room, !known, m);
             }
@@ -224,13 +216,6 @@
         }
     }
 
-    /** The queue's present service; the one of the submission if the queue has been dropped. */
-    [[nodiscard]] const ServiceName &serviceOf(const Candidate &candidate) const
-    {
-        const QueueConfig *queue = m_input.config.queue(candidate.entry->job.queue);
-        return queue == nullptr ? candidate.entry->job.service : queue->service;
-    }
-
     [[nodiscard]] bool avoided(const UnitKey &unit, const MinionView &minion) const
     {
         const auto found = m_input.avoid.find(unit);
@@ -327,12 +312,8 @@
         const Resources need = countedNeed(candidate.spec());
         std::map<RackName, std::uint32_t> members;
         for (const MinionView &minion : m_input.minions) {
-            Resources room = minion.capacity;
-            std::uint32_t here = 0;
-            while (eligible(candidate, minion) && room.covers(need) && here < MAX_MEMBERS_A_MINION) {
-                room -= need;
-                ++here;
-            }
+            const bool good = eligible(candidate, minion);
+            const std::uint32_t here = good ? membersThatFit(minion.capacity, need, MAX_MEMBERS_A_MINION) : 0;
             members[minion.rack] += here;
         }
         return members;
@@ -528,6 +509,30 @@
     return need;
 }
 
+bool suits(const MinionView &minion, const ServiceName &service, const StepSpec &step)
+{
+    return minion.usable && minion.service == service
+           && (step.requiredLabel.empty()
+               || std::find(minion.labels.begin(), minion.labels.end(), step.requiredLabel) != minion.labels.end());
+}
+
+const ServiceName &serviceOf(const DeploymentConfig &config, const StepJob &job)
+{
+    const QueueConfig *queue = config.queue(job.queue);
+    return queue == nullptr ? job.service : queue->service;
+}
+
+std::uint32_t membersThatFit(Resources room, const Resources &need, std::uint32_t limit)
+{
+    const std::uint32_t most = limit == 0 ? MAX_MEMBERS_A_MINION : std::min(limit, MAX_MEMBERS_A_MINION);
+    std::uint32_t members = 0;
+    while (members < most && room.covers(need)) {
+        room -= need;
+        ++members;
+    }
+    return members;
+}
+
 PlanDecisions planSteps(PlanInput input)
 {
     return Pass(input).run();
--- a/packages/steps/stepscheduler.h
+++ b/packages/steps/stepscheduler.h
@@ -89,6 +89,16 @@
 /** @return what a task of @p step takes of a minion; the cores of a task that fills are not counted. */
 Resources countedNeed(const StepSpec &step);
 
+/** @return true if @p minion is usable, runs tasks of @p service and has the label that @p step asks for. */
+bool suits(const MinionView &minion, const ServiceName &service, const StepSpec &step);
+
+/** @return the service that runs tasks of @p job: its queue's present one, or that of the submission if the queue is
+ * gone. */
+const ServiceName &serviceOf(const DeploymentConfig &config, const StepJob &job);
+
+/** @return how many tasks of @p need fit into @p room; at most @p limit, if that is not 0. */
+std::uint32_t membersThatFit(Resources room, const Resources &need, std::uint32_t limit);
+
 /** One pass. */
 PlanDecisions planSteps(PlanInput input);
 
--- a/packages/steps/ticketbook.cpp
+++ b/packages/steps/ticketbook.cpp
@@ -10,14 +10,14 @@
 
 } // namespace
 
-void TicketBook::add(const StepKey &step, const std::vector<MinionId> &asked, const std::vector<Ticket> &good,
+void TicketBook::add(const StepKey &step, const std::vector<MinionId> &asked, const std::vector<AdmissionTicket> &good,
                      std::int64_t validUntilMs)
 {
     std::map<MinionId, Word> &words = m_words[step];
     for (const MinionId &minion : asked) {
         words[minion] = Word();
     }
-    for (const Ticket &ticket : good) {
+    for (const AdmissionTicket &ticket : good) {
         words[ticket.minion] = {true, ticket.text, validUntilMs};
     }
 }
--- a/packages/steps/ticketbook.h
+++ b/packages/steps/ticketbook.h
@@ -14,7 +14,7 @@
 {
 
 /** The oracle's permission to start the tasks of a step on a minion. */
-struct Ticket {
+struct AdmissionTicket {
     MinionId minion;
     std::string text;
 };
@@ -27,7 +27,7 @@
      * The oracle was asked about @p asked and has admitted @p good.
      * @param validUntilMs on the clock that nowMs is read from
      */
-    void add(const StepKey &step, const std::vector<MinionId> &asked, const std::vector<Ticket> &good,
+    void add(const StepKey &step, const std::vector<MinionId> &asked, const std::vector<AdmissionTicket> &good,
              std::int64_t validUntilMs);
 
     /** @return the ticket for a start now; empty if there is none that is still valid. */
--- /dev/null
+++ b/packages/steps/waitreason.cpp
@@ -0,0 +1,135 @@
+#include "steps/waitreason.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Papaya
+{
+
+namespace
+{
+
+std::string number(std::int64_t value)
+{
+    return std::to_string(value);
+}
+
+std::string describe(const Resources &amount)
+{
+    return number(amount.cores) + " millicores, " + number(amount.memoryMb) + " MB and " + number(amount.gpus)
+           + " GPUs";
+}
+
+WaitExplanation explainDependencies(const JobEntry &entry, const UnitKey &unit)
+{
+    const OccurrenceProgress &progress = entry.occurrences[unit.occurrence];
+    std::string detail;
+    for (const std::uint32_t earlier : entry.job.spec.steps[unit.step].dependencies) {
+        const StepProgress &step = progress.steps[earlier];
+        if (step.done < step.units.size()) {
+            detail += (detail.empty() ? "" : "; ") + ("step " + number(earlier)) + " has " + number(step.done) + " of "
+                      + number(static_cast<std::int64_t>(step.units.size())) + " units done";
+        }
+    }
+    return {WaitReason::Dependencies, detail};
+}
+
+/** What the fleet can do for a step. */
+struct Supply {
+    std::size_t suitable = 0; ///< minions
+    std::size_t largeEnough = 0;
+    std::size_t ticketed = 0;
+    std::uint32_t members = 0; ///< that fit into what is free
+};
+
+Supply supplyFor(const PlanInput &input, const JobEntry &entry, const UnitKey &unit)
+{
+    const StepSpec &step = entry.job.spec.steps[unit.step];
+    const Resources need = countedNeed(step);
+    const QueueConfig *queue = input.config.queue(entry.job.queue);
+    const bool advised = queue != nullptr && queue->advice.has_value();
+    Supply supply;
+    for (const MinionView &minion : input.minions) {
+        if (!suits(minion, serviceOf(input.config, entry.job), step)) {
+            continue;
+        }
+        ++supply.suitable;
+        if (!minion.capacity.covers(need)) {
+            continue;
+        }
+        ++supply.largeEnough;
+        if (advised && input.tickets.ticket(unit.stepKey(), minion.id, input.steadyMs).empty()) {
+            continue;
+        }
+        ++supply.ticketed;
+        supply.members += membersThatFit(minion.free, need, step.maxPerMinion);
+    }
+    return supply;
+}
+
+WaitExplanation explainRoom(const PlanInput &input, const JobEntry &entry, const UnitKey &unit)
+{
+    const StepSpec &step = entry.job.spec.steps[unit.step];
+    const Supply supply = supplyFor(input, entry, unit);
+    const std::uint32_t members = step.gang ? step.count : 1;
+    if (supply.suitable == 0) {
+        return {WaitReason::NoMinion, "none of " + number(static_cast<std::int64_t>(input.minions.size()))
+                                          + " minions is usable, serves the queue"
+                                          + (step.requiredLabel.empty() ? "" : " and has label " + step.requiredLabel)};
+    }
+    if (supply.largeEnough == 0) {
+        return {WaitReason::TooLarge, "a task takes " + describe(step.need) + ", more than any of "
+                                          + number(static_cast<std::int64_t>(supply.suitable)) + " minions has"};
+    }
+    if (supply.ticketed == 0) {
+        return {WaitReason::NoTicket, "the admission oracle has admitted none of "
+                                          + number(static_cast<std::int64_t>(supply.largeEnough)) + " minions so far"};
+    }
+    if (supply.members < members) {
+        return {WaitReason::NoRoom, "there is room for " + number(supply.members) + " of " + number(members)
+                                        + " tasks of " + describe(step.need) + " on "
+                                        + number(static_cast<std::int64_t>(supply.ticketed)) + " minions"};
+    }
+    return {WaitReason::NextPass, "there is room, on one rack or for work that comes before it"};
+}
+
+} // namespace
+
+std::string_view toString(WaitReason reason)
+{
+    constexpr std::array<std::string_view, 10> NAMES {"none",      "job-ended", "not-due",   "dependencies",
+                                                      "held-back", "no-minion", "too-large", "no-ticket",
+                                                      "no-room",   "next-pass"};
+    return NAMES[static_cast<std::size_t>(reason)];
+}
+
+WaitExplanation explainWait(const PlanInput &input, const UnitKey &unit)
+{
+    const JobEntry &entry = *input.book.find(unit.job);
+    const UnitStatus &status = *input.book.find(unit);
+    switch (status.state) {
+    case UnitState::Placed:
+        return {WaitReason::None, "run " + number(status.run) + " is placed on " + status.minions.front().value()};
+    case UnitState::Done:
+        return {WaitReason::None, "done in run " + number(status.run)};
+    case UnitState::Failed:
+        return {WaitReason::None, "given up after " + number(status.failures) + " failed runs"};
+    case UnitState::Waiting:
+        break;
+    }
+    if (!entry.live()) {
+        return {WaitReason::JobEnded, "the job is " + std::string(toString(entry.state()))};
+    }
+    if (const std::int64_t due = entry.dueMs(unit.occurrence); due > input.nowMs) {
+        return {WaitReason::NotDue, "due in " + number(due - input.nowMs) + " ms"};
+    }
+    if (!entry.dependenciesDone(unit.occurrence, unit.step)) {
+        return explainDependencies(entry, unit);
+    }
+    if (input.heldBack.contains(unit)) {
+        return {WaitReason::HeldBack, "its last start failed a moment ago"};
+    }
+    return explainRoom(input, entry, unit);
+}
+
+} // namespace Papaya
--- a/tests/integration/deployment.cpp
+++ b/tests/integration/deployment.cpp
@@ -173,6 +173,15 @@
     return Asio::co_spawn(io, exchange(m_pool, m_callers[node], std::move(request), limit), Asio::use_future).get();
 }
 
+Answer Deployment::operate(std::size_t node, const std::string &method, const std::string &target,
+                           const std::string &body, const std::string &key)
+{
+    HttpRequest request {method, target, {}, body};
+    request.fields.set("Authorization", "Bearer " + key);
+    return Asio::co_spawn(io, exchange(m_pool, m_ready[node], std::move(request), Millis(4'000)), Asio::use_future)
+        .get();
+}
+
 std::string Deployment::state(std::size_t node, const std::string &queue, const std::string &id)
 {
     const Answer answer = call(node, "GET", queue, id);
--- a/tests/integration/deployment.h
+++ b/tests/integration/deployment.h
@@ -57,6 +57,9 @@
                   const Json &work = {{"workMs", 100}}, const Json &more = Json::object());
     Answer call(std::size_t node, const std::string &method, const std::string &queue, const std::string &id,
                 const std::string &body = "", const std::string &key = "key-a", Millis limit = Millis(4'000));
+    /** Calls the product's own interface of a node. */
+    Answer operate(std::size_t node, const std::string &method, const std::string &target, const std::string &body = "",
+                   const std::string &key = "key-a");
     /** @return the job's state at @p node; empty if it gives none. */
     std::string state(std::size_t node, const std::string &queue, const std::string &id);
     /** Waits for a state. @return whether it came within @p limit */
--- a/tests/unit/examples.cpp
+++ b/tests/unit/examples.cpp
@@ -1,4 +1,5 @@
 #include "base/codec.h"
+#include "dispatch/jobspecreader.h"
 #include "process/settings.h"
 #include "version/fleetconfig.h"
 
@@ -32,6 +33,11 @@
         const std::string text = readFile(entry.path());
         if (entry.path().filename().string().find("settings") != std::string::npos) {
             EXPECT_TRUE(Settings::fromText(text).ok()) << entry.path();
+        } else if (entry.path().filename().string().starts_with("steps")) {
+            auto document = parseJson(text, Comments::Allowed);
+            ASSERT_TRUE(document.ok()) << entry.path();
+            (*document)["queue"] = "plan"; // the command line adds it
+            EXPECT_TRUE(readJobRequest(*document).ok()) << entry.path();
         } else {
             const auto document = parseJson(text, Comments::Allowed);
             ASSERT_TRUE(document.ok()) << entry.path();
--- /dev/null
+++ b/tests/unit/waitreason.cpp
@@ -0,0 +1,126 @@
+#include "steps/waitreason.h"
+#include "base/codec.h"
+#include "dispatch/jobspecreader.h"
+#include "dispatch/stepmetrics.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+// What callers and operators are told: why a unit waits, what is wrong with a job, and how often things happened.
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr std::int64_t NOW = 50'000;
+
+/** One job of two steps, the second after the first, and two minions. */
+struct WaitScene {
+    WaitScene()
+    {
+        QueueConfig queue;
+        queue.name = QueueName("plan");
+        queue.service = ServiceName("desk");
+        config.queues = {queue};
+        for (int i = 0; i < 2; ++i) {
+            MinionView minion;
+            minion.id = MinionId("m" + std::to_string(i));
+            minion.service = queue.service;
+            minion.capacity = minion.free = {8'000, 16'000, 4};
+            minions.push_back(minion);
+        }
+        job.id = JobId("job");
+        job.queue = queue.name;
+        job.service = queue.service;
+        StepSpec step;
+        step.count = 3;
+        step.gang = true;
+        step.need = {1'000, 1'000, 2};
+        StepSpec second;
+        second.dependencies = {0};
+        job.spec.steps = {step, second};
+    }
+
+    WaitExplanation why(const UnitKey &unit = {JobId("job"), 0, 0, UnitKey::GANG})
+    {
+        if (book.find(job.id) == nullptr) {
+            book.apply(StepJobSubmitted {job});
+        }
+        return explainWait({book, config, times, tickets, minions, {}, heldBack, {}, NOW, NOW}, unit);
+    }
+
+    StepJob job;
+    JobBook book;
+    DeploymentConfig config;
+    RunTimes times;
+    TicketBook tickets;
+    std::vector<MinionView> minions;
+    std::set<UnitKey> heldBack;
+};
+
+TEST(WaitReasons, NameWhatIsInTheWay)
+{
+    EXPECT_EQ(WaitReason::NextPass, WaitScene().why().reason);
+    WaitScene full;
+    full.minions[0].free = {};
+    EXPECT_EQ(WaitReason::NoRoom, full.why().reason);
+    EXPECT_EQ("there is room for 2 of 3 tasks of 1000 millicores, 1000 MB and 2 GPUs on 2 minions", full.why().detail);
+    WaitScene large;
+    large.job.spec.steps[0].need.gpus = 9;
+    EXPECT_EQ(WaitReason::TooLarge, large.why().reason);
+    WaitScene labelled;
+    labelled.job.spec.steps[0].requiredLabel = "fast";
+    EXPECT_EQ(WaitReason::NoMinion, labelled.why().reason);
+    WaitScene unusable;
+    unusable.minions[0].usable = unusable.minions[1].usable = false;
+    EXPECT_EQ(WaitReason::NoMinion, unusable.why().reason);
+    WaitScene advised;
+    advised.config.queues[0].advice = AdviceTerms {};
+    EXPECT_EQ(WaitReason::NoTicket, advised.why().reason);
+    WaitScene held;
+    held.heldBack.insert({JobId("job"), 0, 0, UnitKey::GANG});
+    EXPECT_EQ(WaitReason::HeldBack, held.why().reason);
+    WaitScene later;
+    later.job.spec.timetable = {2, NOW + 10, 100};
+    EXPECT_EQ(WaitReason::NotDue, later.why().reason);
+    const WaitExplanation second = WaitScene().why({JobId("job"), 0, 1, 0});
+    EXPECT_EQ(WaitReason::Dependencies, second.reason);
+    EXPECT_EQ("step 0 has 0 of 1 units done", second.detail);
+    WaitScene cancelled;
+    cancelled.book.apply(StepJobSubmitted {cancelled.job});
+    cancelled.book.apply(StepJobCancelled {cancelled.job.id});
+    EXPECT_EQ(WaitReason::JobEnded, cancelled.why().reason);
+}
+
+TEST(JobRequests, ReportEveryErrorWithItsPath)
+{
+    const auto json = parseJson(R"({"id": "xyz", "steps": [{"count": 0, "gpu": 1}, {"after": [1]}], "timetable": {}})");
+    const auto request = readJobRequest(*json);
+    ASSERT_FALSE(request);
+    std::set<std::string> paths;
+    for (const Error &error : request.errors()) {
+        paths.insert(error.path);
+    }
+    const std::set<std::string> expected {
+        "id", "queue", "steps[0].count", "steps[0].gpu", "steps[1].after", "timetable.runs", "timetable.firstRunMs"};
+    EXPECT_EQ(expected, paths);
+}
+
+TEST(StepMetricsText, CountsByReasonAndSumsLatencies)
+{
+    StepMetrics metrics;
+    metrics.count(StepEvent::Stop, "preempted");
+    metrics.count(StepEvent::Stop, "preempted");
+    metrics.record(JobStage::Stored, 250);
+    EXPECT_EQ(2U, metrics.value(StepEvent::Stop, "preempted"));
+    const std::string text = metrics.toPrometheus({{"leading", 1}});
+    EXPECT_NE(std::string::npos, text.find("papayahall_stops_total{reason=\"preempted\"} 2\n"));
+    EXPECT_NE(std::string::npos, text.find("papayahall_job_seconds_sum{stage=\"stored\"} 0.25\n"));
+    EXPECT_NE(std::string::npos, text.find("papayahall_leading 1\n"));
+}
+
+} // namespace
+
+} // namespace Papaya
