Index a pass over the fleet and what runs on each minion; let strong nodes lead first

A pass looked at every minion for every waiting unit and every rack, and for urgent work at every active unit for each of them; every report scanned all units of the planner; up to 250 passes a second were made; and the first node to claim led, however weak.

MinionFleet (minions by rack, service and label), RoomSearch and Preemption are files of their own; what was looked for in vain in a pass is remembered for what asks for as much; victims are looked up by minion. Each MinionLink knows what is placed on it. After a pass the planner rests six times as long as it took, 120 ms at most. A node's processor is in its settings and in the planner's sign of life; a candidate waits longer by what it has less than the strongest that ever led.

Ruled out: that contact with the minions was the bound (the planner's node has 0.16 of a core now with twice the looks); a lower rate of passes alone, since one pass took seconds when the queue was full.

Decisions are the same: the signature is unchanged.

--- a/packages/base/objectreader.cpp
+++ b/packages/base/objectreader.cpp
@@ -80,6 +80,24 @@
     return number;
 }
 
+std::optional<double> ObjectReader::number(const char *key, double low, double high, Presence presence)
+{
+    const Json *field = find(key, presence);
+    if (field == nullptr) {
+        return std::nullopt;
+    }
+    if (!field->is_number()) {
+        report("wrong-type", "must be a number", key);
+        return std::nullopt;
+    }
+    const double value = field->get<double>();
+    if (!(value >= low && value <= high)) {
+        report("out-of-range", "must be from " + std::to_string(low) + " to " + std::to_string(high), key);
+        return std::nullopt;
+    }
+    return value;
+}
+
 std::optional<bool> ObjectReader::boolean(const char *key, Presence presence)
 {
     const Json *field = find(key, presence);
--- a/packages/base/objectreader.h
+++ b/packages/base/objectreader.h
@@ -37,6 +37,9 @@
     std::optional<std::int64_t> integer(const char *key, std::int64_t low, std::int64_t high,
                                         Presence presence = Presence::Optional);
 
+    /** @return the number of field @p key if it lies within [@p low, @p high]. */
+    std::optional<double> number(const char *key, double low, double high, Presence presence = Presence::Optional);
+
     /** @return the boolean of field @p key. */
     std::optional<bool> boolean(const char *key, Presence presence = Presence::Optional);
 
--- a/packages/dispatch/nodesettings.cpp
+++ b/packages/dispatch/nodesettings.cpp
@@ -13,6 +13,8 @@
 {
 
 constexpr std::int64_t MAX_DRAIN_MS = 600'000;
+constexpr double MIN_CORES = 0.001;
+constexpr double MAX_CORES = 1'000;
 constexpr std::int64_t MAX_KEEP_MS = 86'400'000;
 
 Endpoint readEndpoint(ObjectReader &reader, const char *key, Errors &errors)
@@ -65,6 +67,9 @@
     settings.store = readEndpoint(root, "store", errors);
     settings.oracle = readOptionalEndpoint(root, "oracle", errors);
     settings.machines = readOptionalEndpoint(root, "machines", errors);
+    if (const auto cores = root.number("cores", MIN_CORES, MAX_CORES)) {
+        settings.milliCores = static_cast<std::uint32_t>(1'000 * *cores);
+    }
     if (const auto limit = root.integer("drainLimitMs", 1'000, MAX_DRAIN_MS)) {
         settings.drainLimit = Millis(*limit);
     }
--- a/packages/dispatch/nodesettings.h
+++ b/packages/dispatch/nodesettings.h
@@ -23,6 +23,7 @@
     Endpoint store;
     std::optional<Endpoint> oracle;   ///< the admission oracle, where there is one
     std::optional<Endpoint> machines; ///< control of machines, where there is one
+    std::uint32_t milliCores = 1'000; ///< processor that this node may use; stronger nodes lead first
     Millis drainLimit {6'000};        ///< from SIGTERM to SIGKILL
     Millis keepEnded {120'000};       ///< how long the state of an ended job can be asked for
 
--- a/packages/dispatch/operatorapi.cpp
+++ b/packages/dispatch/operatorapi.cpp
@@ -66,6 +66,11 @@
             {"reason", ""}};
 }
 
+HttpResponse accepted(const JobId &id)
+{
+    return jsonResponse(202, toJson({{"job", id.value()}, {"state", "queued"}}));
+}
+
 Millis waitOf(const HttpRequest &request)
 {
     const std::string_view text = request.query("waitMs");
@@ -202,7 +207,7 @@
     HttpResponse response =
         co_await m_context.front.accept(*queue, *team, id, std::move(read->spec), Clock::now() + STORE_LIMIT);
     if (response.status == 200) {
-        response = jsonResponse(202, toJson({{"job", id.value()}, {"state", "queued"}}));
+        response = accepted(id);
     }
     co_return response;
 }
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -32,9 +32,11 @@
 constexpr std::int64_t SUSPECT_MS = 1'300; // silence of the planner; it gives a sign every 400 ms
 constexpr std::int64_t STAGGER_MS = 300;   // spread of the candidates' patience
 constexpr std::int64_t FIRST_STAGGER_MS = 120;
-constexpr unsigned EPOCH_TAG_BITS = 16; // the low bits of an epoch tell rival candidates apart
-constexpr Millis DRAIN_NOTICE {2'200};  // the balancer asks once a second and looks elsewhere after two misses
-constexpr Millis EXIT_MARGIN {1'200};   // before the platform kills
+constexpr std::int64_t WEAKNESS_MS = 1'600;       // for each core that a candidate has less than the strongest
+constexpr std::uint32_t STRONG_MILLI_CORES = 500; // before any node has led, all wait as if one had so much
+constexpr unsigned EPOCH_TAG_BITS = 16;           // the low bits of an epoch tell rival candidates apart
+constexpr Millis DRAIN_NOTICE {2'200}; // the balancer asks once a second and looks elsewhere after two misses
+constexpr Millis EXIT_MARGIN {1'200};  // before the platform kills
 
 std::string producerName()
 {
@@ -298,6 +300,12 @@
         }
     }
 
+    /** How much longer than one of @p milliCores this node waits before it claims. */
+    [[nodiscard]] std::int64_t weaknessMs(std::uint32_t milliCores) const
+    {
+        return milliCores <= settings.milliCores ? 0 : (milliCores - settings.milliCores) * WEAKNESS_MS / 1000;
+    }
+
     /** Silence counts only while this node reads the journal without failures. */
     [[nodiscard]] bool shouldClaim() const
     {
@@ -306,12 +314,14 @@
         }
         const std::int64_t now = bootMillis();
         const std::int64_t share = static_cast<std::int64_t>(stableHash(settings.node.value()) % 1000);
-        const bool vacant = book.planner().resigned || book.planner().epoch.value() == 0;
-        if (vacant) {
-            return now - std::max(startedMs, plannerHeardMs) >= share * FIRST_STAGGER_MS / 1000;
+        const bool first = book.planner().epoch.value() == 0;
+        const std::int64_t weakness = weaknessMs(first ? STRONG_MILLI_CORES : book.strongestMilliCores());
+        if (first || book.planner().resigned) {
+            return now - std::max(startedMs, plannerHeardMs) >= share * FIRST_STAGGER_MS / 1000 + weakness;
         }
         const std::int64_t quietSince = std::max({startedMs, plannerHeardMs, journal.steadySinceMs()});
-        const std::int64_t patience = SUSPECT_MS + 3 * journal.lastDelay().count() + share * STAGGER_MS / 1000;
+        const std::int64_t patience =
+            SUSPECT_MS + 3 * journal.lastDelay().count() + share * STAGGER_MS / 1000 + weakness;
         return now - quietSince >= patience;
     }
 
@@ -327,7 +337,7 @@
                   {"silent_ms", bootMillis() - plannerHeardMs}});
         Producer producer {producerName(), epoch, 1};
         std::vector<StoredRecord> records;
-        records.push_back(encodeRecord(PlannerSign {epoch, settings.node.value(), false}));
+        records.push_back(encodeRecord(PlannerSign {epoch, settings.node.value(), false, settings.milliCores}));
         // Of rival claims the first wins, and one that is carried out late has no effect.
         const AppendOutcome outcome = co_await platform.store->append(Topic::Journal, std::move(records), producer,
                                                                       journal.next(), Clock::now() + CLAIM_LIMIT);
@@ -353,7 +363,7 @@
             {io, *platform.store, *platform.orders, platform.oracle.get(), platform.machines.get(), *platform.codec,
              book, times, metrics, [this] { return configInForce(); },
              [this]() -> const std::map<WaveNumber, UpkeepWave> & { return waves; }, settings.node.value(),
-             settings.keepEnded, [this](const char *reason) { loseLeadership(reason); }},
+             settings.milliCores, settings.keepEnded, [this](const char *reason) { loseLeadership(reason); }},
             claimWriter, statusWriter, epoch, minions);
     }
 
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -18,8 +18,11 @@
 namespace
 {
 
-constexpr std::int64_t SIGN_MS = 400;      // between signs of life while nothing else is journaled
-constexpr Millis PASS_GAP {4};             // what comes within it shares a pass
+constexpr std::int64_t SIGN_MS = 400; // between signs of life while nothing else is journaled
+constexpr Millis PASS_GAP {4};        // what comes within it shares a pass
+constexpr int PASS_REST = 6;          // times as long as a pass took nothing is decided, so that orders go out
+constexpr Millis LONGEST_PASS_REST {120};
+constexpr std::int64_t STUCK_INTERVAL_MS = 500;
 constexpr std::int64_t ENTRY_LAG_MS = 600; // an entry may have been written so long before it was read
 constexpr std::int64_t FORGET_INTERVAL_MS = 1'000;
 constexpr std::int64_t FORGET_MINION_MS = 60'000; // after its entry has gone; no order to it lasts so long
@@ -107,7 +110,7 @@
             link.unlistedMs = bootMillis();
             link.blindUntilMs = m_begunMs + BLIND_MS;
         }
-        ++link.members;
+        link.placed.push_back({assignment, assignment->members.size() - 1});
         link.used += assignment->need;
     }
     m_assignments[unit] = assignment;
@@ -133,7 +136,7 @@
         logEvent(LogLevel::Info, "minion-draining",
                  {{"minion", entry.id.value()},
                   {"remaining_ms", entry.remainingMs},
-                  {"members", std::uint64_t(link.members)}});
+                  {"members", std::uint64_t(link.placed.size())}});
     }
     link.entry = entry;
     link.listed = true;
@@ -148,7 +151,7 @@
     const auto found = m_links.find(id);
     if (found != m_links.end()) {
         logEvent(LogLevel::Info, "minion-unlisted",
-                 {{"minion", id.value()}, {"members", std::uint64_t(found->second.members)}});
+                 {{"minion", id.value()}, {"members", std::uint64_t(found->second.placed.size())}});
         found->second.listed = false;
         found->second.unlistedMs = bootMillis();
     }
@@ -174,10 +177,13 @@
     const std::int64_t now = bootMillis();
     loseLapsed();
     evacuate();
-    moveStuck();
+    if (now - m_lastStuckMs >= STUCK_INTERVAL_MS) {
+        m_lastStuckMs = now;
+        moveStuck();
+    }
     std::erase_if(m_links, [now](const auto &item) {
         const MinionLink &link = item.second;
-        const bool quiet = !link.listed && link.members == 0 && !link.watched;
+        const bool quiet = !link.listed && link.placed.empty() && !link.watched;
         return quiet && now - link.unlistedMs > FORGET_MINION_MS;
     });
     for (auto &[id, link] : m_links) {
@@ -189,7 +195,7 @@
     }
     if (m_writer->idle() && now - std::max(m_lastSignMs, m_writer->lastStoredMs()) >= SIGN_MS) {
         m_lastSignMs = now;
-        m_records.push_back(encodeRecord(PlannerSign {m_epoch, m_context.node, false}));
+        m_records.push_back(encodeRecord(PlannerSign {m_epoch, m_context.node, false, m_context.milliCores}));
         flushSoon();
     }
     requestPass();
@@ -201,8 +207,8 @@
     flush();
     m_leading = false;
     const auto self = shared_from_this();
-    m_writer->append({encodeRecord(PlannerSign {m_epoch, m_context.node, true})}, TimePoint::max(),
-                     [self, done = std::move(done)](AppendOutcome) { done(); });
+    m_writer->append({encodeRecord(PlannerSign {m_epoch, m_context.node, true, m_context.milliCores})},
+                     TimePoint::max(), [self, done = std::move(done)](AppendOutcome) { done(); });
 }
 
 void StepPlanner::stop()
@@ -228,7 +234,7 @@
         return;
     }
     m_passPosted = true;
-    m_passTimer.expires_after(PASS_GAP);
+    m_passTimer.expires_at(std::max(Clock::now() + PASS_GAP, m_nextPass));
     m_passTimer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
         self->m_passPosted = false;
         if (!error && self->m_leading) {
@@ -306,8 +312,11 @@
     if (m_context.config() == nullptr || !mayRenew()) {
         return;
     }
+    const TimePoint begun = Clock::now();
     std::vector<MinionId> ids;
     const PlanDecisions decisions = planSteps(planInput(ids));
+    const TimePoint decided = Clock::now();
+    m_nextPass = decided + std::min<Duration>(PASS_REST * (decided - begun), LONGEST_PASS_REST);
     for (const UnitStop &stop : decisions.stops) {
         logEvent(LogLevel::Info, "unit-preempted",
                  {{"unit", stop.unit.toString()}, {"for", stop.beneficiary.toString()}});
@@ -430,7 +439,7 @@
     }
     if (m_records.empty()) {
         // What is on its way may hold earlier ends of the same minions; this comes behind it.
-        m_records.push_back(encodeRecord(PlannerSign {m_epoch, m_context.node, false}));
+        m_records.push_back(encodeRecord(PlannerSign {m_epoch, m_context.node, false, m_context.milliCores}));
     }
     m_writer->append(std::move(m_records), TimePoint::max(),
                      [self = shared_from_this(), stored](AppendOutcome outcome) {
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -51,6 +51,7 @@
         std::function<const DeploymentConfig *()> config;
         std::function<const std::map<WaveNumber, UpkeepWave> &()> waves;
         std::string node;
+        std::uint32_t milliCores;                     ///< processor that this node may use
         Millis keepEnded;                             ///< how long an ended job stays known
         std::function<void(const char *reason)> lost; ///< called once when leadership has been lost
     };
@@ -175,6 +176,8 @@
     bool m_flushPosted = false;
     bool m_passPosted = false;
     Asio::steady_timer m_passTimer;
+    TimePoint m_nextPass; ///< not before
+    std::int64_t m_lastStuckMs = 0;
     std::set<JobId> m_startedJobs;           ///< whose first task has been seen to start
     std::map<JobId, std::int64_t> m_endedMs; ///< when each job was first seen to have ended
     std::int64_t m_lastForgettingMs = 0;
--- a/packages/dispatch/stepplannerhealth.cpp
+++ b/packages/dispatch/stepplannerhealth.cpp
@@ -37,16 +37,12 @@
 void StepPlanner::loseLapsed()
 {
     const std::int64_t now = bootMillis();
-    std::vector<std::pair<AssignmentPtr, std::size_t>> lost;
-    for (const auto &[unit, assignment] : m_assignments) {
-        for (std::size_t i = 0; i < assignment->members.size(); ++i) {
-            const Member &member = assignment->members[i];
-            const MinionLink &link = m_links.at(member.minion);
-            const bool lapsed =
-                link.clock.known() ? link.lookFailures > 0 && link.clock.lapsed(now) : now > link.blindUntilMs;
-            if (member.state != MemberState::Gone && lapsed) {
-                lost.emplace_back(assignment, i);
-            }
+    std::vector<PlacedMember> lost;
+    for (const auto &[id, link] : m_links) {
+        const bool lapsed =
+            link.clock.known() ? link.lookFailures > 0 && link.clock.lapsed(now) : now > link.blindUntilMs;
+        if (lapsed) {
+            lost.insert(lost.end(), link.placed.begin(), link.placed.end());
         }
     }
     for (const auto &[assignment, index] : lost) {
@@ -62,17 +58,19 @@
 void StepPlanner::evacuate()
 {
     const std::int64_t now = bootMillis();
-    for (const auto &[unit, assignment] : m_assignments) {
-        for (const Member &member : assignment->members) {
-            const MinionLink &link = m_links.at(member.minion);
-            if (!link.entry.draining || member.state != MemberState::Running || assignment->outcome) {
+    for (const auto &[id, link] : m_links) {
+        if (!link.entry.draining) {
+            continue;
+        }
+        for (const PlacedMember &placed : link.placed) {
+            const AssignmentPtr &assignment = placed.assignment;
+            if (placed.member().state != MemberState::Running || assignment->outcome) {
                 continue;
             }
             const LeavingRun run {now - assignment->startedMs, assignment->percent, assignment->step.estimate.count(),
                                   link.leavesAtMs - now, assignment->step.checkpointing};
             if (shouldEvacuate(run)) {
                 stopAssignment(assignment, "minion-leaves");
-                break;
             }
         }
     }
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -164,7 +164,7 @@
 
 void StepPlanner::ensureWatched(MinionLink &link)
 {
-    const bool needed = link.members > 0 || !link.fenceRaised || link.endsAcked < link.endsHandled;
+    const bool needed = !link.placed.empty() || !link.fenceRaised || link.endsAcked < link.endsHandled;
     const bool reachable = link.listed || link.clock.known();
     if (!link.watched && needed && reachable && m_leading) {
         link.watched = true;
@@ -180,8 +180,8 @@
             co_return;
         }
         MinionLink &link = self->m_links.at(id);
-        const bool pending = link.members > 0 || link.endsAcked < link.endsHandled;
-        if (heard ? !pending : (link.members == 0 && !link.listed)) {
+        const bool pending = !link.placed.empty() || link.endsAcked < link.endsHandled;
+        if (heard ? !pending : (link.placed.empty() && !link.listed)) {
             break;
         }
         if (!heard) {
@@ -207,11 +207,11 @@
     order.fence = m_epoch;
     order.endsSeen = link->endsStored;
     // A minion that does not answer gets no further grants, so that what it may run lapses in time.
-    if (link->members > 0 && link->clock.known() && link->lookFailures <= RENEWALS_UNANSWERED && mayRenew()) {
+    if (!link->placed.empty() && link->clock.known() && link->lookFailures <= RENEWALS_UNANSWERED && mayRenew()) {
         order.leaseUntilMs = link->clock.grant(sent, LEASE_MS);
     }
     const bool calm =
-        link->fenceRaised && link->lookFailures == 0 && link->endsStored == link->endsHandled && link->members > 0;
+        link->fenceRaised && link->lookFailures == 0 && link->endsStored == link->endsHandled && !link->placed.empty();
     const Millis calmWait = link->shared ? SHARED_LOOK_WAIT : LOOK_WAIT;
     order.wait = calm ? calmWait : Millis(0);
     const std::int64_t life = link->entry.bornMs;
@@ -229,7 +229,7 @@
             logEvent(LogLevel::Warning, "minion-silent",
                      {{"minion", id.value()},
                       {"outcome", toString(answer.outcome)},
-                      {"members", std::uint64_t(link->members)}});
+                      {"members", std::uint64_t(link->placed.size())}});
         }
         co_return false;
     }
--- a/packages/dispatch/stepplannerreports.cpp
+++ b/packages/dispatch/stepplannerreports.cpp
@@ -113,17 +113,14 @@
         }
     }
     // What is not listed in a look that was sent after its start or stop was answered is not there.
-    std::vector<std::pair<AssignmentPtr, std::size_t>> missing;
-    for (const auto &[unit, assignment] : m_assignments) {
-        for (std::size_t i = 0; i < assignment->members.size(); ++i) {
-            const Member &member = assignment->members[i];
-            const bool settled = (member.state == MemberState::Running && member.confirmedMs < sentMs)
-                                 || (member.state == MemberState::Ordered && member.stopAnsweredMs > 0
-                                     && member.stopAnsweredMs < sentMs);
-            if (member.minion == link.entry.id && settled
-                && !listed.contains(unit.taskName(static_cast<std::uint32_t>(i)))) {
-                missing.emplace_back(assignment, i);
-            }
+    std::vector<PlacedMember> missing;
+    for (const auto &[assignment, index] : link.placed) {
+        const Member &member = assignment->members[index];
+        const bool settled =
+            (member.state == MemberState::Running && member.confirmedMs < sentMs)
+            || (member.state == MemberState::Ordered && member.stopAnsweredMs > 0 && member.stopAnsweredMs < sentMs);
+        if (settled && !listed.contains(assignment->unit.taskName(static_cast<std::uint32_t>(index)))) {
+            missing.push_back({assignment, index});
         }
     }
     for (const auto &[assignment, index] : missing) {
@@ -135,16 +132,8 @@
 void StepPlanner::newLife(MinionLink &link)
 {
     logEvent(LogLevel::Warning, "minion-reborn",
-             {{"minion", link.entry.id.value()}, {"members", std::uint64_t(link.members)}});
-    std::vector<std::pair<AssignmentPtr, std::size_t>> lost;
-    for (const auto &[unit, assignment] : m_assignments) {
-        for (std::size_t i = 0; i < assignment->members.size(); ++i) {
-            const Member &member = assignment->members[i];
-            if (member.minion == link.entry.id && member.state != MemberState::Gone) {
-                lost.emplace_back(assignment, i);
-            }
-        }
-    }
+             {{"minion", link.entry.id.value()}, {"members", std::uint64_t(link.placed.size())}});
+    const std::vector<PlacedMember> lost = link.placed; // what follows changes the list
     for (const auto &[assignment, index] : lost) {
         m_context.metrics.count(StepEvent::RunLost, "minion-reborn");
         memberGone(assignment, index, EndKind::Unknown);
@@ -166,7 +155,7 @@
     }
     member.state = MemberState::Gone;
     MinionLink &link = m_links.at(member.minion);
-    --link.members;
+    link.remove(*assignment, index);
     link.used -= assignment->need;
     if (assignment->stopping) {
         link.stopping -= assignment->need;
--- a/packages/dispatch/stepplannershares.cpp
+++ b/packages/dispatch/stepplannershares.cpp
@@ -27,22 +27,16 @@
 void StepPlanner::paceFills(MinionLink &link, std::int64_t nowMs)
 {
     std::vector<ServingTail> tails;
-    std::vector<std::pair<AssignmentPtr, std::size_t>> fills;
-    for (const auto &[unit, assignment] : m_assignments) {
-        const bool serves = assignment->step.serves();
-        if (!serves && !assignment->step.fills) {
+    std::vector<PlacedMember> fills;
+    for (const PlacedMember &placed : link.placed) {
+        const StepSpec &step = placed.assignment->step;
+        if (placed.member().state != MemberState::Running) {
             continue;
         }
-        for (std::size_t i = 0; i < assignment->members.size(); ++i) {
-            const Member &member = assignment->members[i];
-            if (member.minion != link.entry.id || member.state != MemberState::Running) {
-                continue;
-            }
-            if (serves) {
-                tails.push_back({member.tailMs, assignment->step.tailTarget.count()});
-            } else {
-                fills.emplace_back(assignment, i);
-            }
+        if (step.serves()) {
+            tails.push_back({placed.member().tailMs, step.tailTarget.count()});
+        } else if (step.fills) {
+            fills.push_back(placed);
         }
     }
     link.shared = !tails.empty() && !fills.empty();
@@ -106,18 +100,18 @@
     MinionWork work;
     std::map<StepKey, std::uint32_t> here; // of services that may miss only so many tasks
     const std::int64_t now = bootMillis();
-    for (const auto &[unit, assignment] : m_assignments) {
-        for (const Member &member : assignment->members) {
-            if (member.minion != minion || member.state == MemberState::Gone) {
-                continue;
-            }
-            ++work.running;
-            work.lossMs += assignment->step.checkpointing ? RESTORE_MS : now - assignment->startedMs;
-            const bool works =
-                member.percent >= AT_WORK_PERCENT && !assignment->stopping && !m_goingDown.contains(minion);
-            if (assignment->step.maxUnavailable > 0 && works) {
-                ++here[unit.stepKey()];
-            }
+    const auto link = m_links.find(minion);
+    if (link == m_links.end()) {
+        return work;
+    }
+    for (const PlacedMember &placed : link->second.placed) {
+        const Assignment &assignment = *placed.assignment;
+        ++work.running;
+        work.lossMs += assignment.step.checkpointing ? RESTORE_MS : now - assignment.startedMs;
+        const bool works =
+            placed.member().percent >= AT_WORK_PERCENT && !assignment.stopping && !m_goingDown.contains(minion);
+        if (assignment.step.maxUnavailable > 0 && works) {
+            ++here[assignment.unit.stepKey()];
         }
     }
     for (const auto &[step, count] : here) {
@@ -147,13 +141,12 @@
 
 void StepPlanner::vacate(const MinionId &minion)
 {
-    for (const auto &[unit, assignment] : m_assignments) {
-        for (const Member &member : assignment->members) {
-            if (member.minion == minion && member.state != MemberState::Gone) {
-                stopAssignment(assignment, "upkeep");
-                break;
-            }
-        }
+    const auto link = m_links.find(minion);
+    if (link == m_links.end()) {
+        return;
+    }
+    for (const PlacedMember &placed : link->second.placed) {
+        stopAssignment(placed.assignment, "upkeep");
     }
 }
 
--- a/packages/steps/jobbook.cpp
+++ b/packages/steps/jobbook.cpp
@@ -102,6 +102,7 @@
         if (sign->epoch >= m_planner.epoch) {
             m_planner = *sign;
         }
+        m_strongestMilliCores = std::max(m_strongestMilliCores, sign->milliCores);
     }
 }
 
--- a/packages/steps/jobbook.h
+++ b/packages/steps/jobbook.h
@@ -83,6 +83,11 @@
     {
         return m_planner;
     }
+    /** @return the processor of the strongest node that has led. */
+    [[nodiscard]] std::uint32_t strongestMilliCores() const
+    {
+        return m_strongestMilliCores;
+    }
     /** @return the maintenance waves that have been begun. */
     [[nodiscard]] const std::map<WaveNumber, WaveProgress> &waves() const
     {
@@ -103,6 +108,7 @@
     std::map<std::pair<std::int64_t, JobId>, JobEntry *> m_live;
     std::unordered_map<JobId, std::vector<JobRecord>> m_early; ///< records of jobs that have not come yet
     PlannerSign m_planner;
+    std::uint32_t m_strongestMilliCores = 0;
     std::map<WaveNumber, WaveProgress> m_waves;
 };
 
--- a/packages/steps/jobrecord.cpp
+++ b/packages/steps/jobrecord.cpp
@@ -206,7 +206,8 @@
     }
     StoredRecord operator()(const PlannerSign &record) const
     {
-        return {std::string(PLANNER_KEY), toCbor(Json::array({record.epoch.value(), record.node, record.resigned}))};
+        return {std::string(PLANNER_KEY),
+                toCbor(Json::array({record.epoch.value(), record.node, record.resigned, record.milliCores}))};
     }
 };
 
@@ -258,7 +259,8 @@
         }
         if (key == PLANNER_KEY) {
             return JobRecord(PlannerSign {Epoch(json->at(0).get<std::uint64_t>()), json->at(1).get<std::string>(),
-                                          json->at(2).get<bool>()});
+                                          json->at(2).get<bool>(),
+                                          json->size() > 3 ? json->at(3).get<std::uint32_t>() : 0});
         }
     } catch (const Json::exception &) {
         return malformed(key);
--- a/packages/steps/jobrecord.h
+++ b/packages/steps/jobrecord.h
@@ -56,6 +56,7 @@
     Epoch epoch;
     std::string node;
     bool resigned = false;
+    std::uint32_t milliCores = 0; ///< processor that the node may use; 0 if it does not say
 };
 
 using JobRecord =
--- /dev/null
+++ b/packages/steps/roomsearch.cpp
@@ -0,0 +1,94 @@
+#include "steps/roomsearch.h"
+
+#include <algorithm>
+
+namespace Papaya
+{
+
+namespace
+{
+
+// Scores of a minion for a member, each above all that come after it: where the unit has failed, minions that have
+// failed others, GPUs that stay free, the share of memory that does; the share of cores counts 1.
+constexpr double AVOIDED_SCORE = 1e8;
+constexpr double PENALTY_SCORE = 1e6;
+constexpr double GPU_SCORE = 100;
+constexpr double MEMORY_SCORE = 10;
+
+double shareOf(std::int64_t left, std::int64_t capacity)
+{
+    return double(left) / double(std::max<std::int64_t>(1, capacity));
+}
+
+} // namespace
+
+std::uint32_t placedOn(const RoomRequest &request, std::size_t minion)
+{
+    if (request.placed == nullptr) {
+        return 0;
+    }
+    const auto found = request.placed->find(minion);
+    return found == request.placed->end() ? 0 : found->second;
+}
+
+/** How little a member leaves behind; smaller is better. */
+double RoomSearch::leftOver(const RoomRequest &request, const MinionView &minion) const
+{
+    const Resources &need = request.need;
+    const bool avoided = request.avoid != nullptr
+                         && std::find(request.avoid->begin(), request.avoid->end(), minion.id) != request.avoid->end();
+    double score = avoided ? AVOIDED_SCORE : 0;
+    score += PENALTY_SCORE * minion.penalty;
+    score += GPU_SCORE * double(minion.free.gpus - need.gpus);
+    score += MEMORY_SCORE * shareOf(minion.free.memoryMb - need.memoryMb, minion.capacity.memoryMb);
+    score += shareOf(minion.free.cores - need.cores, minion.capacity.cores);
+    return score;
+}
+
+bool RoomSearch::hopeless(const RoomRequest &request, std::size_t rack) const
+{
+    const auto failedOn = [&](std::size_t where) {
+        const auto failures = m_failures.find({request.group, where});
+        return failures != m_failures.end()
+               && std::any_of(failures->second.begin(), failures->second.end(), [&](const Failure &failure) {
+                      return request.need.covers(failure.need) && request.members >= failure.members;
+                  });
+    };
+    return failedOn(rack) || (rack != MinionGroup::ANY_RACK && failedOn(MinionGroup::ANY_RACK));
+}
+
+std::vector<std::size_t> RoomSearch::find(const RoomRequest &request, std::size_t rack)
+{
+    if (hopeless(request, rack)) {
+        return {};
+    }
+    // 1. Minions with room for one member, the best first.
+    std::vector<std::pair<double, std::size_t>> order;
+    for (const std::size_t m : request.group->on(rack)) {
+        if (m_fleet[m].free.covers(request.need)) {
+            order.emplace_back(leftOver(request, m_fleet[m]), m);
+        }
+    }
+    std::sort(order.begin(), order.end());
+    // 2. Each takes as many members as fit.
+    std::vector<std::size_t> chosen;
+    for (const auto &[score, m] : order) {
+        Resources room = m_fleet[m].free;
+        std::uint32_t here = placedOn(request, m);
+        while (chosen.size() < request.members && room.covers(request.need)
+               && (request.maxPerMinion == 0 || here < request.maxPerMinion)) {
+            room -= request.need;
+            ++here;
+            chosen.push_back(m);
+        }
+    }
+    if (chosen.size() == request.members) {
+        return chosen;
+    }
+    if (request.maxPerMinion == 0) {
+        m_failures[{request.group, rack}].push_back({request.need, request.members});
+    }
+    return {};
+}
+
+} // namespace Papaya
--- a/packages/steps/stepscheduler.h
+++ b/packages/steps/stepscheduler.h
@@ -2,6 +2,7 @@
 
 #include "steps/deploymentconfig.h"
 #include "steps/jobbook.h"
+#include "steps/preemption.h"
 #include "steps/runtimes.h"
 #include "steps/ticketbook.h"
 #include "steps/timeliness.h"
@@ -25,31 +26,6 @@
 namespace Papaya
 {
 
-/** A minion as the planner sees it. */
-struct MinionView {
-    MinionId id;
-    ServiceName service;
-    RackName rack;
-    std::vector<std::string> labels;
-    Resources capacity;
-    Resources free;            ///< what nothing runs in; may be negative after a change of capacity
-    Resources soon;            ///< what is being stopped and will be free
-    bool usable = true;        ///< takes new work
-    std::uint32_t penalty = 0; ///< a minion with a higher one is taken only after all others
-};
-
-/** A unit that has been placed and has not ended everywhere. */
-struct ActiveUnit {
-    UnitKey key;
-    TeamName team;
-    std::uint32_t priority = 0;
-    Resources need;                   ///< of one member
-    std::vector<std::size_t> minions; ///< of the members, as indices of the views
-    std::int64_t lossMs = 0;          ///< what a stop costs: work that is not saved, or the restoring of it
-    bool stopping = false;
-    bool stoppable = true;
-};
-
 /** What a pass decides upon. */
 struct PlanInput {
     const JobBook &book;
@@ -89,16 +65,10 @@
 /** @return what a task of @p step takes of a minion; the cores of a task that fills are not counted. */
 Resources countedNeed(const StepSpec &step);
 
-/** @return true if @p minion is usable, runs tasks of @p service and has the label that @p step asks for. */
-bool suits(const MinionView &minion, const ServiceName &service, const StepSpec &step);
-
 /** @return the service that runs tasks of @p job: its queue's present one, or that of the submission if the queue is
  * gone. */
 const ServiceName &serviceOf(const DeploymentConfig &config, const StepJob &job);
 
-/** @return how many tasks of @p need fit into @p room; at most @p limit, if that is not 0. */
-std::uint32_t membersThatFit(Resources room, const Resources &need, std::uint32_t limit);
-
 /** One pass. */
 PlanDecisions planSteps(PlanInput input);
 
--- /dev/null
+++ b/tests/unit/largefleet.cpp
@@ -0,0 +1,138 @@
+#include "steps/stepscheduler.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+// Passes over a fleet of the size that the deployments grow to. Urgent work is to start within 2.8 s, so that a pass on
+// a machine of a tenth of a core may take only a small part of that on a whole one.
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr std::int64_t NOW = 1'000'000;
+constexpr std::size_t MINIONS = 350;
+constexpr std::size_t A_RACK = 12;
+constexpr Millis PASS_BOUND {100};
+
+/** A fleet that is full of planning work, and a long queue. */
+class LargeScene
+{
+public:
+    LargeScene()
+    {
+        for (std::uint32_t priority = 0; priority < 3; ++priority) {
+            QueueConfig queue;
+            queue.name = QueueName("q" + std::to_string(priority));
+            queue.service = ServiceName("desk");
+            queue.priority = priority;
+            config.queues.push_back(queue);
+        }
+        for (std::size_t m = 0; m < MINIONS; ++m) {
+            MinionView minion;
+            minion.id = MinionId("i-" + std::to_string(m));
+            minion.service = ServiceName("desk");
+            minion.rack = RackName("r" + std::to_string(m / A_RACK));
+            minion.labels = {"a", minion.rack.value()};
+            minion.capacity = minion.free = {64'000, 131'072, 8};
+            minions.push_back(minion);
+        }
+    }
+
+    JobId submit(std::uint32_t priority, std::uint32_t count, std::int64_t gpus, bool tied)
+    {
+        StepJob job;
+        job.id = JobId("job" + std::to_string(++m_jobs));
+        job.queue = QueueName("q" + std::to_string(priority));
+        job.service = ServiceName("desk");
+        job.team = TeamName("t" + std::to_string(m_jobs % 10));
+        job.priority = priority;
+        job.attempts = 2;
+        job.stretch = 3;
+        job.targetMs = 1'000;
+        job.submittedMs = NOW - m_jobs;
+        StepSpec step;
+        step.count = count;
+        step.need = {7'500, 11'000, gpus};
+        step.estimate = Millis(2'500);
+        step.gang = tied;
+        step.sameRack = tied;
+        job.spec.steps = {step};
+        book.apply(StepJobSubmitted {job});
+        return job.id;
+    }
+
+    /** Has single tasks of one GPU run in every place; their stop would lose more than any urgent job is worth. */
+    void fill()
+    {
+        for (std::size_t m = 0; m < MINIONS; ++m) {
+            const JobId id = submit(1, 8, 1, false);
+            for (int i = 0; i < 8; ++i) {
+                UnitStatus status;
+                status.state = UnitState::Placed;
+                status.run = 1;
+                status.minions = {minions[m].id};
+                book.apply(UnitChanged {{id, 0, 0, i}, status});
+                ActiveUnit unit;
+                unit.key = {id, 0, 0, i};
+                unit.priority = 1;
+                unit.need = {7'500, 11'000, 1};
+                unit.minions = {m};
+                unit.lossMs = 100'000;
+                active.push_back(unit);
+                minions[m].free -= unit.need;
+            }
+        }
+    }
+
+    /** @return how long a pass took. */
+    Millis pass()
+    {
+        PlanInput input {book, config, times, tickets, minions, active, {}, {}, NOW, NOW};
+        const TimePoint begun = Clock::now();
+        decisions = planSteps(std::move(input));
+        return std::chrono::duration_cast<Millis>(Clock::now() - begun);
+    }
+
+    JobBook book;
+    DeploymentConfig config;
+    RunTimes times;
+    TicketBook tickets;
+    std::vector<MinionView> minions;
+    std::vector<ActiveUnit> active;
+    PlanDecisions decisions;
+
+private:
+    int m_jobs = 0;
+};
+
+TEST(LargeFleet, IsPassedOverInTimeHoweverLongTheQueueThatDoesNotFit)
+{
+    LargeScene scene;
+    scene.fill();
+    for (int i = 0; i < 150; ++i) {
+        scene.submit(0, 5, 8, true);
+        scene.submit(1, 13, 8, true);
+        scene.submit(2, 39, 1, false);
+    }
+    EXPECT_LT(scene.pass(), PASS_BOUND);
+    EXPECT_TRUE(scene.decisions.starts.empty());
+}
+
+TEST(LargeFleet, IsPassedOverInTimeWhileAllOfItIsTaken)
+{
+    LargeScene scene;
+    for (int i = 0; i < 150; ++i) {
+        scene.submit(0, 5, 4, true);
+        scene.submit(2, 39, 1, false);
+    }
+    EXPECT_LT(scene.pass(), PASS_BOUND);
+    EXPECT_GT(scene.decisions.starts.size(), 500U);
+}
+
+} // namespace
+
+} // namespace Papaya
