Never wait for the reader of the logs

Cause: the log was written with blocking writes, so that a reader of standard output that stops reading stopped the node.

Change: LineWriter asks whether a pipe or socket takes a line at once, drops it otherwise, and tells with the next line that is taken how many were dropped. Lines are cut at what a pipe takes in one piece.

Ruled out: a thread of its own (the machines have one core; threads add switches only); O_NONBLOCK, which other writers of the same pipe would get too.

Figures: two unit tests; on the old code the first would not return, and was not run on it.

--- a/packages/process/logging.cpp
+++ b/packages/process/logging.cpp
@@ -1,17 +1,19 @@
 #include "process/logging.h"
 
-#include <boost/core/null_deleter.hpp>
+#include "process/linewriter.h"
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/make_shared.hpp>
 
-#include <iostream>
+#include <array>
+#include <unistd.h>
 
 namespace Papaya
 {
@@ -39,6 +41,19 @@
     return text + "\"";
 }
 
+/** Writes lines to standard output, whoever reads it. */
+class StandardOutput : public Log::sinks::basic_formatted_sink_backend<char, Log::sinks::synchronized_feeding>
+{
+public:
+    void consume(const Log::record_view & /*record*/, const string_type &line)
+    {
+        m_writer.write(line);
+    }
+
+private:
+    LineWriter m_writer {STDOUT_FILENO};
+};
+
 std::string &instanceName()
 {
     static std::string name;
@@ -78,10 +93,7 @@
 void startLogging(LogLevel level, const InstanceId &instance)
 {
     instanceName() = escaped(instance.value());
-    auto backend = boost::make_shared<Log::sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
-    backend->auto_flush(true);
-    auto sink = boost::make_shared<Log::sinks::synchronous_sink<Log::sinks::text_ostream_backend>>(backend);
+    auto sink = boost::make_shared<Log::sinks::synchronous_sink<StandardOutput>>();
     sink->set_formatter(Expressions::stream
                         << "time="
                         << Expressions::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%dT%H:%M:%S.%fZ")
--- /dev/null
+++ b/tests/unit/linewriter.cpp
@@ -0,0 +1,63 @@
+#include "process/linewriter.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <string>
+#include <unistd.h>
+
+// Logs never wait for whoever reads them.
+
+namespace Papaya
+{
+
+namespace
+{
+
+std::string readAvailable(int descriptor)
+{
+    std::string text;
+    std::array<char, 65'536> buffer {};
+    ssize_t count = 0;
+    do {
+        count = ::read(descriptor, buffer.data(), buffer.size());
+        text.append(buffer.data(), count > 0 ? static_cast<std::size_t>(count) : 0);
+    } while (count == static_cast<ssize_t>(buffer.size()));
+    return text;
+}
+
+TEST(LineWriter, DropsWhatAStuckReaderDoesNotTakeAndTellsHowMuch)
+{
+    std::array<int, 2> ends {};
+    ASSERT_EQ(0, ::pipe(ends.data()));
+    LineWriter writer(ends[1]);
+    const std::string line(1'000, 'x');
+    for (int i = 0; i < 1'000; ++i) { // far more than a pipe holds; a write that waited would never return
+        writer.write(line);
+    }
+    const std::uint64_t dropped = writer.dropped();
+    EXPECT_GT(dropped, 800U);
+    EXPECT_LT(dropped, 1'000U);
+    readAvailable(ends[0]);
+    writer.write("after");
+    const std::string text = readAvailable(ends[0]);
+    EXPECT_EQ("level=warning event=log-lines-dropped count=" + std::to_string(dropped) + "\nafter\n", text);
+    EXPECT_EQ(0U, writer.dropped());
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
+
+TEST(LineWriter, CutsLinesThatAPipeMightNotTakeWhole)
+{
+    std::array<int, 2> ends {};
+    ASSERT_EQ(0, ::pipe(ends.data()));
+    LineWriter writer(ends[1]);
+    writer.write(std::string(100'000, 'x'));
+    EXPECT_LE(readAvailable(ends[0]).size(), 4'096U);
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
+
+} // namespace
+
+} // namespace Papaya
