Let candidates pause between claims that fail, and decide on claims in pure code

Change: Candidacy and ClaimPauses (packages/steps) hold what decides on a claim; pauses between claims that fail double from 0.15 to 1.2 s, with a spread.

The cause itself is not mended: while others append, a claim at the expected end fails often at a slow store. The way out is a partition of its own for the planner's records, so that only rivals move its end.

--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -8,6 +8,7 @@
 #include "dispatch/stepplanner.h"
 #include "dispatch/topicfollower.h"
 #include "process/logging.h"
+#include "steps/candidacy.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -28,15 +29,11 @@
 constexpr Millis MINIONS_PACE {400}; // each minion writes every second or two
 constexpr Millis MINIONS_IDLE {1'000};
 constexpr Millis TICK {100};
-constexpr std::int64_t FRESH_MS = 2'500;   // a book whose last read is older may lack accepted jobs
-constexpr std::int64_t SUSPECT_MS = 1'300; // silence of the planner; it gives a sign every 400 ms
-constexpr std::int64_t STAGGER_MS = 300;   // spread of the candidates' patience
-constexpr std::int64_t FIRST_STAGGER_MS = 120;
-constexpr std::int64_t WEAKNESS_MS = 1'600;       // for each core that a candidate has less than the strongest
-constexpr std::uint32_t STRONG_MILLI_CORES = 500; // before any node has led, all wait as if one had so much
-constexpr unsigned EPOCH_TAG_BITS = 16;           // the low bits of an epoch tell rival candidates apart
-constexpr Millis DRAIN_NOTICE {2'200}; // the balancer asks once a second and looks elsewhere after two misses
-constexpr Millis EXIT_MARGIN {1'200};  // before the platform kills
+constexpr std::int64_t FRESH_MS = 2'500;      // a book whose last read is older may lack accepted jobs
+constexpr std::uint32_t SPREAD_RANGE = 1'000; // of what keeps candidates apart
+constexpr unsigned EPOCH_TAG_BITS = 16;       // the low bits of an epoch tell rival candidates apart
+constexpr Millis DRAIN_NOTICE {2'200};        // the balancer asks once a second and looks elsewhere after two misses
+constexpr Millis EXIT_MARGIN {1'200};         // before the platform kills
 
 std::string producerName()
 {
@@ -300,29 +297,25 @@
         }
     }
 
-    /** How much longer than one of @p milliCores this node waits before it claims. */
-    [[nodiscard]] std::int64_t weaknessMs(std::uint32_t milliCores) const
-    {
-        return milliCores <= settings.milliCores ? 0 : (milliCores - settings.milliCores) * WEAKNESS_MS / 1000;
-    }
-
     /** Silence counts only while this node reads the journal without failures. */
     [[nodiscard]] bool shouldClaim() const
     {
-        if (!ready()) {
+        const std::int64_t now = bootMillis();
+        if (!ready() || !claimPauses.mayClaim(now)) {
             return false;
         }
-        const std::int64_t now = bootMillis();
-        const std::int64_t share = static_cast<std::int64_t>(stableHash(settings.node.value()) % 1000);
-        const bool first = book.planner().epoch.value() == 0;
-        const std::int64_t weakness = weaknessMs(first ? STRONG_MILLI_CORES : book.strongestMilliCores());
-        if (first || book.planner().resigned) {
-            return now - std::max(startedMs, plannerHeardMs) >= share * FIRST_STAGGER_MS / 1000 + weakness;
+        Candidacy candidacy;
+        candidacy.first = book.planner().epoch.value() == 0;
+        candidacy.resigned = book.planner().resigned;
+        candidacy.readDelayMs = journal.lastDelay().count();
+        candidacy.milliCores = settings.milliCores;
+        candidacy.strongestMilliCores = book.strongestMilliCores();
+        candidacy.spread = static_cast<std::uint32_t>(stableHash(settings.node.value()) % SPREAD_RANGE);
+        std::int64_t quietSince = std::max(startedMs, plannerHeardMs);
+        if (!candidacy.first && !candidacy.resigned) {
+            quietSince = std::max(quietSince, journal.steadySinceMs());
         }
-        const std::int64_t quietSince = std::max({startedMs, plannerHeardMs, journal.steadySinceMs()});
-        const std::int64_t patience =
-            SUSPECT_MS + 3 * journal.lastDelay().count() + share * STAGGER_MS / 1000 + weakness;
-        return now - quietSince >= patience;
+        return now - quietSince >= claimPatienceMs(candidacy);
     }
 
     Asio::awaitable<void> claim()
@@ -351,11 +344,13 @@
         if (!won) {
             journal.setPace(FOLLOWER_PACE);
             metrics.count(StepEvent::Claim, toString(outcome));
+            claimPauses.failed(bootMillis(), static_cast<std::uint32_t>(random() % SPREAD_RANGE));
             logEvent(LogLevel::Info, "planner-claim-failed",
                      {{"epoch", epoch.value()}, {"outcome", toString(outcome)}});
             co_return;
         }
         metrics.count(StepEvent::Claim, "won");
+        claimPauses.won();
         auto claimWriter = JournalWriter::create(io, *platform.store, producer);
         auto statusWriter =
             JournalWriter::create(io, *platform.store, Producer {producerName(), epoch, 0}, Topic::Status);
@@ -496,6 +491,7 @@
     std::unique_ptr<HttpServer> readyServer;
     std::int64_t startedMs = 0;
     std::int64_t plannerHeardMs = 0;
+    ClaimPauses claimPauses;
     bool minionsLoaded = false;
     bool claiming = false;
     bool draining = false;
--- /dev/null
+++ b/tests/unit/candidacy.cpp
@@ -0,0 +1,83 @@
+#include "steps/candidacy.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <vector>
+
+// When nodes claim the planner's role.
+
+namespace Papaya
+{
+
+namespace
+{
+
+TEST(Candidacy, OfEqualNodesWaitsNoLongerThanTheirSpread)
+{
+    Candidacy candidacy;
+    candidacy.milliCores = candidacy.strongestMilliCores = 250;
+    const std::int64_t least = claimPatienceMs(candidacy);
+    candidacy.spread = 999;
+    EXPECT_LE(claimPatienceMs(candidacy), least + 300);
+    candidacy.resigned = true;
+    EXPECT_LE(claimPatienceMs(candidacy), 120);
+}
+
+TEST(Candidacy, OfAStrongNodeComesBeforeThatOfAnyWeakOne)
+{
+    for (const bool first : {true, false}) {
+        Candidacy strong {first, false, 0, 500, first ? 0U : 500U, 999};
+        Candidacy weak {first, false, 0, 120, first ? 0U : 500U, 0};
+        EXPECT_LT(claimPatienceMs(strong), claimPatienceMs(weak));
+    }
+}
+
+TEST(Candidacy, WaitsForWhatASlowStoreHoldsBack)
+{
+    EXPECT_GE(claimPatienceMs({false, false, 400, 250, 250, 0}), 2'500);
+}
+
+/** Plays @p nodes candidates whose claims take @p claimMs and fail for @p forMs; @return how many are sent. */
+std::size_t claimsWhileAllFail(std::size_t nodes, std::int64_t claimMs, std::int64_t forMs)
+{
+    constexpr std::int64_t TICK_MS = 100;
+    std::mt19937 random(7);
+    std::vector<ClaimPauses> pauses(nodes);
+    std::vector<std::int64_t> answerMs(nodes, 0);
+    std::size_t claims = 0;
+    for (std::int64_t now = 0; now < forMs; now += TICK_MS) {
+        for (std::size_t i = 0; i < nodes; ++i) {
+            if (now >= answerMs[i] && pauses[i].mayClaim(now)) {
+                ++claims;
+                answerMs[i] = now + claimMs;
+                pauses[i].failed(answerMs[i], random() % 1'000);
+            }
+        }
+    }
+    return claims;
+}
+
+TEST(Candidacy, OfManyNodesDoesNotLoadAStoreAtWhichClaimsFail)
+{
+    // 44 candidates for 5 s; without pauses each would claim some 10 times.
+    EXPECT_LT(claimsWhileAllFail(44, 400, 5'000), 44U * 6);
+    EXPECT_GE(claimsWhileAllFail(1, 50, 5'000), 5U);
+}
+
+TEST(Candidacy, StartsAnewAfterAClaimThatWon)
+{
+    ClaimPauses pauses;
+    for (int i = 0; i < 8; ++i) {
+        pauses.failed(0, 999);
+    }
+    EXPECT_FALSE(pauses.mayClaim(1'000));
+    EXPECT_TRUE(pauses.mayClaim(1'300));
+    pauses.won();
+    pauses.failed(5'000, 999);
+    EXPECT_TRUE(pauses.mayClaim(5'150));
+}
+
+} // namespace
+
+} // namespace Papaya
