--- a/packages/dispatch/assignment.h
+++ b/packages/dispatch/assignment.h
@@ -51,6 +51,13 @@
     std::int64_t startedMs = 0;
     std::int64_t percent = 0;
 
+    /** @return how much work a stop at @p nowMs would lose; one that checkpoints saves and has only to be restored. */
+    [[nodiscard]] std::int64_t lossMs(std::int64_t nowMs) const
+    {
+        constexpr std::int64_t RESTORE_MS = 600; // resuming from a checkpoint takes about as long
+        return step.checkpointing ? RESTORE_MS : nowMs - startedMs;
+    }
+
     [[nodiscard]] bool ended() const
     {
         return std::all_of(members.begin(), members.end(),
--- /dev/null
+++ b/packages/dispatch/deploymentview.cpp
@@ -0,0 +1,83 @@
+#include "dispatch/deploymentview.h"
+
+#include "process/logging.h"
+
+namespace Papaya
+{
+
+DeploymentView::DeploymentView(const DeploymentCodec &codec, Listener listener)
+    : m_codec(codec)
+    , m_listener(std::move(listener))
+{
+}
+
+void DeploymentView::configReceived(const std::vector<StoredRecord> &records)
+{
+    for (const StoredRecord &record : records) {
+        if (m_codec.isWave(record.key)) {
+            takeWave(record);
+        } else if (m_codec.isConfig(record.key)) {
+            takeConfig(record);
+        }
+    }
+}
+
+void DeploymentView::takeConfig(const StoredRecord &record)
+{
+    auto decoded = m_codec.decodeConfig(record.value);
+    if (!decoded) {
+        logEvent(LogLevel::Warning, "config-ignored", {{"error", decoded.errors().front().message}});
+        return;
+    }
+    if (m_config && decoded->version <= m_config->version) {
+        return;
+    }
+    m_config = std::make_unique<DeploymentConfig>(std::move(*decoded));
+    logEvent(LogLevel::Info, "config-in-force",
+             {{"version", m_config->version.value()}, {"queues", std::uint64_t(m_config->queues.size())}});
+}
+
+void DeploymentView::takeWave(const StoredRecord &record)
+{
+    auto decoded = m_codec.decodeWave(record.key, record.value);
+    if (!decoded) {
+        logEvent(LogLevel::Warning, "wave-ignored", {{"key", record.key}, {"error", decoded.errors().front().message}});
+        return;
+    }
+    logEvent(LogLevel::Info, "wave-received",
+             {{"wave", decoded->number.value()},
+              {"machines", std::uint64_t(decoded->machines.size())},
+              {"within_ms", std::int64_t(decoded->within.count())},
+              {"maximum", std::uint64_t(decoded->maximum)}});
+    m_waves[decoded->number] = std::move(*decoded);
+}
+
+void DeploymentView::minionsReceived(const std::vector<StoredRecord> &records)
+{
+    for (const StoredRecord &record : records) {
+        takeMinion(record);
+    }
+    m_minionsLoaded = true;
+}
+
+void DeploymentView::takeMinion(const StoredRecord &record)
+{
+    const MinionId id(record.key);
+    if (record.value.empty()) {
+        m_minions.erase(id);
+        m_listener.unlisted(id);
+        return;
+    }
+    auto decoded = m_codec.decodeMinion(record.key, record.value);
+    if (!decoded) {
+        if (m_badEntries.insert(record.key).second) {
+            logEvent(LogLevel::Warning, "minion-entry-ignored",
+                     {{"key", record.key}, {"error", decoded.errors().front().message}});
+        }
+        return;
+    }
+    m_minions[id] = *decoded;
+    m_listener.listed(*decoded);
+}
+
+} // namespace Papaya
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -3,6 +3,7 @@
 #include "base/digest.h"
 #include "connection/httpserver.h"
 #include "dispatch/boottime.h"
+#include "dispatch/deploymentview.h"
 #include "dispatch/jobfront.h"
 #include "dispatch/operatorapi.h"
 #include "dispatch/stepplanner.h"
@@ -71,16 +72,18 @@
         , platform(std::move(nodePlatform))
         , journalRecords([this](const auto &records) { journalLoaded(records); },
                          [this](const auto &records) { journalReceived(records); })
-        , configRecords([this](const auto &records) { configReceived(records); },
-                        [this](const auto &records) { configReceived(records); })
-        , minionRecords([this](const auto &records) { minionsReceived(records); },
-                        [this](const auto &records) { minionsReceived(records); })
+        , deployment(*platform.codec, {[this](const MinionEntry &entry) { minionListed(entry); },
+                                       [this](const MinionId &id) { minionUnlisted(id); }})
+        , configRecords([this](const auto &records) { deployment.configReceived(records); },
+                        [this](const auto &records) { deployment.configReceived(records); })
+        , minionRecords([this](const auto &records) { deployment.minionsReceived(records); },
+                        [this](const auto &records) { deployment.minionsReceived(records); })
         , journal(io, *platform.store, Topic::Journal, journalRecords, JOURNAL_WAIT)
         , configTopic(io, *platform.store, Topic::Config, configRecords, CONFIG_WAIT)
         , writer(JournalWriter::create(io, *platform.store, std::nullopt))
-        , front({*platform.codec, writer, book, [this] { return configInForce(); }, [this] { return fresh(); },
+        , front({*platform.codec, writer, book, [this] { return deployment.config(); }, [this] { return fresh(); },
                  [this](const JobRecord &record) { ownRecordStored(record); }, metrics})
-        , operators({*platform.codec, front, book, metrics, [this] { return configInForce(); },
+        , operators({*platform.codec, front, book, metrics, [this] { return deployment.config(); },
                      [this] { return status(); },
                      [this](const JobId &job) {
                          return planner ? planner->explain(job) : std::map<UnitKey, WaitExplanation>();
@@ -104,9 +107,18 @@
                  {{"callers", settings.callers.toString()}, {"store", settings.store.toString()}});
     }
 
-    [[nodiscard]] const DeploymentConfig *configInForce() const
+    void minionListed(const MinionEntry &entry)
     {
-        return config ? config.get() : nullptr;
+        if (planner) {
+            planner->minionListed(entry);
+        }
+    }
+
+    void minionUnlisted(const MinionId &id)
+    {
+        if (planner) {
+            planner->minionUnlisted(id);
+        }
     }
 
     [[nodiscard]] bool fresh() const
@@ -116,7 +128,7 @@
 
     [[nodiscard]] bool ready() const
     {
-        return !draining && config && fresh() && !journal.isFailing();
+        return !draining && deployment.config() != nullptr && fresh() && !journal.isFailing();
     }
 
     [[nodiscard]] NodeStatus status() const
@@ -127,7 +139,7 @@
         status.leading = planner != nullptr;
         status.planner = book.planner().resigned ? "" : book.planner().node;
         status.epoch = book.planner().epoch.value();
-        status.configVersion = config ? config->version.value() : 0;
+        status.configVersion = deployment.config() == nullptr ? 0 : deployment.config()->version.value();
         status.journalAgeMs = bootMillis() - journal.lastSuccessMs();
         status.journalOffset = journal.next().value();
         status.jobs = book.size();
@@ -136,47 +148,6 @@
         return status;
     }
 
-    // --- Configuration ---
-
-    void configReceived(const std::vector<StoredRecord> &records)
-    {
-        for (const StoredRecord &record : records) {
-            if (platform.codec->isWave(record.key)) {
-                waveReceived(record);
-            }
-            if (!platform.codec->isConfig(record.key)) {
-                continue;
-            }
-            auto decoded = platform.codec->decodeConfig(record.value);
-            if (!decoded) {
-                logEvent(LogLevel::Warning, "config-ignored", {{"error", decoded.errors().front().message}});
-                continue;
-            }
-            if (config && decoded->version <= config->version) {
-                continue; // a version never goes back
-            }
-            config = std::make_unique<DeploymentConfig>(std::move(*decoded));
-            logEvent(LogLevel::Info, "config-in-force",
-                     {{"version", config->version.value()}, {"queues", std::uint64_t(config->queues.size())}});
-        }
-    }
-
-    void waveReceived(const StoredRecord &record)
-    {
-        auto decoded = platform.codec->decodeWave(record.key, record.value);
-        if (!decoded) {
-            logEvent(LogLevel::Warning, "wave-ignored",
-                     {{"key", record.key}, {"error", decoded.errors().front().message}});
-            return;
-        }
-        logEvent(LogLevel::Info, "wave-received",
-                 {{"wave", decoded->number.value()},
-                  {"machines", std::uint64_t(decoded->machines.size())},
-                  {"within_ms", std::int64_t(decoded->within.count())},
-                  {"maximum", std::uint64_t(decoded->maximum)}});
-        waves[decoded->number] = std::move(*decoded);
-    }
-
     // --- Journal ---
 
     void journalLoaded(const std::vector<StoredRecord> &records)
@@ -252,35 +223,6 @@
         applyRecord(record);
     }
 
-    // --- Minions ---
-
-    void minionsReceived(const std::vector<StoredRecord> &records)
-    {
-        for (const StoredRecord &record : records) {
-            const MinionId id(record.key);
-            if (record.value.empty()) {
-                minions.erase(id);
-                if (planner) {
-                    planner->minionUnlisted(id);
-                }
-                continue;
-            }
-            auto decoded = platform.codec->decodeMinion(record.key, record.value);
-            if (!decoded) {
-                if (badEntries.insert(record.key).second) {
-                    logEvent(LogLevel::Warning, "minion-entry-ignored",
-                             {{"key", record.key}, {"error", decoded.errors().front().message}});
-                }
-                continue;
-            }
-            minions[id] = *decoded;
-            if (planner) {
-                planner->minionListed(*decoded);
-            }
-        }
-        minionsLoaded = true;
-    }
-
     // --- Leadership ---
 
     static Asio::awaitable<void> ticks(Parts &parts)
@@ -356,10 +298,10 @@
             JournalWriter::create(io, *platform.store, Producer {producerName(), epoch, 0}, Topic::Status);
         planner = StepPlanner::begin(
             {io, *platform.store, *platform.orders, platform.oracle.get(), platform.machines.get(), *platform.codec,
-             book, times, metrics, [this] { return configInForce(); },
-             [this]() -> const std::map<WaveNumber, UpkeepWave> & { return waves; }, settings.node.value(),
+             book, times, metrics, [this] { return deployment.config(); },
+             [this]() -> const std::map<WaveNumber, UpkeepWave> & { return deployment.waves(); }, settings.node.value(),
              settings.milliCores, settings.keepEnded, [this](const char *reason) { loseLeadership(reason); }},
-            claimWriter, statusWriter, epoch, minions);
+            claimWriter, statusWriter, epoch, deployment.minions());
     }
 
     /** Waits until everything that was journaled before the claim of @p epoch is in the book. */
@@ -383,10 +325,10 @@
             minionTopic->start();
         }
         const TimePoint limit = Clock::now() + CLAIM_LIMIT;
-        while (!minionsLoaded && Clock::now() < limit) {
+        while (!deployment.minionsLoaded() && Clock::now() < limit) {
             co_await sleepFor(CLAIM_POLL);
         }
-        co_return minionsLoaded;
+        co_return deployment.minionsLoaded();
     }
 
     void loseLeadership(const char *reason)
@@ -470,11 +412,8 @@
     Platform platform;
     JobBook book;
     RunTimes times;
-    std::unique_ptr<DeploymentConfig> config;
-    std::map<WaveNumber, UpkeepWave> waves;
-    std::map<MinionId, MinionEntry> minions;
-    std::set<std::string> badEntries;
     Records journalRecords;
+    DeploymentView deployment;
     Records configRecords;
     Records minionRecords;
     TopicFollower journal;
@@ -492,7 +431,6 @@
     std::int64_t startedMs = 0;
     std::int64_t plannerHeardMs = 0;
     ClaimPauses claimPauses;
-    bool minionsLoaded = false;
     bool claiming = false;
     bool draining = false;
 };
--- /dev/null
+++ b/packages/dispatch/stepplannerjournal.cpp
@@ -0,0 +1,102 @@
+#include "dispatch/stepplanner.h"
+
+#include "dispatch/boottime.h"
+#include "process/logging.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+// What the planner journals: changes of units before starts are ordered and before ends are acknowledged.
+
+namespace Papaya
+{
+
+void StepPlanner::record(const UnitKey &unit, UnitStatus status)
+{
+    UnitChanged change {unit, std::move(status)};
+    m_records.push_back(encodeRecord(change));
+    m_context.times.observe(m_context.book.find(unit.job)->job, change, bootMillis());
+    m_context.book.apply(change);
+    flushSoon();
+}
+
+void StepPlanner::forgetEnded(std::int64_t nowMs)
+{
+    std::vector<JobId> old;
+    for (const auto &[id, entry] : m_context.book.jobs()) {
+        if (entry.live()) {
+            continue;
+        }
+        const std::int64_t ended = m_endedMs.try_emplace(id, nowMs).first->second;
+        const auto placed = m_assignments.lower_bound(UnitKey {id, 0, 0, UnitKey::GANG});
+        const bool runs = placed != m_assignments.end() && placed->first.job == id;
+        if (nowMs - ended >= m_context.keepEnded.count() && !runs) {
+            old.push_back(id);
+        }
+    }
+    for (const JobId &id : old) {
+        const auto records = encodeForgetting(id, JobBook::unitsOf(*m_context.book.find(id)));
+        m_records.insert(m_records.end(), records.begin(), records.end());
+        m_context.book.apply(StepJobForgotten {id});
+        m_endedMs.erase(id);
+        m_tickets.forget(id);
+        m_startedJobs.erase(id);
+        flushSoon();
+    }
+    if (!old.empty()) {
+        logEvent(LogLevel::Info, "jobs-forgotten", {{"jobs", std::uint64_t(old.size())}});
+    }
+}
+
+void StepPlanner::flushSoon()
+{
+    if (m_flushPosted) {
+        return;
+    }
+    m_flushPosted = true;
+    Asio::post(m_context.io, [self = shared_from_this()] { self->flush(); });
+}
+
+void StepPlanner::flush()
+{
+    m_flushPosted = false;
+    if (!m_leading) {
+        return;
+    }
+    const auto stored = [self = shared_from_this(), ends = std::move(m_ends), starts = std::move(m_starts)] {
+        for (const auto &[minion, number] : ends) {
+            MinionLink &link = self->m_links.at(minion);
+            link.endsStored = std::max(link.endsStored, std::min(number, link.endsHandled));
+            self->ensureWatched(link);
+        }
+        for (const AssignmentPtr &assignment : starts) {
+            for (std::size_t i = 0; i < assignment->members.size(); ++i) {
+                Asio::co_spawn(self->m_context.io, startMember(self, assignment, i), Asio::detached);
+            }
+        }
+    };
+    m_ends.clear();
+    m_starts.clear();
+    if (m_records.empty() && m_writer->idle()) {
+        stored(); // ends of runs that nobody knows need no record
+        return;
+    }
+    if (m_records.empty()) {
+        // What is on its way may hold earlier ends of the same minions; this comes behind it.
+        m_records.push_back(encodeRecord(PlannerSign {m_epoch, m_context.node, false, m_context.milliCores}));
+    }
+    m_writer->append(std::move(m_records), TimePoint::max(),
+                     [self = shared_from_this(), stored](AppendOutcome outcome) {
+                         if (outcome == AppendOutcome::Stored && self->m_leading) {
+                             stored();
+                         } else if (outcome == AppendOutcome::Fenced) {
+                             self->leave("fenced-by-store");
+                         }
+                     });
+    m_records.clear();
+}
+
+} // namespace Papaya
--- a/packages/dispatch/stepplannershares.cpp
+++ b/packages/dispatch/stepplannershares.cpp
@@ -20,7 +20,6 @@
 constexpr Millis PACE_LIMIT {700};
 constexpr Millis STORE_LIMIT {1'000}; // an order to a machine must follow its record closely
 constexpr std::int64_t AT_WORK_PERCENT = 100;
-constexpr std::int64_t RESTORE_MS = 600;
 
 } // namespace
 
@@ -107,7 +106,7 @@
     for (const PlacedMember &placed : link->second.placed) {
         const Assignment &assignment = *placed.assignment;
         ++work.running;
-        work.lossMs += assignment.step.checkpointing ? RESTORE_MS : now - assignment.startedMs;
+        work.lossMs += assignment.lossMs(now);
         const bool works =
             placed.member().percent >= AT_WORK_PERCENT && !assignment.stopping && !m_goingDown.contains(minion);
         if (assignment.step.maxUnavailable > 0 && works) {
--- a/tests/standins/platformservicestandins.cpp
+++ b/tests/standins/platformservicestandins.cpp
@@ -15,6 +15,12 @@
 
 constexpr Millis DECISION {20};
 
+/** @return a ticket without its end, which is when it expires. */
+std::string ticketName(const std::string &step, const std::string &minion)
+{
+    return step + "@" + minion + "#";
+}
+
 HttpResponse noAnswer()
 {
     HttpResponse response;
@@ -45,7 +51,7 @@
 
 bool PlatformOracleStandin::accepts(const std::string &step, const std::string &minion, const std::string &ticket) const
 {
-    const std::string name = step + "@" + minion + "#";
+    const std::string name = ticketName(step, minion);
     return ticket.starts_with(name) && std::stoll(ticket.substr(name.size())) >= nowMs();
 }
 
@@ -78,8 +84,7 @@
     for (const Json &worker : body.at("workers")) {
         const std::string id = worker;
         if (m_admitted.contains(id)) {
-            const std::string step = body.at("step");
-            good.push_back({id, step + "@" + id + "#" + std::to_string(nowMs() + m_validMs)});
+            good.push_back({id, ticketName(body.at("step"), id) + std::to_string(nowMs() + m_validMs)});
         }
     }
     co_return jsonAnswer(200, {{"good", good}, {"validMs", m_validMs}});
