--- a/packages/dispatch/deploymentview.cpp
+++ b/packages/dispatch/deploymentview.cpp
@@ -17,14 +17,14 @@
         if (m_codec.isWave(record.key)) {
             takeWave(record);
         } else if (m_codec.isConfig(record.key)) {
-            takeConfig(record);
+            takeConfig(record.value);
         }
     }
 }
 
-void DeploymentView::takeConfig(const StoredRecord &record)
+void DeploymentView::takeConfig(const std::string &text)
 {
-    auto decoded = m_codec.decodeConfig(record.value);
+    auto decoded = m_codec.decodeConfig(text);
     if (!decoded) {
         logEvent(LogLevel::Warning, "config-ignored", {{"error", decoded.errors().front().message}});
         return;
@@ -33,6 +33,7 @@
         return;
     }
     m_config = std::make_unique<DeploymentConfig>(std::move(*decoded));
+    m_document = {m_config->version, text};
     logEvent(LogLevel::Info, "config-in-force",
              {{"version", m_config->version.value()}, {"queues", std::uint64_t(m_config->queues.size())}});
 }
--- a/packages/dispatch/deploymentview.h
+++ b/packages/dispatch/deploymentview.h
@@ -16,6 +16,12 @@
 namespace Papaya
 {
 
+/** A version of the configuration as its operator wrote it. */
+struct ConfigDocument {
+    ConfigVersion version;
+    std::string text;
+};
+
 /** The deployment as its operators and minions describe it. */
 class DeploymentView
 {
@@ -31,6 +37,8 @@
 
     /** Takes records of the operators' topic. A version of the configuration never goes back. */
     void configReceived(const std::vector<StoredRecord> &records);
+    /** Takes a version of the configuration, wherever it was read. */
+    void takeConfig(const std::string &text);
     /** Takes records of the minions' topic. */
     void minionsReceived(const std::vector<StoredRecord> &records);
 
@@ -39,6 +47,11 @@
     {
         return m_config.get();
     }
+    /** @return what config() was read from. */
+    [[nodiscard]] const ConfigDocument &document() const
+    {
+        return m_document;
+    }
     [[nodiscard]] const std::map<WaveNumber, UpkeepWave> &waves() const
     {
         return m_waves;
@@ -54,13 +67,13 @@
     }
 
 private:
-    void takeConfig(const StoredRecord &record);
     void takeWave(const StoredRecord &record);
     void takeMinion(const StoredRecord &record);
 
     const DeploymentCodec &m_codec;
     Listener m_listener;
     std::unique_ptr<DeploymentConfig> m_config;
+    ConfigDocument m_document;
     std::map<WaveNumber, UpkeepWave> m_waves;
     std::map<MinionId, MinionEntry> m_minions;
     std::set<std::string> m_badEntries; ///< keys whose entries could not be read; each is logged once
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -189,6 +189,10 @@
         if (planner && decided) {
             return; // the planner's own book is ahead of the journal
         }
+        if (const auto *copied = std::get_if<ConfigCopied>(&record)) {
+            deployment.takeConfig(copied->document);
+            return;
+        }
         if (const auto *change = std::get_if<UnitChanged>(&record)) {
             if (const JobEntry *entry = book.find(change->unit.job); entry != nullptr && journal.isLoaded()) {
                 times.observe(entry->job, *change, bootMillis());
@@ -299,6 +303,7 @@
         planner = StepPlanner::begin(
             {io, *platform.store, *platform.orders, platform.oracle.get(), platform.machines.get(), *platform.codec,
              book, times, metrics, [this] { return deployment.config(); },
+             [this]() -> const ConfigDocument & { return deployment.document(); },
              [this]() -> const std::map<WaveNumber, UpkeepWave> & { return deployment.waves(); }, settings.node.value(),
              settings.milliCores, settings.keepEnded, [this](const char *reason) { loseLeadership(reason); }},
             claimWriter, statusWriter, epoch, deployment.minions());
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -188,6 +188,7 @@
     for (auto &[id, link] : m_links) {
         ensureWatched(link);
     }
+    copyConfig(now);
     if (now - m_lastForgettingMs >= FORGET_INTERVAL_MS) {
         m_lastForgettingMs = now;
         forgetEnded(now);
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/admissionoracle.h"
 #include "dispatch/assignment.h"
+#include "dispatch/deploymentview.h"
 #include "dispatch/journalwriter.h"
 #include "dispatch/minionlink.h"
 #include "dispatch/stepmetrics.h"
@@ -49,6 +50,7 @@
         RunTimes &times;
         StepMetrics &metrics;
         std::function<const DeploymentConfig *()> config;
+        std::function<const ConfigDocument &()> configDocument;
         std::function<const std::map<WaveNumber, UpkeepWave> &()> waves;
         std::string node;
         std::uint32_t milliCores;                     ///< processor that this node may use
@@ -156,6 +158,8 @@
 
     // Journal
     void record(const UnitKey &unit, UnitStatus status);
+    /** Journals the configuration in force if it is a new one. */
+    void copyConfig(std::int64_t nowMs);
     /** Drops jobs that ended long ago from the book and the journal. */
     void forgetEnded(std::int64_t nowMs);
     void flushSoon();
@@ -181,6 +185,8 @@
     std::set<JobId> m_startedJobs;           ///< whose first task has been seen to start
     std::map<JobId, std::int64_t> m_endedMs; ///< when each job was first seen to have ended
     std::int64_t m_lastForgettingMs = 0;
+    ConfigVersion m_copiedVersion;
+    std::int64_t m_lastCopyMs = 0;
     std::int64_t m_lastSignMs = 0;
     std::int64_t m_begunMs = 0;
     std::map<std::string, std::int64_t> m_strayStops; ///< when each was last ordered
--- a/packages/dispatch/stepplannerjournal.cpp
+++ b/packages/dispatch/stepplannerjournal.cpp
@@ -14,6 +14,27 @@
 namespace Papaya
 {
 
+namespace
+{
+
+constexpr std::int64_t COPY_INTERVAL_MS = 1'000;      // versions in quick succession share a copy
+constexpr std::size_t MAX_COPY_BYTES = 200UL * 1'024; // the store takes records of 256 KB
+
+} // namespace
+
+void StepPlanner::copyConfig(std::int64_t nowMs)
+{
+    const ConfigDocument &document = m_context.configDocument();
+    const bool isNew = document.version > m_copiedVersion && document.text.size() <= MAX_COPY_BYTES;
+    if (!isNew || nowMs - m_lastCopyMs < COPY_INTERVAL_MS) {
+        return;
+    }
+    m_copiedVersion = document.version;
+    m_lastCopyMs = nowMs;
+    m_records.push_back(encodeRecord(ConfigCopied {document.text}));
+    flushSoon();
+}
+
 void StepPlanner::record(const UnitKey &unit, UnitStatus status)
 {
     UnitChanged change {unit, std::move(status)};
--- a/packages/steps/jobrecord.cpp
+++ b/packages/steps/jobrecord.cpp
@@ -19,6 +19,7 @@
 constexpr std::string_view UNIT_PREFIX = "u/";
 constexpr std::string_view WAVE_PREFIX = "w/";
 constexpr std::string_view PLANNER_KEY = "q";
+constexpr std::string_view CONFIG_KEY = "c";
 constexpr char FIELD_END = ' ';
 
 enum StepFlag : std::uint32_t {
@@ -204,6 +205,10 @@
     {
         return {std::string(WAVE_PREFIX) + std::to_string(record.number.value()), encodeWave(record)};
     }
+    StoredRecord operator()(const ConfigCopied &record) const
+    {
+        return {std::string(CONFIG_KEY), record.document};
+    }
     StoredRecord operator()(const PlannerSign &record) const
     {
         return {std::string(PLANNER_KEY),
@@ -247,6 +252,9 @@
         if (key.starts_with(CANCEL_PREFIX)) {
             return JobRecord(StepJobCancelled {JobId(std::string(key.substr(CANCEL_PREFIX.size())))});
         }
+        if (key == CONFIG_KEY) {
+            return JobRecord(ConfigCopied {std::string(value)});
+        }
         const auto json = parseCbor(value);
         if (!json) {
             return malformed(key);
--- a/packages/steps/jobrecord.h
+++ b/packages/steps/jobrecord.h
@@ -59,8 +59,13 @@
     std::uint32_t milliCores = 0; ///< processor that the node may use; 0 if it does not say
 };
 
-using JobRecord =
-    std::variant<StepJobSubmitted, StepJobCancelled, StepJobForgotten, UnitChanged, PlannerSign, WaveProgress>;
+/** The configuration in force, as its operator wrote it, for nodes that cannot read it where that lies. */
+struct ConfigCopied {
+    std::string document;
+};
+
+using JobRecord = std::variant<StepJobSubmitted, StepJobCancelled, StepJobForgotten, UnitChanged, PlannerSign,
+                               WaveProgress, ConfigCopied>;
 
 /** A record as it is stored. An empty value drops the key. */
 struct StoredRecord {
--- a/tests/integration/stepstore.cpp
+++ b/tests/integration/stepstore.cpp
@@ -156,6 +156,30 @@
     }
 }
 
+TEST(StepNodes, ThatStartWhileTheConfigurationCannotBeReadTakeItFromTheJournal)
+{
+    Deployment deployment;
+    deployment.start();
+    deployment.configure([](Json &config) { config["tenants"][1]["apiKeys"] = {"key-new"}; });
+    ASSERT_TRUE(Cluster::eventually(
+        [&] { return deployment.store.newest("keyed.journal", "c").find("key-new") != std::string::npos; }));
+    Standins::StoreFaults faults;
+    faults.silentTopic = "keyed.op";
+    deployment.store.setFaults(faults);
+    for (std::size_t i = 0; i < 2; ++i) {
+        deployment.nodes[i]->kill();
+        deployment.startNode(i);
+    }
+    for (std::size_t i = 0; i < 2; ++i) {
+        EXPECT_TRUE(Cluster::eventually([&] { return deployment.ready(i); }, Millis(4'000))) << "node " << i;
+    }
+    const std::string id = deployment.newId();
+    EXPECT_EQ(200, deployment.submit(0, "plan", id, {Deployment::step(2)}).status);
+    EXPECT_TRUE(deployment.becomes("plan", id, "completed"));
+    EXPECT_EQ(401, deployment.call(1, "GET", "plan", "", "", "key-b").status);
+    EXPECT_EQ(200, deployment.call(1, "GET", "plan", "", "", "key-new").status);
+}
+
 TEST(StepNodes, PassOverEntriesOfOtherWriters)
 {
     Deployment deployment({1, 2});
--- a/tests/standins/platformstorestandin.cpp
+++ b/tests/standins/platformstorestandin.cpp
@@ -107,7 +107,8 @@
     if (faults.delayMs > 0) {
         co_await sleepFor(Millis(faults.delayMs));
     }
-    if (faults.silent) {
+    const bool topicSilent = !faults.silentTopic.empty() && request.query("topic") == faults.silentTopic;
+    if (faults.silent || topicSilent) {
         co_await sleepFor(SILENCE);
         co_return noAnswer();
     }
--- a/tests/standins/platformstorestandin.h
+++ b/tests/standins/platformstorestandin.h
@@ -16,6 +16,7 @@
 struct StoreFaults {
     bool busy = false;            ///< every call is answered with 503, and nothing is done
     bool silent = false;          ///< no call is answered, and nothing is done
+    std::string silentTopic;      ///< no call on this topic is answered, and nothing is done
     std::int64_t delayMs = 0;     ///< before each answer
     std::int64_t loseAnswers = 0; ///< appends that take effect without an answer
     bool busyAfterLoss = false;   ///< busy from the first lost answer on
