Name a budget by the product's word

Cause: a parameter of exceedsBudget carried the platform's word mayMiss outside platform/, where the step's field is maxUnavailable.

--- a/packages/steps/upkeep.cpp
+++ b/packages/steps/upkeep.cpp
@@ -22,9 +22,9 @@
     });
 }
 
-bool exceedsBudget(std::uint32_t mayMiss, std::uint32_t away, std::uint32_t here)
+bool exceedsBudget(std::uint32_t maxUnavailable, std::uint32_t away, std::uint32_t here)
 {
-    return mayMiss > 0 && here > 0 && away + here > mayMiss;
+    return maxUnavailable > 0 && here > 0 && away + here > maxUnavailable;
 }
 
 UpkeepDecisions planUpkeep(std::uint32_t maximum, std::uint32_t down, std::vector<UpkeepCandidate> pending,
--- a/packages/steps/upkeep.h
+++ b/packages/steps/upkeep.h
@@ -70,10 +70,10 @@
                            std::int64_t remainingMs);
 
 /**
- * @return true if a service whose step may miss @p mayMiss tasks would miss more
+ * @return true if a service whose step may miss @p maxUnavailable tasks would miss more
  * @param away tasks of the step that are not at work
  * @param here further ones that would be stopped together
  */
-bool exceedsBudget(std::uint32_t mayMiss, std::uint32_t away, std::uint32_t here);
+bool exceedsBudget(std::uint32_t maxUnavailable, std::uint32_t away, std::uint32_t here);
 
 } // namespace Papaya
