Log the planner's load and the age of its view

The logs could not tell why starts reached minions that had long said that they leave: whether entries were read late, the event loop lagged, or orders waited after their decision.

A read now tells where the topic ended, so that a follower knows up to when it has seen everything. The planner logs once a second how far its loop lags, what it did and how old its view of minions and jobs was (planner-load), and with each start how long ago it was decided and how old the view is (unit-ordered); a histogram has the age of the view at every order.

--- a/packages/dispatch/assignment.h
+++ b/packages/dispatch/assignment.h
@@ -49,6 +49,7 @@
     std::string checkpoint;        ///< the latest reported
     std::int64_t checkpointMs = 0; ///< when it was reported; the start if none was
     std::int64_t startedMs = 0;
+    std::int64_t decidedMs = 0; ///< when the scheduling pass placed it; 0 if a predecessor did
     std::int64_t percent = 0;
 
     /** @return the work that a stop at @p nowMs would lose, in ms; with checkpoints, the time to restore one. */
--- a/packages/dispatch/recordstore.h
+++ b/packages/dispatch/recordstore.h
@@ -44,6 +44,7 @@
 /** The records read from an offset. */
 struct ReadResult {
     bool expired = false; ///< the records have expired; the newest of each key must be read instead
+    Offset end;           ///< end of the topic when it was read; later than the records if they are not the last
     std::vector<StoredRecord> records;
 };
 
--- a/packages/dispatch/stepmetrics.cpp
+++ b/packages/dispatch/stepmetrics.cpp
@@ -29,6 +29,7 @@
 
 constexpr std::array<const char *, static_cast<std::size_t>(JobStage::Count)> STAGES {"stored", "started", "shown"};
 constexpr std::string_view PREFIX = "papayahall_";
+constexpr const char *START_AGE = "papayahall_start_view_age_seconds";
 
 } // namespace
 
@@ -48,6 +49,11 @@
     m_stages[static_cast<std::size_t>(stage)].record(double(milliseconds) / 1000);
 }
 
+void StepMetrics::recordStartAge(std::int64_t milliseconds)
+{
+    m_startAge.record(double(milliseconds) / 1000);
+}
+
 std::uint64_t StepMetrics::value(StepEvent event, std::string_view reason) const
 {
     const auto &counts = m_counts[static_cast<std::size_t>(event)];
@@ -74,6 +80,8 @@
     for (std::size_t i = 0; i < m_stages.size(); ++i) {
         m_stages[i].write(out, name, "stage=\"" + std::string(STAGES[i]) + "\"");
     }
+    out << "# TYPE " << START_AGE << " histogram\n";
+    m_startAge.write(out, START_AGE, "topic=\"all\"");
     return out.str();
 }
 
--- a/packages/dispatch/stepmetrics.h
+++ b/packages/dispatch/stepmetrics.h
@@ -42,6 +42,8 @@
 public:
     void count(StepEvent event, std::string_view reason);
     void record(JobStage stage, std::int64_t milliseconds);
+    /** Records how old the planner's view was when a start was sent to a minion. */
+    void recordStartAge(std::int64_t milliseconds);
     [[nodiscard]] std::uint64_t value(StepEvent event, std::string_view reason) const;
 
     /** @return all metrics and the @p gauges, by name, in the Prometheus text format. */
@@ -50,6 +52,7 @@
 private:
     std::array<std::map<std::string, std::uint64_t, std::less<>>, static_cast<std::size_t>(StepEvent::Count)> m_counts;
     std::array<LatencyHistogram, static_cast<std::size_t>(JobStage::Count)> m_stages;
+    LatencyHistogram m_startAge;
 };
 
 } // namespace Papaya
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -307,8 +307,12 @@
             {io, *platform.store, *platform.minionControl, platform.oracle.get(), platform.machines.get(),
              *platform.codec, jobTable, times, metrics, [this] { return deployment.config(); },
              [this]() -> const ConfigDocument & { return deployment.document(); },
-             [this]() -> const std::map<WaveNumber, UpkeepWave> & { return deployment.waves(); }, settings.node.value(),
-             settings.milliCores, settings.endedJobRetention, [this](const char *reason) { loseLeadership(reason); }},
+             [this]() -> const std::map<WaveNumber, UpkeepWave> & { return deployment.waves(); },
+             [this] {
+                 return Freshness {minionTopic->currentAsOfMs(), journal.currentAsOfMs()};
+             },
+             settings.node.value(), settings.milliCores, settings.endedJobRetention,
+             [this](const char *reason) { loseLeadership(reason); }},
             claimWriter, statusWriter, epoch, deployment.minions());
     }
 
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -175,6 +175,7 @@
 void StepPlanner::tick()
 {
     const std::int64_t now = bootMillis();
+    m_load.tick(now, m_context.freshness());
     expireLeases();
     evacuate();
     if (now - m_lastStuckCheckMs >= STUCK_CHECK_INTERVAL_MS) {
@@ -318,6 +319,9 @@
     std::vector<MinionId> ids;
     const PlanDecisions decisions = planSteps(planInput(ids));
     const TimePoint decided = Clock::now();
+    m_load.passEnded(decided - begun);
+    m_load.counts.preemptions += decisions.stops.size();
+    m_load.counts.starts += decisions.starts.size();
     m_nextPass = decided + std::min<Duration>(PASS_BACKOFF_FACTOR * (decided - begun), MAX_PASS_BACKOFF);
     for (const UnitStop &stop : decisions.stops) {
         logEvent(LogLevel::Info, "unit-preempted",
@@ -342,7 +346,9 @@
     record(decision.unit, status);
     m_notBefore.erase(decision.unit);
     m_context.metrics.count(StepEvent::Placement, m_context.jobTable.find(decision.unit.job)->job.queue.value());
-    m_pendingStarts.push_back(track(*m_context.jobTable.find(decision.unit.job), decision.unit, status));
+    const AssignmentPtr assignment = track(*m_context.jobTable.find(decision.unit.job), decision.unit, status);
+    assignment->decidedMs = bootMillis();
+    m_pendingStarts.push_back(assignment);
     logEvent(LogLevel::Info, "unit-placed",
              {{"unit", decision.unit.toString()},
               {"run", std::uint64_t(status.run)},
@@ -356,6 +362,7 @@
         return;
     }
     assignment->stopping = true;
+    ++m_load.counts.stops;
     m_context.metrics.count(StepEvent::Stop, reason);
     logEvent(LogLevel::Info, "unit-stopped",
              {{"unit", assignment->unit.toString()}, {"run", std::uint64_t(assignment->run)}, {"reason", reason}});
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -3,8 +3,10 @@
 #include "dispatch/admissionoracle.h"
 #include "dispatch/assignment.h"
 #include "dispatch/deploymentview.h"
+#include "dispatch/freshness.h"
 #include "dispatch/journalwriter.h"
 #include "dispatch/minionlink.h"
+#include "dispatch/plannerload.h"
 #include "dispatch/stepmetrics.h"
 #include "dispatch/upkeepcontroller.h"
 #include "steps/stepscheduler.h"
@@ -51,6 +53,7 @@
         std::function<const DeploymentConfig *()> config;
         std::function<const ConfigDocument &()> configDocument;
         std::function<const std::map<WaveNumber, UpkeepWave> &()> waves;
+        std::function<Freshness()> freshness; ///< of the minion entries and the job table
         std::string node;
         std::uint32_t milliCores;                                 ///< CPU limit of this node, in thousandths of a core
         Millis endedJobRetention;                                 ///< how long an ended job is kept in the job table
@@ -105,6 +108,8 @@
     PlanInput planInput(std::vector<MinionId> &ids) const;
     void startUnit(const UnitStart &decision, const std::vector<MinionId> &ids);
     void stopAssignment(const AssignmentPtr &assignment, const char *reason);
+    /** Sends the start orders of a unit whose placement is journaled. */
+    void sendStarts(const AssignmentPtr &assignment);
 
     // Calls to minions
     static Asio::awaitable<void> startMember(std::shared_ptr<StepPlanner> self, AssignmentPtr assignment,
@@ -187,6 +192,7 @@
     bool m_passPosted = false;
     Asio::steady_timer m_passTimer;
     TimePoint m_nextPass; ///< earliest start of the next scheduling pass
+    PlannerLoad m_load;
     std::int64_t m_lastStuckCheckMs = 0;
     std::set<JobId> m_startedJobs;           ///< jobs of which this planner has started a task
     std::map<JobId, std::int64_t> m_endedMs; ///< when each job was first found ended
--- a/packages/dispatch/stepplannerjournal.cpp
+++ b/packages/dispatch/stepplannerjournal.cpp
@@ -95,9 +95,7 @@
             self->ensurePolling(link);
         }
         for (const AssignmentPtr &assignment : starts) {
-            for (std::size_t i = 0; i < assignment->members.size(); ++i) {
-                Asio::co_spawn(self->m_context.io, startMember(self, assignment, i), Asio::detached);
-            }
+            self->sendStarts(assignment);
         }
     };
     m_pendingEnds.clear();
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -41,6 +41,21 @@
     return m_leading && bootMillis() - lastContactMs < RENEWAL_WINDOW_MS;
 }
 
+void StepPlanner::sendStarts(const AssignmentPtr &assignment)
+{
+    const std::int64_t now = bootMillis();
+    const Freshness freshness = m_context.freshness();
+    logEvent(LogLevel::Info, "unit-ordered",
+             {{"unit", assignment->unit.toString()},
+              {"run", std::uint64_t(assignment->run)},
+              {"decided_ms", now - assignment->decidedMs},
+              {"minions_age_ms", now - freshness.minionsAsOfMs},
+              {"journal_age_ms", now - freshness.journalAsOfMs}});
+    for (std::size_t i = 0; i < assignment->members.size(); ++i) {
+        Asio::co_spawn(m_context.io, startMember(shared_from_this(), assignment, i), Asio::detached);
+    }
+}
+
 Asio::awaitable<void> StepPlanner::startMember(std::shared_ptr<StepPlanner> self, AssignmentPtr assignment,
                                                std::size_t index)
 {
@@ -62,6 +77,8 @@
         }
         MinionLink &link = self->m_links.at(member.minion);
         order.leaseUntilMs = link.clock.grant(bootMillis(), LEASE_MS);
+        ++self->m_load.counts.orders;
+        self->m_context.metrics.recordStartAge(bootMillis() - self->m_context.freshness().asOfMs());
         answer = co_await self->m_context.minionControl.start(link.entry, order, ORDER_TIMEOUT);
     }
     if (!self->m_leading) {
@@ -128,6 +145,7 @@
             co_await sleepFor(STOP_RETRY_INTERVAL); // its address is unknown
             continue;
         }
+        ++self->m_load.counts.orders;
         const OrderAnswer answer = co_await self->m_context.minionControl.stop(link.entry, task, assignment->run,
                                                                                self->m_epoch, ORDER_TIMEOUT);
         if (!self->m_leading) {
@@ -205,6 +223,7 @@
 {
     MinionLink *link = &m_links.at(id);
     const std::int64_t sent = bootMillis();
+    ++m_load.counts.polls;
     PollOrder order;
     order.fence = m_epoch;
     order.ackUpTo = link->endsStored;
--- a/packages/dispatch/topicfollower.cpp
+++ b/packages/dispatch/topicfollower.cpp
@@ -76,6 +76,7 @@
         m_next = newest.end;
         m_loaded = true;
         succeeded(sent);
+        m_currentAsOfMs = sent;
         m_handler.loaded(newest.records);
         co_return;
     }
@@ -89,6 +90,9 @@
     m_lastReadDelay = result.records.empty() ? took - m_wait : took;
     m_next = Offset(m_next.value() + result.records.size());
     succeeded(sent);
+    if (m_next >= result.end) {
+        m_currentAsOfMs = sent;
+    }
     m_handler.received(result.records);
 }
 
--- a/packages/dispatch/topicfollower.h
+++ b/packages/dispatch/topicfollower.h
@@ -63,6 +63,11 @@
     {
         return m_lastSuccessMs;
     }
+    /** @return the latest time, in bootMillis(), before which no record was stored that has not been passed on yet. */
+    [[nodiscard]] std::int64_t currentAsOfMs() const
+    {
+        return m_currentAsOfMs;
+    }
     /** @return the duration of the last read, less its wait if it found no records. */
     [[nodiscard]] Millis lastReadDelay() const
     {
@@ -89,6 +94,7 @@
     bool m_loaded = false;
     bool m_failing = false;
     std::int64_t m_lastSuccessMs = 0;
+    std::int64_t m_currentAsOfMs = 0;
     std::int64_t m_healthySinceMs = 0;
     Millis m_lastReadDelay {0};
 };
