Reproduce starts on stale knowledge in tests that are red

Callers' tasks reach minions that have said that they drain (RULES, DRAIN) if the planner decides on old entries or sends a decision late. The store's stand-in learns to be silent for reads or appends of one topic, to honour maxKb and to return records at a limited rate.

--- a/tests/integration/deployment.cpp
+++ b/tests/integration/deployment.cpp
@@ -40,7 +40,7 @@
 } // namespace
 
 Deployment::Deployment(DeploymentOptions options)
-    : m_options(options)
+    : m_options(std::move(options))
     , m_work(io.get_executor())
     , m_pool(io)
     , m_config(initialConfig())
@@ -52,25 +52,28 @@
     }
     store.listen(io, {"127.0.0.1", 0});
     oracle.listen(io, {"127.0.0.1", 0});
-    machines.start(io, Millis(options.maintenanceMs));
-    for (std::size_t i = 0; i < options.minions; ++i) {
-        const std::string rack = "r" + std::to_string(i / options.minionsPerRack);
+    machines.start(io, Millis(m_options.maintenanceMs));
+    for (std::size_t i = 0; i < m_options.minions; ++i) {
+        const std::string rack = "r" + std::to_string(i / m_options.minionsPerRack);
         minions.push_back(
             std::make_unique<Standins::PlatformMinionStandin>("i-" + std::to_string(i), "desk", rack, runs));
         minions.back()->start(io, store);
         machines.add(*minions.back());
     }
-    for (std::size_t i = 0; i < options.nodes; ++i) {
+    for (std::size_t i = 0; i < m_options.nodes; ++i) {
         m_callers.push_back(freeEndpoint(io));
         m_operatorEndpoints.push_back(freeEndpoint(io));
         const std::string base = m_directory + "/node-" + std::to_string(i);
-        const Json settings = {{"node", "node-" + std::to_string(i)},      {"place", "here"},
-                               {"callers", m_callers[i].toString()},       {"ready", m_operatorEndpoints[i].toString()},
-                               {"store", store.address().toString()},      {"drainLimitMs", DRAIN_LIMIT_MS},
-                               {"keepEndedMs", options.keepEndedMs},       {"oracle", oracle.address().toString()},
-                               {"machines", machines.address().toString()}};
-        std::ofstream(base + ".json") << settings.dump(2);
-        nodes.push_back(std::make_unique<InstanceProcess>("", base + ".json", base + ".log",
+        Json settings = {{"node", "node-" + std::to_string(i)},      {"place", "here"},
+                         {"callers", m_callers[i].toString()},       {"ready", m_operatorEndpoints[i].toString()},
+                         {"store", store.address().toString()},      {"drainLimitMs", DRAIN_LIMIT_MS},
+                         {"keepEndedMs", m_options.keepEndedMs},     {"oracle", oracle.address().toString()},
+                         {"machines", machines.address().toString()}};
+        if (i < m_options.cores.size()) {
+            settings["cores"] = m_options.cores[i];
+        }
+        std::ofstream(settingsPath(i)) << settings.dump(2);
+        nodes.push_back(std::make_unique<InstanceProcess>("", settingsPath(i), base + ".log",
                                                           std::vector<std::string> {"--platform"}));
     }
 }
@@ -213,6 +216,11 @@
     return static_cast<std::size_t>(std::stoul(std::get<PlannerAnnouncement>(*record).node.substr(5)));
 }
 
+std::string Deployment::settingsPath(std::size_t node) const
+{
+    return m_directory + "/node-" + std::to_string(node) + ".json";
+}
+
 std::string Deployment::log(std::size_t node) const
 {
     const std::ifstream file(m_directory + "/node-" + std::to_string(node) + ".log");
--- a/tests/integration/deployment.h
+++ b/tests/integration/deployment.h
@@ -25,6 +25,7 @@
     std::size_t minionsPerRack = 6;
     std::int64_t keepEndedMs = 120'000; ///< retention period of ended jobs
     std::int64_t maintenanceMs = 300;   ///< duration of a machine's maintenance
+    std::vector<double> cores = {};     ///< CPU limit of each node; those beyond the list have one core
 };
 
 /** Resources that a task of a test requests. */
@@ -78,6 +79,8 @@
     [[nodiscard]] bool ready(std::size_t node);
     /** @return the index of the leader according to the newest heartbeat in the journal; none if it has resigned. */
     std::optional<std::size_t> leader();
+    /** @return the settings file of the node. */
+    [[nodiscard]] std::string settingsPath(std::size_t node) const;
     /** @return the log output of the node. */
     [[nodiscard]] std::string log(std::size_t node) const;
     Standins::PlatformMinionStandin &minion(const std::string &id);
--- a/tests/integration/stepplanner.cpp
+++ b/tests/integration/stepplanner.cpp
@@ -3,8 +3,10 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <atomic>
 #include <csignal>
 #include <set>
+#include <thread>
 
 // Tests the planner of jobs of steps when its node is killed, frozen, cut off from minions or stopped. Most checks use
 // the runs that the minion stand-ins recorded.
@@ -156,6 +158,30 @@
     EXPECT_EQ(2U, deployment.runs.of(id).size());
 }
 
+TEST(StepPlanner, ThatIsKilledIsReplacedByTheStrongestNodeAlsoWhileTheJournalIsWrittenToAllTheTime)
+{
+    for (int round = 0; round < 5; ++round) {
+        DeploymentOptions options {8, 1};
+        options.cores = {0.5, 0.5, 0.12, 0.12, 0.12, 0.12, 0.12, 0.12};
+        Deployment deployment(options);
+        deployment.start();
+        const std::size_t leader = *deployment.leader();
+        ASSERT_LT(leader, 2U);
+        std::atomic<bool> writing = true;
+        std::thread writer([&] {
+            while (writing) {
+                deployment.store.put("keyed.journal", "c", "an older configuration");
+                std::this_thread::sleep_for(Millis(4));
+            }
+        });
+        deployment.nodes[leader]->kill();
+        EXPECT_TRUE(Cluster::eventually([&] { return deployment.leader() != leader; }));
+        EXPECT_EQ(1 - leader, *deployment.leader()) << "round " << round;
+        writing = false;
+        writer.join();
+    }
+}
+
 TEST(StepPlanner, ResignsOnSigtermAndAcceptsJobsWhileItDrains)
 {
     Deployment deployment({2, 3});
--- a/tests/standins/platformstorestandin.cpp
+++ b/tests/standins/platformstorestandin.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t KEPT_ANSWERS = 5;
 constexpr std::size_t PAGE_ITEMS = 500;
 constexpr Millis SILENCE_DURATION {60'000};
+constexpr std::string_view APPEND_PATH = "/-/log-append";
+constexpr std::string_view READ_PATH = "/-/log-read";
+constexpr std::int64_t DEFAULT_MAX_KB = 1'024;
 
 std::string bigEndian(std::uint64_t number, int bytes)
 {
@@ -107,7 +110,11 @@
     if (faults.delayMs > 0) {
         co_await sleepFor(Millis(faults.delayMs));
     }
-    const bool topicSilent = !faults.silentTopic.empty() && request.query("topic") == faults.silentTopic;
+    const std::string path(request.path());
+    const std::string topic(request.query("topic"));
+    const bool topicSilent = !topic.empty()
+                             && (topic == faults.silentTopic || (path == READ_PATH && topic == faults.silentReads)
+                                 || (path == APPEND_PATH && topic == faults.silentAppends));
     if (faults.silent || topicSilent) {
         co_await sleepFor(SILENCE_DURATION);
         co_return noAnswer();
@@ -115,11 +122,10 @@
     if (faults.busy) {
         co_return jsonAnswer(503, Json::object());
     }
-    const std::string path(request.path());
-    if (path == "/-/log-append") {
+    if (path == APPEND_PATH) {
         co_return co_await append(std::move(request));
     }
-    if (path == "/-/log-read") {
+    if (path == READ_PATH) {
         co_return co_await read(std::move(request));
     }
     if (path == "/-/log-newest") {
@@ -202,30 +208,42 @@
     const std::string topic(request.query("topic"));
     const auto from = static_cast<std::uint64_t>(queryNumber(request, "from", 0));
     const TimePoint deadline = Clock::now() + Millis(queryNumber(request, "waitMs", 0));
-    for (;;) {
+    const auto maxBytes = static_cast<std::size_t>(1'024 * queryNumber(request, "maxKb", DEFAULT_MAX_KB));
+    HttpResponse response;
+    std::int64_t readKbPerS = 0;
+    while (response.body.empty()) {
         {
             const std::lock_guard lock(m_mutex);
             const TopicLog &log = m_topics[topic];
-            if (m_faults.silent) {
+            readKbPerS = m_faults.readKbPerS;
+            if (m_faults.silent || topic == m_faults.silentReads) {
                 co_return noAnswer();
             }
             if (from < log.first) {
                 co_return jsonAnswer(410, {{"first", log.first}});
             }
             if (from < log.end() || Clock::now() >= deadline) {
-                HttpResponse response;
                 response.body = bigEndian(log.end(), 8) + bigEndian(log.first, 8);
                 for (std::uint64_t offset = from; offset < log.end(); ++offset) {
                     const Record &record = log.kept[offset - log.first];
-                    response.body += bigEndian(1 + record.key.size() + record.value.size(), 4);
+                    const std::size_t length = 1 + record.key.size() + record.value.size();
+                    if (offset > from && response.body.size() + length > maxBytes) {
+                        break;
+                    }
+                    response.body += bigEndian(length, 4);
                     response.body += static_cast<char>(record.key.size());
                     response.body += record.key + record.value;
                 }
-                co_return response;
             }
         }
-        co_await sleepFor(POLL_INTERVAL);
+        if (response.body.empty()) {
+            co_await sleepFor(POLL_INTERVAL);
+        }
+    }
+    if (readKbPerS > 0) {
+        co_await sleepFor(Millis(static_cast<std::int64_t>(response.body.size()) * 1'000 / 1'024 / readKbPerS));
     }
+    co_return response;
 }
 
 HttpResponse PlatformStoreStandin::newestPage(const HttpRequest &request)
--- a/tests/standins/platformstorestandin.h
+++ b/tests/standins/platformstorestandin.h
@@ -17,6 +17,9 @@
     bool busy = false;            ///< every call is answered with 503 and has no effect
     bool silent = false;          ///< no call is answered or has an effect
     std::string silentTopic;      ///< no call on this topic is answered or has an effect
+    std::string silentReads;      ///< no read of this topic is answered
+    std::string silentAppends;    ///< no append to this topic is answered or has an effect
+    std::int64_t readKbPerS = 0;  ///< rate at which reads return records; 0: unlimited
     std::int64_t delayMs = 0;     ///< delay before each call takes effect, in milliseconds
     std::int64_t loseAnswers = 0; ///< number of appends that take effect but get no answer
     bool busyAfterLoss = false;   ///< the store turns busy with the first lost answer
