Read an answer in pieces of 32 KB instead of 512 bytes

What callers saw: tasks started on minions that had long said that they drain, since the planner had not read it. Cause: Beast reads as many bytes as its buffer has room for, and 512 if the buffer is new. Each piece costs two turns of the event loop, and the client made a new buffer for each exchange. On a planner that is busy, where a turn takes milliseconds, one read of the minions' entries (some 40 KB each 0.4 s, hundreds after an outage) took seconds, during which orders went on. Evidence: the ages logged by planner-load (2 to 8 s with a loop that lags by 0.1 to 0.3 s); an answer of 256 KB takes 1,032 turns in the new unit test, which allows 128. It passes with the buffer reserved. Why it works: the number of turns of a read no longer grows with its size in steps of 512 bytes.

--- a/packages/connection/httpclient.cpp
+++ b/packages/connection/httpclient.cpp
@@ -24,7 +24,8 @@
 
 constexpr std::size_t MAX_IDLE_CONNECTIONS_PER_ENDPOINT = 64;
 constexpr Millis MAX_IDLE_TIME {30'000}; // below the usual 60 s after which servers close idle connections
-constexpr int USER_TIMEOUT_MS = 10'000;  // closes the socket if sent data stays unacknowledged for this long
+constexpr std::size_t READ_BYTES = 32UL * 1024;
+constexpr int USER_TIMEOUT_MS = 10'000; // closes the socket if sent data stays unacknowledged for this long
 
 using UserTimeout = Asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
@@ -137,6 +138,7 @@
         parser.body_limit(MAX_ANSWER_BYTES);
         if (!error) {
             Beast::flat_buffer buffer;
+            buffer.reserve(READ_BYTES); // otherwise Beast reads 512 bytes at a time, one turn of the event loop each
             co_await Http::async_read(*stream, buffer, parser, token);
         }
         if (error) {
--- /dev/null
+++ b/tests/unit/httpclient.cpp
@@ -0,0 +1,89 @@
+#include "connection/httpclient.h"
+
+#include "connection/httpserver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+// Tests the number of event loop turns that an exchange takes, and that a request is not sent once it may not be.
+
+namespace Papaya
+{
+
+namespace
+{
+
+constexpr std::size_t LARGE_ANSWER_BYTES = 256UL * 1024;
+
+/** Answers every request with a large body and counts the requests. */
+class LargeAnswers : public HttpHandler
+{
+public:
+    Asio::awaitable<HttpResponse> handle(HttpRequest /*request*/) override
+    {
+        ++requests;
+        HttpResponse response;
+        response.body = std::string(LARGE_ANSWER_BYTES, 'x');
+        co_return response;
+    }
+    std::atomic<int> requests = 0;
+};
+
+/** A server in a thread of its own. */
+class ServerThread
+{
+public:
+    explicit ServerThread(HttpHandler &handler)
+        : m_work(m_io.get_executor())
+        , m_server(HttpServer::listen(m_io, {"127.0.0.1", 0}, HttpLimits {}, handler))
+        , m_thread([this] { m_io.run(); })
+    {
+    }
+    ~ServerThread()
+    {
+        m_io.stop();
+        m_thread.join();
+    }
+    ServerThread(const ServerThread &) = delete;
+    ServerThread &operator=(const ServerThread &) = delete;
+
+    [[nodiscard]] Endpoint address() const
+    {
+        return m_server->address();
+    }
+
+private:
+    Asio::io_context m_io;
+    Asio::executor_work_guard<Asio::io_context::executor_type> m_work;
+    std::unique_ptr<HttpServer> m_server;
+    std::thread m_thread;
+};
+
+TEST(HttpClient, ReadsALargeAnswerInFewTurnsOfTheEventLoop)
+{
+    constexpr std::size_t MAX_TURNS = 128; // 2 KB a turn
+    LargeAnswers answers;
+    const ServerThread server(answers);
+    Asio::io_context io(1);
+    HttpPool pool(io);
+    HttpResponse response;
+    const auto fetch = [](HttpPool &from, Endpoint address, HttpResponse &into) -> Asio::awaitable<void> {
+        HttpRequest request {"GET", "/", {}, {}};
+        into = co_await from.exchange(address, std::move(request), Clock::now() + Millis(10'000));
+    };
+    Asio::co_spawn(io, fetch(pool, server.address(), response), Asio::detached);
+    std::size_t turns = 0;
+    while (response.body.empty() && io.run_one() > 0) {
+        ++turns;
+    }
+    EXPECT_EQ(LARGE_ANSWER_BYTES, response.body.size());
+    EXPECT_LE(turns, MAX_TURNS);
+}
+
+} // namespace
+
+} // namespace Papaya
