Read a backlog of records in pieces of 64 KB

Cause: a read returned up to 1 MB, all of it or nothing within 2.5 s. When it timed out, the next one began at the same offset with more to read. Why it works: each read is small enough to complete, and what was read is kept. While a read does not reach the end of the topic, the next one follows at once. A record that alone is larger than a piece is asked for with twice the limit.

--- a/packages/dispatch/recordstore.h
+++ b/packages/dispatch/recordstore.h
@@ -76,9 +76,10 @@
                                                   TimePoint deadline) = 0;
     /**
      * Reads records from offset @p from; waits up to @p wait for the first.
+     * @param maxKb limit of the records' total size, in KB; a larger record may not be returned
      * @throws StoreError
      */
-    virtual Asio::awaitable<ReadResult> read(Topic topic, Offset from, Millis wait) = 0;
+    virtual Asio::awaitable<ReadResult> read(Topic topic, Offset from, Millis wait, std::size_t maxKb) = 0;
     /**
      * Reads the newest record of each key.
      * @throws StoreError
--- a/packages/dispatch/topicfollower.cpp
+++ b/packages/dispatch/topicfollower.cpp
@@ -7,13 +7,17 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+
 namespace Papaya
 {
 
 namespace
 {
 
-constexpr Millis RETRY_INTERVAL {100}; // after a failed read; the store counts every call
+constexpr Millis RETRY_INTERVAL {100};     // after a failed read; the store counts every call
+constexpr std::size_t READ_KB = 64;        // of one read
+constexpr std::size_t MAX_READ_KB = 1'024; // for a record that exceeds READ_KB
 
 std::string_view nameOf(Topic topic)
 {
@@ -38,6 +42,7 @@
     , m_topic(topic)
     , m_handler(handler)
     , m_wait(wait)
+    , m_readKb(READ_KB)
 {
 }
 
@@ -62,7 +67,7 @@
             }
             self.m_failing = true;
             co_await sleepFor(RETRY_INTERVAL);
-        } else if (const Duration spent = Clock::now() - startTime; spent < self.m_minInterval) {
+        } else if (const Duration spent = Clock::now() - startTime; self.m_atEnd && spent < self.m_minInterval) {
             co_await sleepFor(self.m_minInterval - spent);
         }
     }
@@ -75,22 +80,25 @@
         NewestResult newest = co_await m_store.newest(m_topic);
         m_next = newest.end;
         m_loaded = true;
+        m_atEnd = true;
         succeeded(sent);
         m_currentAsOfMs = sent;
         m_handler.loaded(newest.records);
         co_return;
     }
-    ReadResult result = co_await m_store.read(m_topic, m_next, m_wait);
+    ReadResult result = co_await m_store.read(m_topic, m_next, m_wait, m_readKb);
     if (result.expired) {
         logEvent(LogLevel::Warning, "records-expired", {{"topic", nameOf(m_topic)}, {"offset", m_next.value()}});
         m_loaded = false;
         co_return;
     }
-    const Millis took(bootMillis() - sent);
-    m_lastReadDelay = result.records.empty() ? took - m_wait : took;
     m_next = Offset(m_next.value() + result.records.size());
     succeeded(sent);
-    if (m_next >= result.end) {
+    m_atEnd = m_next >= result.end;
+    const Millis took(bootMillis() - sent);
+    m_lastReadDelay = result.records.empty() && m_atEnd ? took - m_wait : took;
+    m_readKb = result.records.empty() && !m_atEnd ? std::min(2 * m_readKb, MAX_READ_KB) : READ_KB;
+    if (m_atEnd) {
         m_currentAsOfMs = sent;
     }
     m_handler.received(result.records);
--- a/packages/dispatch/topicfollower.h
+++ b/packages/dispatch/topicfollower.h
@@ -9,7 +9,8 @@
 #include <string>
 
 // Follows a topic: reads the newest record of each key once, then every record as it is appended. If records expire
-// before they are read, it reloads the newest ones.
+// before they are read, it reloads the newest ones. A backlog is read in pieces, so that each read completes in time
+// also over a slow link.
 
 namespace Papaya
 {
@@ -89,9 +90,11 @@
     Topic m_topic;
     TopicHandler &m_handler;
     Millis m_wait;
+    std::size_t m_readKb; ///< limit of the next read
     Millis m_minInterval {0};
     Offset m_next;
     bool m_loaded = false;
+    bool m_atEnd = false; ///< the last read returned the last record of the topic
     bool m_failing = false;
     std::int64_t m_lastSuccessMs = 0;
     std::int64_t m_currentAsOfMs = 0;
