Send a start only while the view on which it rests is current

Cause: nothing bounded how old the facts may be on which a start rests. Class: a decision is carried out later than the facts that it rests on allow. Placed units wait in one queue, of which few orders at a time go out. The last look is taken when an order is about to be written to its connection: its minion may get work, its unit is wanted, the view is current. An order that fails it is not sent, on the first attempt as on the second, and its unit is placed anew. Why it works: the age is counted from when the read was sent, so a word that the store took before that is known. A word that it took later is at most as old as the view when the start leaves. A planner that is too slow places less instead of placing on old facts, which gives its loop the time to read.

--- a/packages/connection/http.h
+++ b/packages/connection/http.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +42,8 @@
     std::string target;
     HttpFields fields;
     std::string body;
+    /** Asked when a client is about to write the request; if it returns false, nothing is sent. Empty means true. */
+    std::function<bool()> maySend = {};
 
     /** @return the target without its query. */
     [[nodiscard]] std::string_view path() const;
--- a/packages/connection/httpclient.cpp
+++ b/packages/connection/httpclient.cpp
@@ -84,12 +84,18 @@
     Asio::awaitable<HttpResponse> exchange(const HttpRequest &request, TimePoint deadline) override
     {
         m_reusable = false;
-        auto [response, keepAlive] = co_await Asio::co_spawn(
-            m_stream->get_executor(), exchangeOnStrand(m_stream, toMessage(request), deadline), Asio::use_awaitable);
-        m_reusable = keepAlive;
-        m_reused = true;
-        m_lastActivity = Clock::now();
-        co_return std::move(response);
+        try {
+            auto [response, keepAlive] = co_await Asio::co_spawn(
+                m_stream->get_executor(), exchangeOnStrand(m_stream, toMessage(request), request.maySend, deadline),
+                Asio::use_awaitable);
+            m_reusable = keepAlive;
+            m_reused = true;
+            m_lastActivity = Clock::now();
+            co_return std::move(response);
+        } catch (const HttpError &error) {
+            m_reusable = error.kind() == FailureKind::Withdrawn;
+            throw;
+        }
     }
 
     [[nodiscard]] bool reusable() const override
@@ -128,8 +134,11 @@
     }
 
     static Asio::awaitable<Answer> exchangeOnStrand(StreamPtr stream, Http::request<Http::string_body> message,
-                                                    TimePoint deadline)
+                                                    std::function<bool()> maySend, TimePoint deadline)
     {
+        if (maySend && !maySend()) {
+            throw HttpError(FailureStage::Connect, FailureKind::Withdrawn, "request withdrawn before it was sent");
+        }
         error_code error;
         auto token = Asio::redirect_error(Asio::use_awaitable, error);
         stream->expires_at(deadline);
@@ -225,8 +234,12 @@
         HttpResponse response = co_await connection->exchange(request, deadline);
         release(endpoint, std::move(connection));
         co_return response;
-    } catch (const HttpError &) {
-        dropIdle(endpoint);
+    } catch (const HttpError &error) {
+        if (error.kind() == FailureKind::Withdrawn) {
+            release(endpoint, std::move(connection));
+        } else {
+            dropIdle(endpoint);
+        }
         throw;
     }
 }
--- a/packages/connection/httpclient.h
+++ b/packages/connection/httpclient.h
@@ -29,7 +29,13 @@
 };
 
 /** Cause of a failed exchange. */
-enum class FailureKind { Unreachable, Timeout, Closed, Malformed };
+enum class FailureKind {
+    Unreachable,
+    Timeout,
+    Closed,
+    Malformed,
+    Withdrawn, ///< HttpRequest::maySend() returned false; the connection can be used again
+};
 
 /** A failed exchange. */
 class HttpError : public std::runtime_error
@@ -107,7 +113,8 @@
     void dropIdle(const Endpoint &endpoint);
 
     /**
-     * Sends @p request at most once and returns the answer. A failure closes every idle connection to the endpoint.
+     * Sends @p request at most once and returns the answer. A failure other than a withdrawal closes every idle
+     * connection to the endpoint.
      * @throws HttpError; only stage Connect guarantees that the server has not processed the request
      */
     Asio::awaitable<HttpResponse> exchangeOnce(Endpoint endpoint, HttpRequest request, TimePoint deadline);
--- a/packages/connection/minionclient.cpp
+++ b/packages/connection/minionclient.cpp
@@ -33,6 +33,7 @@
     case FailureKind::Closed:
         return RunFailure::Closed;
     case FailureKind::Malformed:
+    case FailureKind::Withdrawn: // requests to minions are never withdrawn
         return RunFailure::Malformed;
     }
     return RunFailure::Malformed;
--- a/packages/dispatch/assignment.h
+++ b/packages/dispatch/assignment.h
@@ -23,6 +23,7 @@
 struct Member {
     MinionId minion;
     MemberState state = MemberState::Ordered;
+    bool sent = false;            ///< a start order may have reached the minion
     std::int64_t confirmedMs = 0; ///< when the start was confirmed
     bool stopping = false;        ///< a stop loop is running
     std::int64_t stopAnsweredMs = 0;
--- a/packages/dispatch/freshness.h
+++ b/packages/dispatch/freshness.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/units.h"
+
 #include <algorithm>
 #include <cstdint>
 
@@ -9,6 +11,11 @@
 namespace Papaya
 {
 
+/** Time between the order to start a unit and the sending of its last start, reserved from the age of the view. */
+constexpr Millis SEND_RESERVE {300};
+/** Time for a start to reach its minion once it has been sent. */
+constexpr Millis ARRIVAL_RESERVE {500};
+
 /** Times, in bootMillis(), before which no record of a topic was stored that the planner has not seen. */
 struct Freshness {
     std::int64_t minionsAsOfMs = 0; ///< entries of minions
--- a/packages/dispatch/minioncontrol.cpp
+++ b/packages/dispatch/minioncontrol.cpp
@@ -7,9 +7,9 @@
 
 std::string_view toString(OrderOutcome outcome)
 {
-    constexpr std::array<std::string_view, 10> NAMES {"done",       "fenced",    "superseded", "lease-passed",
+    constexpr std::array<std::string_view, 11> NAMES {"done",       "fenced",    "superseded", "lease-passed",
                                                       "no-room",    "no-ticket", "invalid",    "unhealthy",
-                                                      "other-life", "no-answer"};
+                                                      "other-life", "withdrawn", "no-answer"};
     return NAMES[static_cast<std::size_t>(outcome)];
 }
 
--- a/packages/dispatch/minioncontrol.h
+++ b/packages/dispatch/minioncontrol.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -81,6 +82,7 @@
     Invalid,
     Unhealthy,        ///< refused without effect
     OtherIncarnation, ///< another instance answers at the address
+    Withdrawn,        ///< StartOrder::maySend() returned false; nothing was sent
     NoAnswer,         ///< may have been carried out, or may be later
 };
 
@@ -104,6 +106,7 @@
     std::string ticket;            ///< from the admission oracle; empty if none is needed
     std::int64_t leaseUntilMs = 0; ///< in the minion's clock
     Epoch fence;
+    std::function<bool()> maySend; ///< asked when the order is about to leave this node
 };
 
 /** Throttles a run to a percentage of its full speed. */
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -28,7 +28,7 @@
 constexpr Millis FOLLOWER_READ_INTERVAL {200}; // nodes that do not lead read in batches to save calls
 constexpr Millis PLANNER_READ_INTERVAL {0};
 constexpr Millis MINIONS_READ_INTERVAL {400}; // each minion writes every 1 to 2 s
-constexpr Millis MINIONS_READ_WAIT {1'000};
+constexpr Millis MINIONS_READ_WAIT {400};     // the view is as old as the wait if no minion writes
 constexpr Millis TICK_INTERVAL {100};
 constexpr std::int64_t MAX_READ_AGE_MS = 2'500; // with an older read, the job table may lack accepted jobs
 constexpr std::uint32_t JITTER_RANGE = 1'000;   // Candidacy and ClaimBackoff take a jitter below this
@@ -312,7 +312,7 @@
                  return Freshness {minionTopic->currentAsOfMs(), journal.currentAsOfMs()};
              },
              settings.node.value(), settings.milliCores, settings.endedJobRetention,
-             [this](const char *reason) { loseLeadership(reason); }},
+             settings.minionDrain - ARRIVAL_RESERVE, [this](const char *reason) { loseLeadership(reason); }},
             claimWriter, statusWriter, epoch, deployment.minions());
     }
 
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -190,6 +190,7 @@
     for (auto &[id, link] : m_links) {
         ensurePolling(link);
     }
+    sendQueuedStarts();
     journalConfig(now);
     if (now - m_lastForgetMs >= FORGET_INTERVAL_MS) {
         m_lastForgetMs = now;
@@ -246,6 +247,17 @@
     });
 }
 
+bool StepPlanner::isUsable(const MinionLink &link, std::int64_t nowMs) const
+{
+    return link.listed && !link.entry.draining && link.fenceRaised && link.clock.known() && link.pollFailures == 0
+           && nowMs >= link.backOffUntilMs && !m_reserved.contains(link.entry.id);
+}
+
+bool StepPlanner::viewIsCurrent(Millis reserve) const
+{
+    return bootMillis() - m_context.freshness().asOfMs() <= (m_context.maxViewAge - reserve).count();
+}
+
 PlanInput StepPlanner::planInput(std::vector<MinionId> &ids) const
 {
     const std::int64_t now = bootMillis();
@@ -262,8 +274,7 @@
         view.free = link.entry.capacity;
         view.free -= link.used;
         view.releasing = link.stopping;
-        view.usable = link.listed && !link.entry.draining && link.fenceRaised && link.clock.known()
-                      && link.pollFailures == 0 && now >= link.backOffUntilMs && !m_reserved.contains(id);
+        view.usable = isUsable(link, now);
         view.penalty = link.runFailures;
         places[id] = ids.size();
         ids.push_back(id);
@@ -315,6 +326,10 @@
     if (m_context.config() == nullptr || !mayRenew()) {
         return;
     }
+    if (!m_startQueue.empty() || !viewIsCurrent(SEND_RESERVE)) {
+        ++m_load.counts.deferrals; // requested again by the next tick or once the queue is empty
+        return;
+    }
     const TimePoint begun = Clock::now();
     std::vector<MinionId> ids;
     const PlanDecisions decisions = planSteps(planInput(ids));
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -15,6 +15,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -29,7 +30,10 @@
 // 3. A member counts as running until one of these holds: the minion refuses the first order to start it, the minion
 //    lists its end, a later poll does not list the run, the minion has restarted, or the lease has expired even on the
 //    slowest permitted clock. Until then its unit is not started elsewhere.
-// 4. A planner that has stored nothing for RENEWAL_WINDOW_MS renews no leases. A successor that cannot reach a minion
+// 4. A start leaves this node only while its minion may get work and the view of minions and jobs is not older than
+//    Context::maxViewAge. Both are checked when the order is written, as it may have waited for the journal, for its
+//    turn or for a connection. While the view is too old, nothing is placed or started.
+// 5. A planner that has stored nothing for RENEWAL_WINDOW_MS renews no leases. A successor that cannot reach a minion
 //    waits for PRIOR_LEASE_SPAN_MS, which covers that window and one lease, before it restarts the minion's work.
 
 namespace Papaya
@@ -55,8 +59,9 @@
         std::function<const std::map<WaveNumber, UpkeepWave> &()> waves;
         std::function<Freshness()> freshness; ///< of the minion entries and the job table
         std::string node;
-        std::uint32_t milliCores;                                 ///< CPU limit of this node, in thousandths of a core
-        Millis endedJobRetention;                                 ///< how long an ended job is kept in the job table
+        std::uint32_t milliCores; ///< CPU limit of this node, in thousandths of a core
+        Millis endedJobRetention; ///< how long an ended job is kept in the job table
+        Millis maxViewAge;        ///< of the view on which a start rests when it is sent
         std::function<void(const char *reason)> onLeadershipLost; ///< called once, when leadership is lost
     };
 
@@ -108,12 +113,28 @@
     PlanInput planInput(std::vector<MinionId> &ids) const;
     void startUnit(const UnitStart &decision, const std::vector<MinionId> &ids);
     void stopAssignment(const AssignmentPtr &assignment, const char *reason);
-    /** Sends the start orders of a unit whose placement is journaled. */
-    void sendStarts(const AssignmentPtr &assignment);
+    /** @return true if the minion may get new work. */
+    [[nodiscard]] bool isUsable(const MinionLink &link, std::int64_t nowMs) const;
+    /** @return true if the view of minions and jobs is recent enough to start work, with @p reserve to spare. */
+    [[nodiscard]] bool viewIsCurrent(Millis reserve) const;
+
+    // Starts
+    /** Orders the units in m_startQueue to start, as long as few orders wait to be sent and the view is current. */
+    void sendQueuedStarts();
+    void sendQueuedStartsSoon();
+    /** @return why the order to start @p member must not be sent, or null if it may be. */
+    [[nodiscard]] const char *obstacleTo(const Assignment &assignment, const Member &member) const;
+    /** Called when a start order is about to leave. @return false if it must not */
+    bool releaseStart(const AssignmentPtr &assignment, std::size_t index);
+    /** Gives up a unit of which no start order has been sent. */
+    void withdraw(const AssignmentPtr &assignment, const char *reason);
 
     // Calls to minions
     static Asio::awaitable<void> startMember(std::shared_ptr<StepPlanner> self, AssignmentPtr assignment,
                                              std::size_t index);
+    /** Sends the order to start a member, twice if need be. @return the outcome of the last attempt */
+    static Asio::awaitable<OrderAnswer> orderStart(std::shared_ptr<StepPlanner> self, AssignmentPtr assignment,
+                                                   std::size_t index);
     static Asio::awaitable<void> stopMember(std::shared_ptr<StepPlanner> self, AssignmentPtr assignment,
                                             std::size_t index);
     static Asio::awaitable<void> stopUnknownRun(std::shared_ptr<StepPlanner> self, MinionId minion, std::string task,
@@ -188,6 +209,9 @@
     std::vector<StoredRecord> m_pendingRecords;       ///< to be journaled by the next flush
     std::vector<std::pair<MinionId, std::uint64_t>> m_pendingEnds;
     std::vector<AssignmentPtr> m_pendingStarts;
+    std::deque<AssignmentPtr> m_startQueue; ///< journaled units whose start has not been ordered
+    std::size_t m_unsentStarts = 0;         ///< start orders that wait for a connection or for their turn
+    bool m_sendPosted = false;
     bool m_flushPosted = false;
     bool m_passPosted = false;
     Asio::steady_timer m_passTimer;
--- a/packages/dispatch/stepplannerjournal.cpp
+++ b/packages/dispatch/stepplannerjournal.cpp
@@ -95,8 +95,9 @@
             self->ensurePolling(link);
         }
         for (const AssignmentPtr &assignment : starts) {
-            self->sendStarts(assignment);
+            self->m_startQueue.push_back(assignment);
         }
+        self->sendQueuedStarts();
     };
     m_pendingEnds.clear();
     m_pendingStarts.clear();
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 
@@ -23,6 +25,8 @@
 constexpr Millis POLL_REPLY_TIMEOUT {700}; // beyond the wait
 constexpr Millis ORDER_TIMEOUT {700};
 constexpr int START_ATTEMPTS = 2;
+// Start orders that wait for a connection or for their turn of the event loop. More would only age in its queue.
+constexpr std::size_t MAX_UNSENT_STARTS = 96;
 constexpr Millis POLL_RETRY_INTERVAL {150};
 // A poll that was lost on a dead connection is repeated once with a renewal.
 constexpr std::uint32_t MAX_UNANSWERED_RENEWALS = 1;
@@ -41,70 +45,158 @@
     return m_leading && bootMillis() - lastContactMs < RENEWAL_WINDOW_MS;
 }
 
-void StepPlanner::sendStarts(const AssignmentPtr &assignment)
+const char *StepPlanner::obstacleTo(const Assignment &assignment, const Member &member) const
 {
-    const std::int64_t now = bootMillis();
-    const Freshness freshness = m_context.freshness();
-    logEvent(LogLevel::Info, "unit-ordered",
-             {{"unit", assignment->unit.toString()},
-              {"run", std::uint64_t(assignment->run)},
-              {"decided_ms", now - assignment->decidedMs},
-              {"minions_age_ms", now - freshness.minionsAsOfMs},
-              {"journal_age_ms", now - freshness.journalAsOfMs}});
-    for (std::size_t i = 0; i < assignment->members.size(); ++i) {
-        Asio::co_spawn(m_context.io, startMember(shared_from_this(), assignment, i), Asio::detached);
+    if (!m_leading || !mayRenew()) {
+        return "not-leading";
+    }
+    if (assignment.stopping || member.state != MemberState::Ordered) {
+        return "stopped";
     }
+    const MinionLink &link = m_links.at(member.minion);
+    if (link.entry.draining) {
+        return "minion-draining";
+    }
+    if (!isUsable(link, bootMillis())) {
+        return "minion-unusable";
+    }
+    return viewIsCurrent(Millis(0)) ? nullptr : "stale-view";
 }
 
-Asio::awaitable<void> StepPlanner::startMember(std::shared_ptr<StepPlanner> self, AssignmentPtr assignment,
-                                               std::size_t index)
+void StepPlanner::sendQueuedStarts()
+{
+    while (!m_startQueue.empty() && m_leading && m_unsentStarts < MAX_UNSENT_STARTS) {
+        if (!viewIsCurrent(SEND_RESERVE)) {
+            ++m_load.counts.deferrals;
+            return;
+        }
+        const AssignmentPtr assignment = m_startQueue.front();
+        m_startQueue.pop_front();
+        const char *obstacle = nullptr;
+        for (const Member &member : assignment->members) {
+            obstacle = obstacle == nullptr ? obstacleTo(*assignment, member) : obstacle;
+        }
+        if (obstacle != nullptr) {
+            withdraw(assignment, obstacle);
+            continue;
+        }
+        const std::int64_t now = bootMillis();
+        const Freshness freshness = m_context.freshness();
+        logEvent(LogLevel::Info, "unit-ordered",
+                 {{"unit", assignment->unit.toString()},
+                  {"run", std::uint64_t(assignment->run)},
+                  {"decided_ms", now - assignment->decidedMs},
+                  {"minions_age_ms", now - freshness.minionsAsOfMs},
+                  {"journal_age_ms", now - freshness.journalAsOfMs}});
+        m_unsentStarts += assignment->members.size();
+        for (std::size_t i = 0; i < assignment->members.size(); ++i) {
+            Asio::co_spawn(m_context.io, startMember(shared_from_this(), assignment, i), Asio::detached);
+        }
+    }
+    if (m_startQueue.empty()) {
+        requestPass();
+    }
+}
+
+bool StepPlanner::releaseStart(const AssignmentPtr &assignment, std::size_t index)
 {
     Member &member = assignment->members[index];
-    const JobEntry *entry = self->m_context.jobTable.find(assignment->unit.job);
+    if (obstacleTo(*assignment, member) != nullptr) {
+        return false;
+    }
+    ++m_load.counts.orders;
+    m_context.metrics.recordStartAge(bootMillis() - m_context.freshness().asOfMs());
+    if (!member.sent) {
+        member.sent = true;
+        --m_unsentStarts;
+        sendQueuedStartsSoon();
+    }
+    return true;
+}
+
+void StepPlanner::sendQueuedStartsSoon()
+{
+    if (m_startQueue.empty() || m_sendPosted) {
+        return;
+    }
+    m_sendPosted = true;
+    Asio::post(m_context.io, [self = shared_from_this()] {
+        self->m_sendPosted = false;
+        self->sendQueuedStarts();
+    });
+}
+
+void StepPlanner::withdraw(const AssignmentPtr &assignment, const char *reason)
+{
+    m_context.metrics.count(StepEvent::StartRefusal, reason);
+    logEvent(LogLevel::Info, "start-withdrawn",
+             {{"unit", assignment->unit.toString()}, {"run", std::uint64_t(assignment->run)}, {"reason", reason}});
+    for (std::size_t i = 0; i < assignment->members.size(); ++i) {
+        memberEnded(assignment, i, EndKind::Unknown);
+    }
+}
+
+Asio::awaitable<OrderAnswer> StepPlanner::orderStart(std::shared_ptr<StepPlanner> self, AssignmentPtr assignment,
+                                                     std::size_t index)
+{
+    const Member &member = assignment->members[index];
     StartOrder order;
     order.task = assignment->unit.taskName(static_cast<std::uint32_t>(index));
     order.run = assignment->run;
-    order.payload = entry->job.spec.payload;
+    order.payload = self->m_context.jobTable.find(assignment->unit.job)->job.spec.payload;
     order.checkpoint = assignment->checkpoint;
-    order.ticket = self->m_tickets.ticket(assignment->unit.stepKey(), member.minion, bootMillis());
     order.fence = self->m_epoch;
+    order.maySend = [self, assignment, index] { return self->releaseStart(assignment, index); };
     OrderAnswer answer;
-    bool inDoubt = false;
     for (int i = 0; i < START_ATTEMPTS && answer.outcome == OrderOutcome::NoAnswer; ++i) {
-        inDoubt = i > 0;
-        if (!self->mayRenew() || assignment->stopping || member.state != MemberState::Ordered) {
+        if (self->obstacleTo(*assignment, member) != nullptr) {
+            answer.outcome = OrderOutcome::Withdrawn;
             break;
         }
         MinionLink &link = self->m_links.at(member.minion);
+        order.ticket = self->m_tickets.ticket(assignment->unit.stepKey(), member.minion, bootMillis());
         order.leaseUntilMs = link.clock.grant(bootMillis(), LEASE_MS);
-        ++self->m_load.counts.orders;
-        self->m_context.metrics.recordStartAge(bootMillis() - self->m_context.freshness().asOfMs());
         answer = co_await self->m_context.minionControl.start(link.entry, order, ORDER_TIMEOUT);
+        if (i > 0 && answer.outcome != OrderOutcome::Done && answer.outcome != OrderOutcome::Fenced) {
+            answer.outcome = OrderOutcome::NoAnswer; // the first attempt may still have started the run
+        }
     }
+    co_return answer;
+}
+
+Asio::awaitable<void> StepPlanner::startMember(std::shared_ptr<StepPlanner> self, AssignmentPtr assignment,
+                                               std::size_t index)
+{
+    Member &member = assignment->members[index];
+    OrderAnswer answer = co_await orderStart(self, assignment, index);
     if (!self->m_leading) {
         co_return;
     }
+    if (!member.sent) {
+        --self->m_unsentStarts;
+        self->sendQueuedStartsSoon();
+    } else if (answer.outcome == OrderOutcome::Withdrawn) {
+        answer.outcome = OrderOutcome::NoAnswer; // the first attempt was sent
+    }
     MinionLink &link = self->m_links.at(member.minion);
     if (answer.outcome != OrderOutcome::Done) {
         self->m_context.metrics.count(StepEvent::StartRefusal, toString(answer.outcome));
         logEvent(LogLevel::Info, "start-refused",
-                 {{"task", order.task},
-                  {"run", std::uint64_t(order.run)},
+                 {{"task", assignment->unit.taskName(static_cast<std::uint32_t>(index))},
+                  {"run", std::uint64_t(assignment->run)},
                   {"minion", member.minion.value()},
                   {"outcome", toString(answer.outcome)}});
     }
     const std::int64_t now = bootMillis();
-    if (inDoubt && answer.outcome != OrderOutcome::Done && answer.outcome != OrderOutcome::Fenced) {
-        answer.outcome = OrderOutcome::NoAnswer; // the first attempt may still have started the run
-    }
     switch (answer.outcome) {
     case OrderOutcome::Done:
         if (member.state == MemberState::Ordered) {
             member.state = MemberState::Running;
             member.confirmedMs = now;
             member.pacePercent = FillPace::FULL;
-            if (self->m_startedJobs.insert(entry->job.id).second) {
-                self->m_context.metrics.record(JobStage::Started, wallMillis() - entry->job.submittedMs);
+            if (self->m_startedJobs.insert(assignment->unit.job).second) {
+                const StepJob &job = self->m_context.jobTable.find(assignment->unit.job)->job;
+                self->m_context.metrics.record(JobStage::Started, wallMillis() - job.submittedMs);
             }
             assignment->checkpointMs = assignment->startedMs = now;
         }
@@ -113,6 +205,9 @@
     case OrderOutcome::Fenced:
         self->stepDown("fenced-by-minion");
         break;
+    case OrderOutcome::Withdrawn:
+        self->memberEnded(assignment, index, EndKind::Unknown);
+        break;
     case OrderOutcome::NoAnswer:
         // The start may still be carried out until the minion has confirmed a stop.
         self->stopAssignment(assignment, "start-in-doubt");
@@ -138,6 +233,14 @@
         co_return;
     }
     member.stopping = true;
+    if (member.state == MemberState::Ordered && !member.sent) {
+        // Its start will not be sent any more, see obstacleTo(). The caller may hold references to what this changes.
+        co_await Asio::post(self->m_context.io, Asio::use_awaitable);
+        if (self->m_leading) {
+            self->memberEnded(assignment, index, EndKind::Unknown);
+        }
+        co_return;
+    }
     const std::string task = assignment->unit.taskName(static_cast<std::uint32_t>(index));
     while (self->m_leading && member.state != MemberState::Ended) {
         MinionLink &link = self->m_links.at(member.minion);
--- a/tests/integration/stalestarts.cpp
+++ b/tests/integration/stalestarts.cpp
@@ -1,5 +1,6 @@
 #include "deployment.h"
 #include "slownode.h"
+#include "steps/jobrecord.h"
 
 #include <gtest/gtest.h>
 
@@ -133,6 +134,29 @@
     EXPECT_TRUE(deployment.runs.of(second).empty());
 }
 
+TEST(StaleStarts, OfAJobThatIsCancelledWhileTheyWaitForTheJournalAreWithdrawn)
+{
+    Deployment deployment({1, 1});
+    deployment.start();
+    const std::string first = deployment.newId();
+    const std::string second = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", first, Deployment::step(1, WHOLE_MINION), {{"workMs", 700}}).status);
+    ASSERT_TRUE(deployment.waitForRunCount(first, 1));
+    ASSERT_EQ(200, deployment.submit(0, "plan", second, Deployment::step(8, {1'000, 1'000, 1})).status);
+    StoreFaults faults;
+    faults.silentAppends = "keyed.journal";
+    deployment.store.setFaults(faults);
+    const auto logged = [&](const std::string &text) { return deployment.log(0).find(text) != std::string::npos; };
+    ASSERT_TRUE(Cluster::eventually([&] { return logged("unit-placed unit=" + second + ".0.0.7"); }));
+    const StoredRecord cancellation = encodeRecord(StepJobCancelled {JobId(second)});
+    deployment.store.put("keyed.journal", cancellation.key, cancellation.value);
+    ASSERT_TRUE(Cluster::eventually([&] { return logged("unit-stopped unit=" + second + ".0.0.7"); }));
+    deployment.store.setFaults({});
+    runOneJob(deployment);
+    EXPECT_TRUE(deployment.runs.of(second).empty());
+    EXPECT_EQ("cancelled", deployment.state(0, "plan", second));
+}
+
 TEST(StaleStarts, EndOnceALongBacklogOfEntriesIsReadOverASlowLink)
 {
     Deployment deployment({1, 1});
--- a/tests/unit/httpclient.cpp
+++ b/tests/unit/httpclient.cpp
@@ -7,7 +7,9 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <thread>
+#include <vector>
 
 // Tests the number of event loop turns that an exchange takes, and that a request is not sent once it may not be.
 
@@ -84,6 +86,34 @@
     EXPECT_LE(turns, MAX_TURNS);
 }
 
+TEST(HttpClient, DoesNotSendARequestThatMayNoLongerBeSent)
+{
+    LargeAnswers answers;
+    const ServerThread server(answers);
+    Asio::io_context io(1);
+    HttpPool pool(io);
+    std::vector<FailureKind> failures;
+    const auto fetch = [](HttpPool &from, Endpoint address, bool maySend,
+                          std::vector<FailureKind> &into) -> Asio::awaitable<void> {
+        HttpRequest request {"POST", "/", {}, {}};
+        request.maySend = [maySend] { return maySend; };
+        try {
+            co_await from.exchangeOnce(address, std::move(request), Clock::now() + Millis(10'000));
+        } catch (const HttpError &error) {
+            into.push_back(error.kind());
+        }
+    };
+    Asio::co_spawn(io, fetch(pool, server.address(), false, failures), Asio::detached);
+    io.run();
+    ASSERT_EQ(std::vector<FailureKind> {FailureKind::Withdrawn}, failures);
+    EXPECT_EQ(0, answers.requests);
+    Asio::co_spawn(io, fetch(pool, server.address(), true, failures), Asio::detached);
+    io.restart();
+    io.run();
+    EXPECT_EQ(1U, failures.size());
+    EXPECT_EQ(1, answers.requests);
+}
+
 } // namespace
 
 } // namespace Papaya
