--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -15,6 +15,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <algorithm>
 #include <random>
 
 namespace Papaya
@@ -177,11 +178,14 @@
         }
     }
 
+    static bool isFromPlanner(const JobRecord &record)
+    {
+        return std::holds_alternative<UnitChanged>(record) || std::holds_alternative<PlannerAnnouncement>(record);
+    }
+
     void applyRecord(const JobRecord &record)
     {
-        const bool fromPlanner =
-            std::holds_alternative<UnitChanged>(record) || std::holds_alternative<PlannerAnnouncement>(record);
-        if (fromPlanner) {
+        if (isFromPlanner(record)) {
             lastPlannerRecordMs = bootMillis();
         }
         const bool decided =
@@ -278,11 +282,19 @@
                   {"previous_node", jobTable.planner().node},
                   {"silent_ms", bootMillis() - lastPlannerRecordMs}});
         Producer producer {producerName(), epoch, 1};
-        std::vector<StoredRecord> records;
-        records.push_back(encodeRecord(PlannerAnnouncement {epoch, settings.node.value(), false, settings.milliCores}));
-        // The expected offset lets only the first of rival claims succeed, and makes a delayed one fail.
-        const AppendOutcome outcome = co_await platform.store->append(Topic::Journal, std::move(records), producer,
-                                                                      journal.next(), Clock::now() + CLAIM_TIMEOUT);
+        AppendOutcome outcome = AppendOutcome::Conflict;
+        for (int i = 0; i < CLAIM_ATTEMPTS && outcome == AppendOutcome::Conflict; ++i) {
+            // The expected offset lets only the first of rival claims succeed, and makes a delayed one fail.
+            const std::optional<Offset> end = co_await endIfPlannerIsSilent();
+            if (!end) {
+                break;
+            }
+            std::vector<StoredRecord> records;
+            records.push_back(
+                encodeRecord(PlannerAnnouncement {epoch, settings.node.value(), false, settings.milliCores}));
+            outcome = co_await platform.store->append(Topic::Journal, std::move(records), producer, end,
+                                                      Clock::now() + CLAIM_TIMEOUT);
+        }
         bool won = (outcome == AppendOutcome::Stored || outcome == AppendOutcome::Unknown) && !draining;
         if (won) {
             won = co_await catchUpTo(epoch);
@@ -316,6 +328,28 @@
             claimWriter, statusWriter, epoch, deployment.minions());
     }
 
+    /**
+     * Reads what the journal has beyond the job table. A follower reads in intervals, in which callers' records are
+     * appended to a busy journal, so that a claim at the end that it knows would always be in conflict.
+     * @return the end of the journal; nothing if a planner has written to it or if it cannot be read
+     */
+    Asio::awaitable<std::optional<Offset>> endIfPlannerIsSilent()
+    {
+        const Offset from = journal.next();
+        ReadResult rest;
+        try {
+            rest = co_await platform.store->read(Topic::Journal, from, Millis(0), CLAIM_READ_KB);
+        } catch (const StoreError &) {
+            co_return std::nullopt;
+        }
+        const bool complete = !rest.expired && from.value() + rest.records.size() == rest.end.value();
+        const bool silent = std::none_of(rest.records.begin(), rest.records.end(), [](const StoredRecord &record) {
+            const auto decoded = decodeRecord(record.key, record.value);
+            return decoded && isFromPlanner(*decoded);
+        });
+        co_return complete &&silent ? std::optional(rest.end) : std::nullopt;
+    }
+
     /** Waits until the job table contains all records up to the claim of @p epoch. @return false if that fails */
     Asio::awaitable<bool> catchUpTo(Epoch epoch)
     {
@@ -417,6 +451,8 @@
 
     static constexpr Millis CLAIM_TIMEOUT {2'000};
     static constexpr Millis CLAIM_POLL_INTERVAL {5};
+    static constexpr int CLAIM_ATTEMPTS = 6;
+    static constexpr std::size_t CLAIM_READ_KB = 256;
 
     Asio::io_context &io;
     NodeSettings settings;
--- a/packages/dispatch/topicfollower.cpp
+++ b/packages/dispatch/topicfollower.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 
@@ -38,6 +40,7 @@
 
 TopicFollower::TopicFollower(Asio::io_context &io, RecordStore &store, Topic topic, TopicHandler &handler, Millis wait)
     : m_io(io)
+    , m_pause(io)
     , m_store(store)
     , m_topic(topic)
     , m_handler(handler)
@@ -68,7 +71,9 @@
             self.m_failing = true;
             co_await sleepFor(RETRY_INTERVAL);
         } else if (const Duration spent = Clock::now() - startTime; self.m_atEnd && spent < self.m_minInterval) {
-            co_await sleepFor(self.m_minInterval - spent);
+            boost::system::error_code cancelled;
+            self.m_pause.expires_after(self.m_minInterval - spent);
+            co_await self.m_pause.async_wait(Asio::redirect_error(Asio::use_awaitable, cancelled));
         }
     }
 }
--- a/packages/dispatch/topicfollower.h
+++ b/packages/dispatch/topicfollower.h
@@ -3,6 +3,7 @@
 #include "dispatch/recordstore.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
@@ -35,10 +36,11 @@
 
     void start();
 
-    /** Sets the minimum interval between reads; a longer one gives larger batches. */
+    /** Sets the minimum interval between reads; a longer one gives larger batches. The next read follows at once. */
     void setMinInterval(Millis interval)
     {
         m_minInterval = interval;
+        m_pause.cancel();
     }
     /** Makes the next read load the newest record of each key again. */
     void reload()
@@ -86,6 +88,7 @@
     void succeeded(std::int64_t sentMs);
 
     Asio::io_context &m_io;
+    Asio::steady_timer m_pause; ///< between two reads
     RecordStore &m_store;
     Topic m_topic;
     TopicHandler &m_handler;
