Give up a repeated claim if the follower has meanwhile read of a planner

Cause: the check before a repeated claim began behind the records that the follower had read since the first attempt, among them the announcement of the rival that had won. Change: the claim ends if any record of a planner has been read since it began. The new test starts twelve nodes at once; it was not seen red, as on loopback a read hardly ever falls between the two attempts.

--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -283,9 +283,10 @@
                   {"silent_ms", bootMillis() - lastPlannerRecordMs}});
         Producer producer {producerName(), epoch, 1};
         AppendOutcome outcome = AppendOutcome::Conflict;
+        const std::int64_t silentSinceMs = lastPlannerRecordMs;
         for (int i = 0; i < CLAIM_ATTEMPTS && outcome == AppendOutcome::Conflict; ++i) {
             // The expected offset lets only the first of rival claims succeed, and makes a delayed one fail.
-            const std::optional<Offset> end = co_await endIfPlannerIsSilent();
+            const std::optional<Offset> end = co_await endIfPlannerIsSilent(silentSinceMs);
             if (!end) {
                 break;
             }
@@ -331,9 +332,10 @@
     /**
      * Reads what the journal has beyond the job table. A follower reads in intervals, in which callers' records are
      * appended to a busy journal, so that a claim at the end that it knows would always be in conflict.
-     * @return the end of the journal; nothing if a planner has written to it or if it cannot be read
+     * @return the end of the journal; nothing if a planner has written to it since @p silentSinceMs or if it cannot be
+     * read
      */
-    Asio::awaitable<std::optional<Offset>> endIfPlannerIsSilent()
+    Asio::awaitable<std::optional<Offset>> endIfPlannerIsSilent(std::int64_t silentSinceMs)
     {
         const Offset from = journal.next();
         ReadResult rest;
@@ -343,10 +345,11 @@
             co_return std::nullopt;
         }
         const bool complete = !rest.expired && from.value() + rest.records.size() == rest.end.value();
-        const bool silent = std::none_of(rest.records.begin(), rest.records.end(), [](const StoredRecord &record) {
+        const bool heard = std::any_of(rest.records.begin(), rest.records.end(), [](const StoredRecord &record) {
             const auto decoded = decodeRecord(record.key, record.value);
             return decoded && isFromPlanner(*decoded);
         });
+        const bool silent = !heard && lastPlannerRecordMs == silentSinceMs; // the follower may have read on meanwhile
         co_return complete &&silent ? std::optional(rest.end) : std::nullopt;
     }
 
--- a/tests/integration/stepplanner.cpp
+++ b/tests/integration/stepplanner.cpp
@@ -182,6 +182,25 @@
     }
 }
 
+TEST(StepPlanner, IsClaimedOnceWhenManyNodesStartTogether)
+{
+    for (int round = 0; round < 5; ++round) {
+        Deployment deployment({12, 1});
+        StoreFaults slow;
+        slow.delayMs = 12;
+        deployment.store.setFaults(slow);
+        deployment.start();
+        const std::string id = deployment.newId();
+        ASSERT_EQ(200, deployment.submit(0, "plan", id, Deployment::step(1)).status);
+        ASSERT_TRUE(deployment.waitForState("plan", id, "completed"));
+        std::size_t begun = 0;
+        for (std::size_t i = 0; i < deployment.nodes.size(); ++i) {
+            begun += deployment.log(i).find("planner-begun") != std::string::npos ? 1 : 0;
+        }
+        EXPECT_EQ(1U, begun) << "round " << round;
+    }
+}
+
 TEST(StepPlanner, ResignsOnSigtermAndAcceptsJobsWhileItDrains)
 {
     Deployment deployment({2, 3});
