Treat entries that are missing after a reload as removed

What callers saw: tasks can be started on minions that left while the store dropped the history of its entries; their entries are gone, yet the planner goes on listing them. Cause: after the loss of the history the newest record of each key is read, and those records were applied like further ones. A key that is no longer there was not noticed: knowledge that the store had given up lived on in the planner. Evidence: StaleStarts.ReachNoMinionThatLeftWhileTheHistoryOfEntriesWasDropped, red on the code before: two jobs of four run on the minion that has left. Why it works: a reload gives every key there is, so an entry that is not among them has been removed.

--- a/packages/dispatch/deploymentview.cpp
+++ b/packages/dispatch/deploymentview.cpp
@@ -53,6 +53,27 @@
     m_waves[decoded->number] = std::move(*decoded);
 }
 
+void DeploymentView::minionsReloaded(const std::vector<StoredRecord> &records)
+{
+    std::set<MinionId> removed;
+    for (const auto &[id, entry] : m_minions) {
+        removed.insert(id);
+    }
+    for (const StoredRecord &record : records) {
+        removed.erase(MinionId(record.key));
+    }
+    for (const MinionId &id : removed) {
+        removeMinion(id);
+    }
+    minionsReceived(records);
+}
+
+void DeploymentView::removeMinion(const MinionId &id)
+{
+    m_minions.erase(id);
+    m_listener.unlisted(id);
+}
+
 void DeploymentView::minionsReceived(const std::vector<StoredRecord> &records)
 {
     for (const StoredRecord &record : records) {
@@ -65,8 +86,7 @@
 {
     const MinionId id(record.key);
     if (record.value.empty()) {
-        m_minions.erase(id);
-        m_listener.unlisted(id);
+        removeMinion(id);
         return;
     }
     auto decoded = m_codec.decodeMinion(record.key, record.value);
--- a/packages/dispatch/deploymentview.h
+++ b/packages/dispatch/deploymentview.h
@@ -39,6 +39,8 @@
     void configReceived(const std::vector<StoredRecord> &records);
     /** Applies a configuration from any source, if its version is newer. */
     void acceptConfig(const std::string &text);
+    /** Replaces all entries by @p records, the newest of each key. An entry that is missing has been removed. */
+    void minionsReloaded(const std::vector<StoredRecord> &records);
     /** Applies records of the minions topic. */
     void minionsReceived(const std::vector<StoredRecord> &records);
 
@@ -69,6 +71,7 @@
 private:
     void acceptWave(const StoredRecord &record);
     void acceptMinion(const StoredRecord &record);
+    void removeMinion(const MinionId &id);
 
     const DeploymentCodec &m_codec;
     Listener m_listener;
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -77,7 +77,7 @@
                                        [this](const MinionId &id) { minionUnlisted(id); }})
         , configForwarder([this](const auto &records) { deployment.configReceived(records); },
                           [this](const auto &records) { deployment.configReceived(records); })
-        , minionForwarder([this](const auto &records) { deployment.minionsReceived(records); },
+        , minionForwarder([this](const auto &records) { deployment.minionsReloaded(records); },
                           [this](const auto &records) { deployment.minionsReceived(records); })
         , journal(io, *platform.store, Topic::Journal, journalForwarder, JOURNAL_READ_WAIT)
         , configTopic(io, *platform.store, Topic::Config, configForwarder, CONFIG_READ_WAIT)
--- a/tests/integration/stalestarts.cpp
+++ b/tests/integration/stalestarts.cpp
@@ -157,6 +157,31 @@
     EXPECT_EQ("cancelled", deployment.state(0, "plan", second));
 }
 
+TEST(StaleStarts, ReachNoMinionThatLeftWhileTheHistoryOfEntriesWasDropped)
+{
+    Deployment deployment({1, 2});
+    deployment.start();
+    runOneJob(deployment);
+    StoreFaults faults;
+    faults.silentReads = "keyed.servers";
+    deployment.store.setFaults(faults);
+    deployment.store.put("keyed.servers", "i-0", "");
+    deployment.store.compact("keyed.servers");
+    deployment.store.setFaults({});
+    const auto noticed = [&] { return deployment.log(0).find("minion-unlisted minion=i-0") != std::string::npos; };
+    EXPECT_TRUE(Cluster::eventually(noticed, Millis(4'000)));
+    std::vector<std::string> jobs;
+    for (int i = 0; i < 4; ++i) {
+        jobs.push_back(deployment.newId());
+        const Json work = {{"workMs", 200}};
+        ASSERT_EQ(200, deployment.submit(0, "urgent", jobs.back(), Deployment::step(1, WHOLE_MINION), work).status);
+    }
+    for (const std::string &job : jobs) {
+        ASSERT_TRUE(deployment.waitForState("urgent", job, "completed"));
+        EXPECT_EQ("i-1", deployment.runs.of(job).back().minion);
+    }
+}
+
 TEST(StaleStarts, EndOnceALongBacklogOfEntriesIsReadOverASlowLink)
 {
     Deployment deployment({1, 1});
