--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -24,7 +24,7 @@
 namespace
 {
 
-constexpr Millis JOURNAL_READ_WAIT {1'500};    // also delays the detection of a dead connection
+constexpr Millis JOURNAL_READ_WAIT {600};      // above the planner's heartbeat interval; a dead read ends later by it
 constexpr Millis CONFIG_READ_WAIT {1'200};     // below the time in which a configuration must take effect
 constexpr Millis FOLLOWER_READ_INTERVAL {200}; // nodes that do not lead read in batches to save calls
 constexpr Millis PLANNER_READ_INTERVAL {0};
