Renew the leases of tasks that start while a renewal on their worker is under way

What callers saw: a gang that ran was released as part-lost 1.5 s after its start and ran again, with no fault of its worker or job. Seen once beside 16 busy loops in a play of DeclaredSizes.OfCoresThatAreTooSmall..., whose jobs must run once.

Cause: when a gang starts, its workers are marked as due for a renewal. If one was under way there, which did not name the new tasks, its answer set the time of the last renewal and so took the mark away. The new tasks kept their short lease of 1.5 s, and the next renewal was due in 3 s. Class: of two updates of one field the older wins.

Why it works: a renewal counts as the last one only if it named every task that is now in its mode.

--- a/packages/process/taskbook.cpp
+++ b/packages/process/taskbook.cpp
@@ -312,8 +312,10 @@
         co_return;
     }
     recordContact(worker, Clock::now());
+    // A task that has meanwhile entered the mode was not renewed, so the next renewal stays due.
+    const std::vector<TaskId> current = tasksInMode(worker, mode);
     const auto state = m_workers.find(worker);
-    if (state != m_workers.end()) {
+    if (state != m_workers.end() && std::includes(ids.begin(), ids.end(), current.begin(), current.end())) {
         (mode == LeaseMode::Long ? state->second.longRenewedAt : state->second.shortRenewedAt) = sent;
     }
     for (const TaskId &id : *lapsed) {
--- a/tests/integration/gangs.cpp
+++ b/tests/integration/gangs.cpp
@@ -80,6 +80,23 @@
     EXPECT_EQ(2U, spansOf(cluster, job).size());
 }
 
+TEST(GangScheduling, KeepsLeasesOfTasksThatStartWhileARenewalOnTheirWorkerIsUnderWay)
+{
+    constexpr int JOBS = 8;
+    Cluster cluster;
+    cluster.start(sampleConfig());
+    cluster.setWorkerFaults({.runMs = 5'000, .renewalAnswerDelayMs = 300});
+    std::vector<std::string> jobs;
+    for (int i = 0; i < JOBS; ++i) {
+        jobs.push_back(submit(cluster, 0, "small-study"));
+        std::this_thread::sleep_for(Millis(130));
+    }
+    for (const std::string &job : jobs) {
+        EXPECT_EQ("succeeded", cluster.waitForJobEnd(0, job, Millis(20'000)));
+        EXPECT_EQ(1U, spansOf(cluster, job).size());
+    }
+}
+
 TEST(GangScheduling, EndsAPartialRunInTimeWhenOnePartRefusesToRun)
 {
     Cluster cluster({.workers = 3});
--- a/tests/standins/workerstandin.cpp
+++ b/tests/standins/workerstandin.cpp
@@ -200,7 +200,12 @@
     if (delayMs > 0) {
         co_await sleepFor(Millis(delayMs));
     }
-    co_return dispatch(request);
+    HttpResponse response = dispatch(request);
+    const std::int64_t answerDelayMs = request.path() == "/v1/leases" ? faults().renewalAnswerDelayMs : 0;
+    if (answerDelayMs > 0) {
+        co_await sleepFor(Millis(answerDelayMs));
+    }
+    co_return response;
 }
 
 HttpResponse WorkerStandin::dispatch(const HttpRequest &request)
--- a/tests/standins/workerstandin.h
+++ b/tests/standins/workerstandin.h
@@ -23,6 +23,7 @@
     bool refuseRun = false;         ///< refuses to run prepared tasks
     /** Delay before a task is prepared, in milliseconds; other calls are served meanwhile. */
     std::int64_t prepareDelayMs = 0;
+    std::int64_t renewalAnswerDelayMs = 0; ///< delay between the renewal of leases and its answer, in milliseconds
     std::int64_t usedCores = -1; ///< cores used by each running task until throttled; negative for the declared number
     std::int64_t usedMemoryMb = -1; ///< memory used by each running task; negative for the declared size
 };
