Look at a worker's use when its report arrives instead of in the next pass

Cause: overruns were decided within a planning pass, which without a change of the ledger comes 500 ms after the last one, and later where a pass takes more than 8 ms. With a lag of reports of 0.3 s, an interval of 0.5 s between reads and two turns of the planner's loop of 0.1 s each, this allows 1.5 s and the call to the worker; more beside load, as the pause is 60 times what the pass took in wall time. Once is the only time it was seen; the arithmetic above is what was found.

Fix: a report that is read marks its worker, and the next turn of the loop, 0.1 s later at most, decides for the marked workers only.

--- a/packages/process/planner.cpp
+++ b/packages/process/planner.cpp
@@ -156,6 +156,7 @@
     }
     stopCancelledGangs();
     updateStandings();
+    handleReports();
     plan();
     m_lastTick = Clock::now();
 }
@@ -247,9 +248,6 @@
     // A placement whose append had an unknown outcome may have reached the ledger since.
     adoptGangs();
     const FleetModel workers = m_journal.read([this](const Ledger &ledger) { return fleet(ledger); });
-    const std::vector<PartUsage> usages = collectPartUsage(workers);
-    handleOverruns(workers, usages);
-    recordUsage(usages);
     const PlanningView view = planningView(workers);
     const ScheduleDecision decision = m_scheduling.plan(view);
     m_planInterval = std::max<Duration>(PLAN_INTERVAL, (Clock::now() - m_lastPlan) * PLAN_INTERVAL_FACTOR);
--- a/packages/process/planner.h
+++ b/packages/process/planner.h
@@ -76,9 +76,10 @@
     void stopGang(const StopDecision &decision);
     void recordWaits(const ScheduleDecision &decision);
     [[nodiscard]] PlanningView planningView(const FleetModel &workers);
-    [[nodiscard]] std::vector<PartUsage> collectPartUsage(const FleetModel &fleet) const;
-    void recordUsage(const std::vector<PartUsage> &usages);
-    void handleOverruns(const FleetModel &fleet, const std::vector<PartUsage> &usages);
+    /** Records the resource use in new reports, and throttles or stops work on workers that they show overcommitted. */
+    void handleReports();
+    void recordUsage(const GangRunner &runner);
+    void handleOverruns(const OverrunDecision &decision);
     static Asio::awaitable<void> throttle(Planner &self, TaskId task, Epoch epoch);
     void startRunner(GangAttempt attempt, GangState initialState);
     void stopCancelledGangs();
--- a/packages/process/planneroverruns.cpp
+++ b/packages/process/planneroverruns.cpp
@@ -27,56 +27,79 @@
     return attempt.guaranteed ? StopRule::IfOverrunning : StopRule::Freely;
 }
 
+bool isThrottlePending(const TrackedTask &task)
+{
+    return task.throttledAt && Clock::now() - *task.throttledAt < THROTTLE_SETTLE_TIME;
+}
+
+PartUsage partUsage(const TaskId &id, const TrackedTask &task, const GangRunner &runner, WorkerIndex worker)
+{
+    PartUsage use;
+    use.task = id;
+    use.worker = worker;
+    use.declared = runner.attempt().spec.shape.part;
+    use.used = *task.used;
+    use.rule = stopRuleOf(runner.attempt());
+    use.throttled = task.throttledAt.has_value();
+    use.throttlePending = isThrottlePending(task);
+    use.stopping = runner.stopping();
+    return use;
+}
+
 } // namespace
 
-std::vector<PartUsage> Planner::collectPartUsage(const FleetModel &fleet) const
+void Planner::handleReports()
 {
+    const auto hosts = m_hosts.hosts();
+    if (!hosts) {
+        return;
+    }
+    // 1. Collects the use of all parts on the workers that have reported.
+    FleetModel reporting;
     std::vector<PartUsage> usages;
-    const TimePoint now = Clock::now();
-    for (const auto &[job, runner] : m_runners) {
-        const GangAttempt &attempt = runner->attempt();
-        for (std::size_t part = 0; part < attempt.parts.size(); ++part) {
-            const TaskId id {job, PartIndex(static_cast<std::uint32_t>(part))};
-            const TrackedTask *task = m_tasks.find(id);
-            const auto worker = fleet.find(attempt.parts[part].worker);
-            if (task == nullptr || !task->used || !worker) {
-                continue;
+    std::set<JobId> jobs;
+    for (const WorkerId &worker : m_tasks.takeReportingWorkers()) {
+        const Host *host = hosts->findWorker(worker);
+        if (host == nullptr) {
+            continue;
+        }
+        const WorkerIndex index = reporting.add(worker, host->place, host->rack, host->resources);
+        for (const TaskId &id : m_tasks.tasksOn(worker)) {
+            const TrackedTask &task = *m_tasks.find(id);
+            const auto runner = m_runners.find(id.job);
+            if (runner != m_runners.end() && task.used) {
+                usages.push_back(partUsage(id, task, *runner->second, index));
+                jobs.insert(id.job);
             }
-            PartUsage use;
-            use.task = id;
-            use.worker = *worker;
-            use.declared = attempt.spec.shape.part;
-            use.used = *task->used;
-            use.rule = stopRuleOf(attempt);
-            use.throttled = task->throttledAt.has_value();
-            use.throttlePending = use.throttled && now - *task->throttledAt < THROTTLE_SETTLE_TIME;
-            use.stopping = runner->stopping();
-            usages.push_back(use);
         }
     }
-    return usages;
+    // 2. Records it before gangs are stopped, so that they are placed by what they have used.
+    for (const JobId &job : jobs) {
+        recordUsage(*m_runners.at(job));
+    }
+    handleOverruns(decideOverruns(reporting, usages));
 }
 
-void Planner::recordUsage(const std::vector<PartUsage> &usages)
+void Planner::recordUsage(const GangRunner &runner)
 {
-    // The parts of a gang are adjacent in the list. The use of a gang is the largest use of any of its parts, for each
-    // resource.
-    for (auto use = usages.begin(); use != usages.end();) {
-        const JobId job = use->task.job;
-        Resources peak;
-        bool throttled = false;
-        for (; use != usages.end() && use->task.job == job; ++use) {
-            peak.cores = std::max(peak.cores, use->used.cores);
-            peak.memoryMb = std::max(peak.memoryMb, use->used.memoryMb);
-            throttled |= use->throttled && !use->throttlePending;
+    // The use of a gang is the largest use of any of its parts, for each resource.
+    const GangAttempt &attempt = runner.attempt();
+    Resources peak;
+    bool throttled = false;
+    for (std::size_t part = 0; part < attempt.parts.size(); ++part) {
+        const TrackedTask *task = m_tasks.find({attempt.spec.job, PartIndex(static_cast<std::uint32_t>(part))});
+        if (task == nullptr || !task->used) {
+            continue;
         }
-        m_sizeEstimator.recordUsage(job, peak, throttled);
+        peak.cores = std::max(peak.cores, task->used->cores);
+        peak.memoryMb = std::max(peak.memoryMb, task->used->memoryMb);
+        throttled |= task->throttledAt && !isThrottlePending(*task);
     }
+    m_sizeEstimator.recordUsage(attempt.spec.job, peak, throttled);
 }
 
-void Planner::handleOverruns(const FleetModel &fleet, const std::vector<PartUsage> &usages)
+void Planner::handleOverruns(const OverrunDecision &decision)
 {
-    const OverrunDecision decision = decideOverruns(fleet, usages);
     for (const TaskId &task : decision.throttles) {
         m_tasks.markThrottled(task);
         Asio::co_spawn(m_strand, throttle(*this, task, m_epoch), Asio::detached);
--- a/packages/process/taskbook.cpp
+++ b/packages/process/taskbook.cpp
@@ -124,6 +124,7 @@
 {
     m_tasks.clear();
     m_workers.clear();
+    m_reportingWorkers.clear();
     m_removedAt.clear();
     m_clearedAt = Clock::now();
     m_superseded = false;
@@ -148,6 +149,12 @@
     return found == m_tasks.end() ? nullptr : &found->second;
 }
 
+std::set<TaskId> TaskTracker::tasksOn(const WorkerId &worker) const
+{
+    const auto state = m_workers.find(worker);
+    return state == m_workers.end() ? std::set<TaskId>() : state->second.tasks;
+}
+
 void TaskTracker::epochRaised(const WorkerId &worker)
 {
     const TimePoint latest = Clock::now() + m_intervals.longLease();
@@ -191,6 +198,7 @@
     task.state = report.state;
     if (report.state == TaskState::Running) {
         task.used = report.used;
+        m_reportingWorkers.insert(task.worker);
     }
     if (newCheckpoint) {
         task.checkpoint = report.checkpoint;
--- a/packages/process/taskbook.h
+++ b/packages/process/taskbook.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <utility>
 
 // Tracks the planner's tasks on workers: renews their leases and reads the workers' reports of them. Everything here
 // runs on the planner's strand.
@@ -98,6 +99,14 @@
     /** Applies a worker's report of a task, and notifies the subscribers of its job if something has changed. */
     void applyReport(const TaskReport &report);
 
+    /** @return the workers from which a report of running tasks was read since the last call of this function. */
+    std::set<WorkerId> takeReportingWorkers()
+    {
+        return std::exchange(m_reportingWorkers, {});
+    }
+    /** @return the tasks tracked on @p worker. */
+    [[nodiscard]] std::set<TaskId> tasksOn(const WorkerId &worker) const;
+
     /** Starts the renewals and report reads that are due, without waiting for them. Notifies the subscribers of the
      * jobs on workers whose contact time-out has passed. */
     void refresh(Epoch epoch);
@@ -147,6 +156,7 @@
     Metrics &m_metrics;
     std::map<TaskId, TrackedTask> m_tasks;
     std::map<WorkerId, WorkerState> m_workers;
+    std::set<WorkerId> m_reportingWorkers;
     bool m_superseded = false;
     ContactIntervals m_intervals;
     std::map<JobId, Broadcast> m_updates;
