Let a test wait until the other node has read of a job that it asks about

StepOperators.SeeWhyAJobWaitsWhichNodeLeadsAndTheMetrics failed once in a run of the whole suite beside builds: the node that does not lead answered 404 for a job that the leader had just explained. The test asked at once, which the product never promised; it now asks until that bound, for the same answer.

--- a/tests/integration/stepoperators.cpp
+++ b/tests/integration/stepoperators.cpp
@@ -10,6 +10,8 @@
 namespace
 {
 
+constexpr Millis VISIBLE_IN {3'000}; // an accepted job at every node
+
 Json jobOf(const std::string &queue, std::uint32_t gpus)
 {
     return {{"queue", queue},
@@ -54,8 +56,13 @@
         [&] { return deployment.callOperatorApi(leader, "GET", target).json().contains("units"); }));
     const Json told = deployment.callOperatorApi(leader, "GET", target).json();
     EXPECT_EQ("too-large", told["units"][0].value("reason", "")) << told.dump();
-    const std::string other = deployment.callOperatorApi(1 - leader, "GET", target).json().value("explanation", "");
-    EXPECT_NE(std::string::npos, other.find("node-" + std::to_string(leader) + " leads")) << other;
+    // A node that does not lead reads the journal in intervals.
+    const std::string leads = "node-" + std::to_string(leader) + " leads";
+    const auto otherNames = [&] {
+        const Json answer = deployment.callOperatorApi(1 - leader, "GET", target).json();
+        return answer.value("explanation", "").find(leads) != std::string::npos;
+    };
+    EXPECT_TRUE(Cluster::eventually(otherNames, VISIBLE_IN));
     EXPECT_EQ(404, deployment.callOperatorApi(leader, "GET", "/admin/jobs/0000000000000000/explain").status);
     const Json status = deployment.callOperatorApi(leader, "GET", "/admin/status").json();
     EXPECT_TRUE(status.value("leading", false)) << status.dump();
