Give an append to a slow store the time that it needs

Cause: an attempt to append was given 0.6 s and then repeated. A partition of the store processes its appends one at a time, and one of 0.4 s leaves no room for 44 nodes; each repetition lengthens the queue that made the attempt time out. The planner's own appends wait in the same queue, so that nothing was started either. Class: a repetition without regard to what it repeats, which turns slowness into an outage. A node that cannot read answers as soon as before, since the caller does better elsewhere.

Evidence: StepStore.ThatIsSlowStillTakesAndStartsJobs, three plays of three red on the old code (504; no start within 10 s), three of three green.

--- a/packages/dispatch/jobapi.cpp
+++ b/packages/dispatch/jobapi.cpp
@@ -14,7 +14,7 @@
 {
 
 constexpr Millis DEFAULT_DEADLINE {3'000};
-constexpr Millis STORE_TIMEOUT {700};    // a slow store answers within it; the caller may retry on another node
+constexpr Millis STORE_TIMEOUT {700};    // the caller may retry on another node; more while the store is slow
 constexpr Millis RESPONSE_MARGIN {150};  // for the answer to reach the caller before its deadline
 constexpr Millis PEER_RECORD_WAIT {500}; // a follower reads the journal every 200 ms
 constexpr Millis PEER_RECORD_POLL_INTERVAL {20};
@@ -57,7 +57,11 @@
     std::int64_t remaining = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), remaining);
     const Millis callerTimeout = error == std::errc() && remaining > 0 ? Millis(remaining) : DEFAULT_DEADLINE;
-    return Clock::now() + std::min(STORE_TIMEOUT, std::max(callerTimeout - RESPONSE_MARGIN, callerTimeout / 2));
+    const Millis longest = std::max(callerTimeout - RESPONSE_MARGIN, callerTimeout / 2);
+    // A node that cannot read the journal may be cut off alone, and the caller does better elsewhere.
+    const Millis slowStore = m_context.upToDate() ? m_context.writer->attemptTimeout() : STORE_TIMEOUT;
+    const Millis timeout = std::max(STORE_TIMEOUT, std::min(slowStore, longest - JournalWriter::ANSWER_MARGIN));
+    return Clock::now() + std::min(timeout, longest);
 }
 
 HttpResponse JobApi::refuse(int status, std::string_view code) const
--- a/packages/dispatch/journalwriter.cpp
+++ b/packages/dispatch/journalwriter.cpp
@@ -16,7 +16,9 @@
 {
 
 constexpr std::size_t MAX_BATCH_BYTES = 512UL * 1024; // well below the limit of the store for one call
-constexpr Millis APPEND_TIMEOUT {600};                // of one attempt; a slow store answers within about 0.4 s
+constexpr Millis MIN_ATTEMPT_TIMEOUT {600};
+constexpr Millis MAX_ATTEMPT_TIMEOUT {2'400}; // the store refuses an append that would wait for more than 2 s
+constexpr int READ_DELAY_FACTOR = 6;          // appends to a partition wait for each other, unlike reads
 constexpr Millis RETRY_INTERVAL {60};
 
 std::size_t sizeOf(const std::vector<StoredRecord> &records)
@@ -31,15 +33,19 @@
 } // namespace
 
 std::shared_ptr<JournalWriter> JournalWriter::create(Asio::io_context &io, RecordStore &store,
-                                                     std::optional<Producer> producer, Topic topic)
+                                                     std::optional<Producer> producer,
+                                                     std::function<Millis()> readDelay, Topic topic)
 {
-    return std::shared_ptr<JournalWriter>(new JournalWriter(io, store, std::move(producer), topic));
+    return std::shared_ptr<JournalWriter>(
+        new JournalWriter(io, store, std::move(producer), std::move(readDelay), topic));
 }
 
-JournalWriter::JournalWriter(Asio::io_context &io, RecordStore &store, std::optional<Producer> producer, Topic topic)
+JournalWriter::JournalWriter(Asio::io_context &io, RecordStore &store, std::optional<Producer> producer,
+                             std::function<Millis()> readDelay, Topic topic)
     : m_io(io)
     , m_store(store)
     , m_producer(std::move(producer))
+    , m_readDelay(std::move(readDelay))
     , m_topic(topic)
 {
 }
@@ -69,7 +75,7 @@
         wait->outcome = outcome;
         wait->waiter->notify();
     });
-    co_await wait->waiter->wait(deadline + APPEND_TIMEOUT);
+    co_await wait->waiter->wait(deadline + ANSWER_MARGIN);
     co_return wait->outcome;
 }
 
@@ -116,6 +122,11 @@
     std::erase_if(batch, [now](const Entry &entry) { return entry.deadline <= now; });
 }
 
+Millis JournalWriter::attemptTimeout() const
+{
+    return std::clamp(READ_DELAY_FACTOR * m_readDelay(), MIN_ATTEMPT_TIMEOUT, MAX_ATTEMPT_TIMEOUT);
+}
+
 Asio::awaitable<void> JournalWriter::send(std::vector<Entry> &batch)
 {
     if (m_producer) {
@@ -123,7 +134,7 @@
     }
     for (;;) {
         std::vector<StoredRecord> records;
-        TimePoint attemptDeadline = Clock::now() + APPEND_TIMEOUT;
+        const TimePoint attemptDeadline = Clock::now() + attemptTimeout();
         for (const Entry &entry : batch) {
             records.insert(records.end(), entry.records.begin(), entry.records.end());
         }
--- a/packages/dispatch/journalwriter.h
+++ b/packages/dispatch/journalwriter.h
@@ -13,7 +13,8 @@
 #include <vector>
 
 // Appends records to a topic, by default the journal. One append is in flight at a time; entries that arrive meanwhile
-// are batched into the next one.
+// are batched into the next one. The time that an attempt is given grows with the delay of reads, since an append that
+// a slow store still has in its queue is only delayed further by a repetition.
 
 namespace Papaya
 {
@@ -24,17 +25,23 @@
 public:
     using Callback = std::function<void(AppendOutcome)>;
 
+    /** Time beyond the deadline of an entry for the answer to an attempt that is under way. */
+    static constexpr Millis ANSWER_MARGIN {600};
+
     /**
      * @param producer identity of the writer, with the sequence number of its last append. With a producer, an append
      * is repeated until it is stored or fenced, in order and without duplicates; without one, it is given up at its
      * deadline.
+     * @param readDelay returns the present delay of reads from the store
      */
     static std::shared_ptr<JournalWriter> create(Asio::io_context &io, RecordStore &store,
-                                                 std::optional<Producer> producer, Topic topic = Topic::Journal);
+                                                 std::optional<Producer> producer, std::function<Millis()> readDelay,
+                                                 Topic topic = Topic::Journal);
 
     /** Appends @p records in one batch; @p done is called exactly once. */
     void append(std::vector<StoredRecord> records, TimePoint deadline, Callback done);
-    /** Appends @p records. @return the outcome; AppendOutcome::Unknown if there is none shortly after @p deadline */
+    /** Appends @p records. @return the outcome; AppendOutcome::Unknown if there is none ANSWER_MARGIN after @p deadline
+     */
     Asio::awaitable<AppendOutcome> append(std::vector<StoredRecord> records, TimePoint deadline);
     /** Stops the writer; queued entries end with AppendOutcome::Unknown. */
     void stop();
@@ -44,6 +51,8 @@
     {
         return m_lastStoredMs;
     }
+    /** @return the time within which the store is now expected to answer an append. */
+    [[nodiscard]] Millis attemptTimeout() const;
     [[nodiscard]] bool idle() const
     {
         return m_queue.empty() && !m_inFlight;
@@ -57,7 +66,8 @@
         bool inDoubt = false; ///< an earlier attempt may have taken effect
     };
 
-    JournalWriter(Asio::io_context &io, RecordStore &store, std::optional<Producer> producer, Topic topic);
+    JournalWriter(Asio::io_context &io, RecordStore &store, std::optional<Producer> producer,
+                  std::function<Millis()> readDelay, Topic topic);
     static Asio::awaitable<void> sendLoop(std::shared_ptr<JournalWriter> self);
     Asio::awaitable<void> send(std::vector<Entry> &batch);
     std::vector<Entry> takeBatch();
@@ -67,6 +77,7 @@
     Asio::io_context &m_io;
     RecordStore &m_store;
     std::optional<Producer> m_producer;
+    std::function<Millis()> m_readDelay;
     Topic m_topic;
     std::deque<Entry> m_queue;
     bool m_inFlight = false;
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -81,7 +81,7 @@
                           [this](const auto &records) { deployment.minionsReceived(records); })
         , journal(io, *platform.store, Topic::Journal, journalForwarder, JOURNAL_READ_WAIT)
         , configTopic(io, *platform.store, Topic::Config, configForwarder, CONFIG_READ_WAIT)
-        , writer(JournalWriter::create(io, *platform.store, std::nullopt))
+        , writer(JournalWriter::create(io, *platform.store, std::nullopt, readDelay()))
         , jobApi({*platform.codec, writer, jobTable, [this] { return deployment.config(); },
                   [this] { return upToDate(); }, [this](const JobRecord &record) { ownRecordStored(record); }, metrics})
         , operators({*platform.codec, jobApi, jobTable, metrics, [this] { return deployment.config(); },
@@ -231,6 +231,11 @@
         applyRecord(record);
     }
 
+    std::function<Millis()> readDelay()
+    {
+        return [this] { return journal.lastReadDelay(); };
+    }
+
     // --- Leadership ---
 
     static Asio::awaitable<void> tickLoop(Parts &parts)
@@ -313,9 +318,9 @@
         }
         metrics.count(StepEvent::Claim, "won");
         claimBackoff.succeeded();
-        auto claimWriter = JournalWriter::create(io, *platform.store, producer);
+        auto claimWriter = JournalWriter::create(io, *platform.store, producer, readDelay());
         auto statusWriter =
-            JournalWriter::create(io, *platform.store, Producer {producerName(), epoch, 0}, Topic::Status);
+            JournalWriter::create(io, *platform.store, Producer {producerName(), epoch, 0}, readDelay(), Topic::Status);
         planner = StepPlanner::begin(
             {io, *platform.store, *platform.minionControl, platform.oracle.get(), platform.machines.get(),
              *platform.codec, jobTable, times, metrics, [this] { return deployment.config(); },
--- a/tests/integration/stepstore.cpp
+++ b/tests/integration/stepstore.cpp
@@ -49,6 +49,23 @@
     EXPECT_TRUE(deployment.waitForState("plan", after, "completed"));
 }
 
+TEST(StepStore, ThatIsSlowStillTakesAndStartsJobs)
+{
+    Deployment deployment;
+    deployment.start();
+    ASSERT_EQ(200, deployment.submit(0, "plan", deployment.newId(), {Deployment::step(1)}).status);
+    StoreFaults slow;
+    slow.delayMs = 250;
+    slow.appendMs = 500;
+    deployment.store.setFaults(slow);
+    std::this_thread::sleep_for(Millis(2'000)); // until reads have shown it
+    const std::string id = deployment.newId();
+    EXPECT_EQ(200, deployment.submit(0, "plan", id, {Deployment::step(1)}).status);
+    EXPECT_TRUE(deployment.waitForRunCount(id, 1));
+    deployment.store.setFaults({});
+    EXPECT_TRUE(deployment.waitForState("plan", id, "completed"));
+}
+
 TEST(StepStore, ThatLosesAnAnswerAndIsThenBusyMakesASubmissionTimeOutRatherThanBeRefused)
 {
     Deployment deployment;
--- a/tests/standins/platformstorestandin.cpp
+++ b/tests/standins/platformstorestandin.cpp
@@ -15,6 +15,7 @@
 constexpr Millis POLL_INTERVAL {5};
 constexpr std::size_t KEPT_ANSWERS = 5;
 constexpr std::size_t PAGE_ITEMS = 500;
+constexpr Millis MAX_APPEND_QUEUE {2'000};
 constexpr Millis SILENCE_DURATION {60'000};
 constexpr std::string_view APPEND_PATH = "/-/log-append";
 constexpr std::string_view READ_PATH = "/-/log-read";
@@ -139,8 +140,19 @@
     std::int64_t lateMs = 0;
     bool late = false;
     bool lost = false;
+    Duration queued {0};
     {
         const std::lock_guard lock(m_mutex);
+        if (m_faults.appendMs > 0) {
+            TimePoint &doneAt = m_topics[std::string(request.query("topic"))].appendsDoneAt;
+            doneAt = std::max(doneAt, Clock::now());
+            queued = doneAt - Clock::now();
+            if (queued > MAX_APPEND_QUEUE) {
+                co_return jsonAnswer(503, Json::object());
+            }
+            doneAt += Millis(m_faults.appendMs);
+            queued += Millis(m_faults.appendMs);
+        }
         late = m_faults.lateAppends > 0;
         lost = !late && m_faults.loseAnswers > 0;
         lateMs = m_faults.lateMs;
@@ -148,6 +160,9 @@
         m_faults.loseAnswers -= lost ? 1 : 0;
         m_faults.busy = m_faults.busy || (lost && m_faults.busyAfterLoss);
     }
+    if (queued > Duration(0)) {
+        co_await sleepFor(queued);
+    }
     if (late) {
         co_await sleepFor(Millis(lateMs));
         appendNow(request);
--- a/tests/standins/platformstorestandin.h
+++ b/tests/standins/platformstorestandin.h
@@ -21,6 +21,7 @@
     std::string silentAppends;    ///< no append to this topic is answered or has an effect
     std::int64_t readKbPerS = 0;  ///< rate at which reads return records; 0: unlimited
     std::int64_t delayMs = 0;     ///< delay before each call takes effect, in milliseconds
+    std::int64_t appendMs = 0;    ///< duration of an append, in milliseconds; those to one topic wait for each other
     std::int64_t loseAnswers = 0; ///< number of appends that take effect but get no answer
     bool busyAfterLoss = false;   ///< the store turns busy with the first lost answer
     /** Number of appends that get no answer and take effect after lateMs, if still valid then. */
@@ -60,6 +61,7 @@
         std::map<std::uint64_t, Json> answers; ///< answers to the last appends, by sequence number
     };
     struct TopicLog {
+        TimePoint appendsDoneAt;                                             ///< end of the appends that wait
         std::uint64_t first = 0;                                             ///< offset of the first record in kept
         std::deque<Record> kept;                                             ///< records that reads return
         std::vector<Record> all;                                             ///< every record, including compacted ones
