--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -18,7 +18,7 @@
 namespace
 {
 
-constexpr std::int64_t HEARTBEAT_INTERVAL_MS = 400; // while nothing else is journaled
+constexpr std::int64_t HEARTBEAT_INTERVAL_MS = 200; // while nothing else is journaled
 constexpr Millis PASS_DELAY {4};                    // collects events into one pass
 // After a pass, none starts for this many times the duration of the pass, so that orders can be sent.
 constexpr int PASS_BACKOFF_FACTOR = 6;
