--- a/packages/steps/candidacy.cpp
+++ b/packages/steps/candidacy.cpp
@@ -9,9 +9,9 @@
 {
 
 constexpr std::int64_t PLANNER_TIMEOUT_MS = 800; // silence of the planner, which sends a heartbeat every 200 ms
-constexpr std::int64_t READ_DELAY_FACTOR = 5;      // read delays that may pass between a heartbeat and its arrival
-constexpr std::int64_t JITTER_MS = 300;            // largest jitter of the time-out
-constexpr std::int64_t VACANT_JITTER_MS = 120;     // the same while no planner holds the role
+constexpr std::int64_t READ_DELAY_FACTOR = 5;    // read delays that may pass between a heartbeat and its arrival
+constexpr std::int64_t JITTER_MS = 300;          // largest jitter of the time-out
+constexpr std::int64_t VACANT_JITTER_MS = 120;   // the same while no planner holds the role
 constexpr std::int64_t DELAY_PER_MISSING_CORE_MS = 1'600; // for each core that a candidate has less than the reference
 constexpr std::uint32_t REFERENCE_MILLI_CORES = 500;      // reference until a node has been planner
 constexpr std::int64_t MIN_BACKOFF_MS = 150;
