Let the test of a slow store wait for a condition instead of 2 s

The first submissions after the store has turned slow may time out, since a node learns of it by its reads. The test waited for 2 s and then asked once; now it asks with new jobs until one is taken at its first attempt, for 6 s.

--- a/tests/integration/stepstore.cpp
+++ b/tests/integration/stepstore.cpp
@@ -58,9 +58,12 @@
     slow.delayMs = 250;
     slow.appendMs = 500;
     deployment.store.setFaults(slow);
-    std::this_thread::sleep_for(Millis(2'000)); // until reads have shown it
-    const std::string id = deployment.newId();
-    EXPECT_EQ(200, deployment.submit(0, "plan", id, {Deployment::step(1)}).status);
+    std::string id;
+    const auto newJobIsTaken = [&] {
+        id = deployment.newId();
+        return deployment.submit(0, "plan", id, {Deployment::step(1)}).status == 200;
+    };
+    EXPECT_TRUE(Cluster::eventually(newJobIsTaken, Millis(6'000)));
     EXPECT_TRUE(deployment.waitForRunCount(id, 1));
     deployment.store.setFaults({});
     EXPECT_TRUE(deployment.waitForState("plan", id, "completed"));
