Find runs that never begin within a second, by the minion's own clock

Cause: a stall was counted from the first report after a start, reports came each 1.5 s, and one limit (1.6 s) held for runs that had progressed and for runs that had not. A stall was measured by the planner's clock at the arrival of reports, so that a planner that had been paused could take reports that had waited for it as a stall.

Now the start counts, as a time on the minion's clock, and the minion's clock in its reports; a run that never progressed is stuck after 0.9 s or a twentieth of its plausible run time; a minion with such a run is polled each 0.4 s; a minion on which nothing progresses gets no new work at once instead of after two stuck runs. The limit doubles with each move of a unit, so that long jobs do not move forever.

Tests: ProgressWatch.ReportsARunThatNeverBegan..., .WaitsLongerAfterEachMove..., StepJobs.OfAGangThatNeverBegins..., .KeepRunningWhile TheirPlannerIsPaused... Not seen red on the old code yet.

--- a/packages/dispatch/assignment.h
+++ b/packages/dispatch/assignment.h
@@ -27,12 +27,18 @@
     std::int64_t confirmedMs = 0; ///< when the start was confirmed
     bool stopping = false;        ///< a stop loop is running
     std::int64_t stopAnsweredMs = 0;
-    std::int64_t percent = 0;        ///< completed work, as last reported
-    std::int64_t lastProgressMs = 0; ///< when percent last increased
-    std::int64_t lastReportMs = 0;
-    std::int64_t tailMs = 0;        ///< tail response time, if it is a service task
-    std::optional<int> pacePercent; ///< last confirmed pace; empty if unknown
-    bool paceInFlight = false;      ///< a pace order is in flight
+    std::int64_t percent = 0;                   ///< completed work, as last reported
+    std::optional<std::int64_t> lastProgressMs; ///< start of its unit or last rise of percent, on the minion's clock
+    std::optional<std::int64_t> lastReportMs;   ///< on the minion's clock
+    std::int64_t tailMs = 0;                    ///< tail response time, if it is a service task
+    std::optional<int> pacePercent;             ///< last confirmed pace; empty if unknown
+    bool paceInFlight = false;                  ///< a pace order is in flight
+
+    /** @return how long its progress had stalled at the last report, in ms by the minion's clock; 0 before that. */
+    [[nodiscard]] std::int64_t stalledMs() const
+    {
+        return lastProgressMs && lastReportMs ? *lastReportMs - *lastProgressMs : 0;
+    }
 };
 
 /** A run of a unit, from its start to the end of its last member. */
@@ -60,6 +66,13 @@
         return step.checkpointing ? RESTORE_MS : nowMs - startedMs;
     }
 
+    /** @return true if no member is still to be started. */
+    [[nodiscard]] bool allStarted() const
+    {
+        return std::none_of(members.begin(), members.end(),
+                            [](const Member &member) { return member.state == MemberState::Ordered; });
+    }
+
     [[nodiscard]] bool ended() const
     {
         return std::all_of(members.begin(), members.end(),
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -23,7 +23,7 @@
 // After a pass, none starts for this many times the duration of the pass, so that orders can be sent.
 constexpr int PASS_BACKOFF_FACTOR = 6;
 constexpr Millis MAX_PASS_BACKOFF {120};
-constexpr std::int64_t STUCK_CHECK_INTERVAL_MS = 500;
+constexpr std::int64_t STUCK_CHECK_INTERVAL_MS = 200;
 constexpr std::int64_t MAX_ENTRY_AGE_MS = 600; // from the writing of an entry to its reading
 constexpr std::int64_t FORGET_INTERVAL_MS = 1'000;
 constexpr std::int64_t MINION_RETENTION_MS = 60'000; // after its entry is removed; orders in flight end sooner
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -173,8 +173,15 @@
     void handleEnd(MinionLink &link, const EndedTask &end);
     void handleRunning(MinionLink &link, const MinionReport &report, std::int64_t sentMs);
     void handleMinionRestart(MinionLink &link);
-    /** Counts a failed or stuck run against its minion, which gets no new work for a while after several in a row. */
-    void countRunFailure(MinionLink &link, std::int64_t nowMs);
+    /**
+     * Counts a failed or stuck run against its minion, which gets no new work for a while after several in a row.
+     * @param strikes how many failures the run counts as
+     */
+    void countRunFailure(MinionLink &link, std::int64_t nowMs, std::uint32_t strikes);
+    /** @return true if no run on the minion of @p link made progress before its last report. */
+    [[nodiscard]] static bool nothingProgresses(const MinionLink &link);
+    /** @return true if a run has not progressed since its start or between the last two reports. */
+    [[nodiscard]] static bool hasQuietRun(const MinionLink &link);
     AssignmentPtr findTask(const std::string &task, std::uint32_t run, std::size_t &index);
     void memberEnded(const AssignmentPtr &assignment, std::size_t index, EndKind kind);
     void applyOutcome(const AssignmentPtr &assignment);
@@ -185,6 +192,8 @@
     void expireLeases();
     /** Stops runs on draining minions that would otherwise be lost, so that they restart elsewhere. */
     void evacuate();
+    /** Counts the members of @p assignment, all of which have started, as without progress from @p nowMs. */
+    void watchProgress(Assignment &assignment, std::int64_t nowMs);
     /** Stops runs that make no progress, so that they restart on another minion. */
     void moveStuckRuns();
 
@@ -205,6 +214,7 @@
     std::map<MinionId, MinionLink> m_links;
     std::map<UnitKey, AssignmentPtr> m_assignments;
     std::map<UnitKey, std::vector<MinionId>> m_avoid; ///< minions on which a unit has failed or got stuck
+    std::map<UnitKey, std::uint32_t> m_moves;         ///< how often a unit was moved because it was stuck
     std::map<UnitKey, std::int64_t> m_notBefore;      ///< earliest time of the next start, by unit
     std::vector<StoredRecord> m_pendingRecords;       ///< to be journaled by the next flush
     std::vector<std::pair<MinionId, std::uint64_t>> m_pendingEnds;
--- a/packages/dispatch/stepplannerhealth.cpp
+++ b/packages/dispatch/stepplannerhealth.cpp
@@ -17,23 +17,45 @@
 
 constexpr std::int64_t RUN_FAILURE_BACKOFF_MS = 8'000;
 constexpr std::uint32_t MAX_RUN_FAILURES = 2; // a minion with as many in a row gets no new work for a while
+constexpr std::int64_t MIN_HANG_MS = 400;     // without progress of any run, until a minion seems to hang
 constexpr double MAX_BACKED_OFF_SHARE = 0.25; // of all minions
 
 } // namespace
 
-void StepPlanner::countRunFailure(MinionLink &link, std::int64_t nowMs)
+void StepPlanner::countRunFailure(MinionLink &link, std::int64_t nowMs, std::uint32_t strikes)
 {
     const auto backedOff = std::count_if(m_links.begin(), m_links.end(), [nowMs](const auto &item) {
         return item.second.runFailures >= MAX_RUN_FAILURES && item.second.backOffUntilMs > nowMs;
     });
     // A job that fails on every minion must not make the whole fleet unusable.
-    if (++link.runFailures >= MAX_RUN_FAILURES && double(backedOff) < MAX_BACKED_OFF_SHARE * double(m_links.size())) {
+    link.runFailures += strikes;
+    if (link.runFailures >= MAX_RUN_FAILURES && double(backedOff) < MAX_BACKED_OFF_SHARE * double(m_links.size())) {
         link.backOffUntilMs = nowMs + RUN_FAILURE_BACKOFF_MS;
         logEvent(LogLevel::Warning, "minion-on-probation",
                  {{"minion", link.entry.id.value()}, {"strikes", std::uint64_t(link.runFailures)}});
     }
 }
 
+bool StepPlanner::nothingProgresses(const MinionLink &link)
+{
+    return std::none_of(link.placed.begin(), link.placed.end(), [](const PlacedMember &placed) {
+        const Member &member = placed.member();
+        return member.state == MemberState::Running && !placed.assignment->step.longRunning && member.lastReportMs
+               && member.stalledMs() < MIN_HANG_MS;
+    });
+}
+
+bool StepPlanner::hasQuietRun(const MinionLink &link)
+{
+    return std::any_of(link.placed.begin(), link.placed.end(), [](const PlacedMember &placed) {
+        const Assignment &assignment = *placed.assignment;
+        const Member &member = placed.member();
+        return member.state == MemberState::Running && member.percent < 100 && !assignment.step.longRunning
+               && !assignment.step.fills && !assignment.stopping && assignment.allStarted()
+               && (!member.lastReportMs || member.stalledMs() > 0);
+    });
+}
+
 void StepPlanner::expireLeases()
 {
     const std::int64_t now = bootMillis();
@@ -76,20 +98,38 @@
     }
 }
 
+void StepPlanner::watchProgress(Assignment &assignment, std::int64_t nowMs)
+{
+    for (Member &member : assignment.members) {
+        const MinionClock &clock = m_links.at(member.minion).clock;
+        if (clock.known()) {
+            member.lastProgressMs = clock.at(nowMs);
+        }
+    }
+}
+
 void StepPlanner::moveStuckRuns()
 {
     const std::int64_t now = bootMillis();
     for (const auto &[unit, assignment] : m_assignments) {
-        if (assignment->stopping || assignment->outcome || assignment->step.longRunning) {
-            continue;
+        if (assignment->stopping || assignment->outcome || assignment->step.longRunning || !assignment->allStarted()) {
+            continue; // members of a gang that is not complete wait for the others
         }
         const QueueName &queue = m_context.jobTable.find(unit.job)->job.queue;
+        const auto moves = m_moves.find(unit);
         const std::int64_t plausible = m_context.times.plausibleMs(queue, assignment->step.estimate.count());
         for (const Member &member : assignment->members) {
             const bool paced = member.pacePercent != FillPace::FULL;
-            const RunProgress run {member.percent, member.lastReportMs - member.lastProgressMs, plausible,
-                                   assignment->step.fills, assignment->step.fills && paced};
-            if (member.state != MemberState::Running || member.lastReportMs == 0 || !isStuck(run)) {
+            const bool fills = assignment->step.fills;
+            const RunProgress run {member.percent,
+                                   member.stalledMs(),
+                                   plausible,
+                                   fills,
+                                   fills && paced,
+                                   member.percent > 0,
+                                   !assignment->checkpoint.empty(),
+                                   moves == m_moves.end() ? 0 : moves->second};
+            if (member.state != MemberState::Running || !isStuck(run)) {
                 continue;
             }
             logEvent(LogLevel::Info, "run-stuck",
@@ -99,7 +139,9 @@
                       {"still_ms", run.stalledMs},
                       {"plausible_ms", plausible}});
             m_avoid[unit].push_back(member.minion);
-            countRunFailure(m_links.at(member.minion), now);
+            ++m_moves[unit];
+            MinionLink &link = m_links.at(member.minion);
+            countRunFailure(link, now, nothingProgresses(link) ? MAX_RUN_FAILURES : 1);
             stopAssignment(assignment, "stuck");
             break;
         }
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -22,6 +22,7 @@
 
 constexpr Millis POLL_WAIT {1'500};        // long poll for an end
 constexpr Millis SHARED_POLL_WAIT {500};   // where best-effort tasks run beside services
+constexpr Millis WATCH_POLL_WAIT {400};    // where a run has not progressed
 constexpr Millis POLL_REPLY_TIMEOUT {700}; // beyond the wait
 constexpr Millis ORDER_TIMEOUT {700};
 constexpr int START_ATTEMPTS = 2;
@@ -199,6 +200,9 @@
                 self->m_context.metrics.record(JobStage::Started, wallMillis() - job.submittedMs);
             }
             assignment->checkpointMs = assignment->startedMs = now;
+            if (assignment->allStarted()) {
+                self->watchProgress(*assignment, now);
+            }
         }
         self->ensurePolling(link);
         break;
@@ -336,7 +340,8 @@
     }
     const bool mayWait =
         link->fenceRaised && link->pollFailures == 0 && link->endsStored == link->endsHandled && !link->placed.empty();
-    const Millis longWait = link->shared ? SHARED_POLL_WAIT : POLL_WAIT;
+    const Millis steadyWait = link->shared ? SHARED_POLL_WAIT : POLL_WAIT;
+    const Millis longWait = hasQuietRun(*link) ? std::min(WATCH_POLL_WAIT, steadyWait) : steadyWait;
     order.wait = mayWait ? longWait : Millis(0);
     const std::int64_t knownStartTimeMs = link->entry.startTimeMs;
     const PollAnswer answer =
--- a/packages/dispatch/stepplannerreports.cpp
+++ b/packages/dispatch/stepplannerreports.cpp
@@ -68,7 +68,7 @@
     if (end.kind == EndKind::Done) {
         link.runFailures = 0;
     } else if (end.kind == EndKind::Failed) {
-        countRunFailure(link, bootMillis());
+        countRunFailure(link, bootMillis(), 1);
     }
     if (!assignment || assignment->members[index].minion != link.entry.id) {
         return;
@@ -102,11 +102,11 @@
         listed[running.task] = running.run;
         assignment->percent = std::max(assignment->percent, running.percent);
         Member &member = assignment->members[index];
-        if (running.percent > member.percent || member.lastReportMs == 0) {
+        if (running.percent > member.percent || !member.lastProgressMs) {
             member.percent = running.percent;
-            member.lastProgressMs = now;
+            member.lastProgressMs = report.clockMs;
         }
-        member.lastReportMs = now;
+        member.lastReportMs = report.clockMs;
         member.tailMs = running.tailMs;
         if (!running.checkpoint.empty() && running.checkpoint != assignment->checkpoint) {
             assignment->checkpoint = running.checkpoint;
@@ -215,6 +215,7 @@
     const JobEntry *entry = m_context.jobTable.find(unit.job);
     if (done || entry == nullptr) {
         m_avoid.erase(unit);
+        m_moves.erase(unit);
         jobChanged(unit.job);
         return;
     }
--- a/packages/steps/minionclock.h
+++ b/packages/steps/minionclock.h
@@ -33,10 +33,16 @@
         return m_known;
     }
 
+    /** @return the time on the minion's clock at @p localMs, early by the transit time of the best reading. */
+    [[nodiscard]] std::int64_t at(std::int64_t localMs) const
+    {
+        return m_minionMs + (localMs - m_localMs);
+    }
+
     /** Grants a lease. @return its end on the minion's clock, about @p leaseMs from now */
     std::int64_t grant(std::int64_t localMs, std::int64_t leaseMs)
     {
-        const std::int64_t until = m_minionMs + (localMs - m_localMs) + leaseMs;
+        const std::int64_t until = at(localMs) + leaseMs;
         m_grantedMs = std::max(m_grantedMs, until);
         return until;
     }
--- a/tests/integration/stepjobs.cpp
+++ b/tests/integration/stepjobs.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <csignal>
 
 // Tests jobs of steps on the users' platform. Most checks use the runs that the minion stand-ins recorded.
 
@@ -188,6 +189,39 @@
     EXPECT_TRUE(deployment.runs.doubled().empty());
 }
 
+// Load pattern: an urgent gang with a member on a minion that hangs while it reports itself as healthy.
+TEST(StepJobs, OfAGangThatNeverBeginsOnAHangingMinionRunElsewhereWithinSeconds)
+{
+    Deployment deployment;
+    deployment.start();
+    PlatformMinionFaults hangs;
+    hangs.hang = true;
+    deployment.minion("i-0").setFaults(hangs);
+    // Two whole minions of three, so that no second gang fits beside the first.
+    const Json gang = Deployment::step(2, {1'000, 1'000, 8}, {{"gang", true}});
+    const std::string id = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "urgent", id, gang).status);
+    EXPECT_TRUE(deployment.waitForState("urgent", id, "completed", Millis(3'000)));
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+}
+
+// A planner that was paused reads reports that waited for it. They are no evidence that the runs stood still meanwhile.
+TEST(StepJobs, KeepRunningWhileTheirPlannerIsPausedForLessThanALease)
+{
+    DeploymentOptions options;
+    options.nodes = 1;
+    Deployment deployment(options);
+    deployment.start();
+    const std::string id = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", id, {Deployment::step(3)}, {{"workMs", 4'000}}).status);
+    ASSERT_TRUE(deployment.waitForRunCount(id, 3));
+    deployment.nodes[0]->signal(SIGSTOP);
+    std::this_thread::sleep_for(Millis(1'900)); // the pause itself, below the lease
+    deployment.nodes[0]->signal(SIGCONT);
+    ASSERT_TRUE(deployment.waitForState("plan", id, "completed"));
+    EXPECT_EQ(3U, deployment.runs.of(id).size());
+}
+
 TEST(StepJobs, OnADrainingMinionResumeElsewhereFromTheirCheckpoints)
 {
     Deployment deployment;
--- a/tests/unit/stepscheduling.cpp
+++ b/tests/unit/stepscheduling.cpp
@@ -303,6 +303,32 @@
     EXPECT_FALSE(isStuck({100, 9'000, 4'000}));
 }
 
+// Load pattern: a burst of urgent gangs on a fleet of which every eighth minion hangs, so that most gangs have a member
+// that never begins and each second until it is found is lost for the whole gang.
+TEST(ProgressWatch, ReportsARunThatNeverBeganSoonerThanOneThatStalls)
+{
+    const auto begun = [](std::int64_t stalledMs, std::int64_t plausibleMs) {
+        return RunProgress {0, stalledMs, plausibleMs, false, false, false};
+    };
+    EXPECT_TRUE(isStuck(begun(1'000, 8'000)));
+    EXPECT_FALSE(isStuck(begun(800, 8'000)));
+    EXPECT_FALSE(isStuck(begun(1'400, 30'000))); // its first percent may take that long on a slow minion
+    RunProgress resumed = begun(1'500, 8'000);
+    resumed.resumed = true;
+    EXPECT_FALSE(isStuck(resumed)); // may still restore its checkpoint
+}
+
+// Load pattern: jobs that take many times as long as estimated, on which each minion seems to hang.
+TEST(ProgressWatch, WaitsLongerAfterEachMoveSoThatNoUnitMovesForever)
+{
+    RunProgress run {0, 2'000, 4'000, false, false, false};
+    EXPECT_TRUE(isStuck(run));
+    for (run.moves = 1; isStuck(run) && run.moves < 10; ++run.moves) {
+        run.stalledMs = 10'000;
+    }
+    EXPECT_LE(run.moves, 4U);
+}
+
 /** The minion's clock runs up to 2 % slow or fast, and its readings arrive up to 400 ms late. */
 RC_GTEST_PROP(MinionClock, NeverReportsALeaseAsLapsedBeforeItExpiresOnTheMinion, ())
 {
