Count a planner's silence from the first answer of a load, not from its end

Station by station: the newest records of 7,346 keys come in 15 pages, which 97 nodes read at once: loaded at 37.54 s (the first node) to 38.3 s. Only then did the 0.8 s begin in which a node must hear nothing of a planner, since records of a planner that a load brought counted as heard at its end. What a load brings was stored before its first answer, from which reads are complete as well, so that the silence now counts from there.

--- a/packages/dispatch/recordstore.h
+++ b/packages/dispatch/recordstore.h
@@ -52,6 +52,7 @@
 struct NewestResult {
     std::vector<StoredRecord> records; ///< in the order of their offsets
     Offset end;                        ///< offset from which to continue reading
+    std::int64_t answeredMs = 0;       ///< when the store began to answer, in bootMillis(); the end is older
 };
 
 /** A read from the store has failed. */
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -157,6 +157,7 @@
             jobTable = JobTable();
         }
         applyRecords(records);
+        lastPlannerRecordMs = journal.currentAsOfMs(); // what was loaded had been stored by then
         logEvent(LogLevel::Info, "journal-loaded",
                  {{"records", std::uint64_t(records.size())}, {"jobs", std::uint64_t(jobTable.size())}});
     }
--- a/packages/dispatch/topicfollower.cpp
+++ b/packages/dispatch/topicfollower.cpp
@@ -86,7 +86,8 @@
         m_next = newest.end;
         m_loaded = true;
         m_atEnd = true;
-        succeeded(sent);
+        // A load takes long; since its first answer, the store has been available and the records have been complete.
+        succeeded(sent, newest.answeredMs > 0 ? newest.answeredMs : bootMillis());
         m_currentAsOfMs = sent;
         m_handler.loaded(newest.records);
         co_return;
@@ -98,7 +99,7 @@
         co_return;
     }
     m_next = Offset(m_next.value() + result.records.size());
-    succeeded(sent);
+    succeeded(sent, bootMillis());
     m_atEnd = m_next >= result.end;
     const Millis took(bootMillis() - sent);
     m_lastReadDelay = result.records.empty() && m_atEnd ? took - m_wait : took;
@@ -109,11 +110,11 @@
     m_handler.received(result.records);
 }
 
-void TopicFollower::succeeded(std::int64_t sentMs)
+void TopicFollower::succeeded(std::int64_t sentMs, std::int64_t answeredMs)
 {
     if (m_failing || m_lastSuccessMs == 0) {
         logEvent(LogLevel::Info, "store-read-regained", {{"topic", nameOf(m_topic)}, {"offset", m_next.value()}});
-        m_healthySinceMs = bootMillis();
+        m_healthySinceMs = answeredMs;
     }
     m_failing = false;
     m_lastSuccessMs = sentMs;
--- a/packages/dispatch/topicfollower.h
+++ b/packages/dispatch/topicfollower.h
@@ -85,7 +85,7 @@
 private:
     static Asio::awaitable<void> follow(TopicFollower &self);
     Asio::awaitable<void> readNext();
-    void succeeded(std::int64_t sentMs);
+    void succeeded(std::int64_t sentMs, std::int64_t answeredMs);
 
     Asio::io_context &m_io;
     Asio::steady_timer m_pause; ///< between two reads
