Refuse what a lost store cannot take at once, and let the planner append for nodes that are cut off or slow

Causes: each submission found out by itself that the store was gone. A partition takes one append at a time, so that the appends of 97 nodes queued up behind each other.

- StoreWatch judges the store by the reads that the node makes anyway: lost after 0.6 s without a due answer or two failed reads, slow if even the shortest of three reads took 60 ms.
Nothing is sent to a lost store.
- JournalRelay passes records to the planner, whose address is in its announcements and which appends them in one batch, if the store is lost to this node or slow.
New setting: peers.
- 503 now promises that the job never runs: it is given only to a caller's first attempt, told by the time that the caller has left (AttemptBook), of which nothing was sent or which the store has refused.
A repeated attempt, of which an earlier one may be stored, waits unsent for the store for up to 0.8 s and gets 504.
Retry-After is 1 s if the planner has lost the store too, else 0.
- No claims while an answer of the store is overdue.

Tests: StoreOutage.* (6), StoreWatch.*, AttemptBook.*, JournalRelay.*. Test deployments now state how long callers wait and listen for peers.

--- a/packages/dispatch/jobapi.cpp
+++ b/packages/dispatch/jobapi.cpp
@@ -16,9 +16,13 @@
 constexpr Millis DEFAULT_DEADLINE {3'000};
 constexpr Millis STORE_TIMEOUT {700};    // the caller may retry on another node; more while the store is slow
 constexpr Millis RESPONSE_MARGIN {150};  // for the answer to reach the caller before its deadline
-constexpr Millis PEER_RECORD_WAIT {500}; // a follower reads the journal every 200 ms
+constexpr Millis PEER_RECORD_WAIT {500}; // for a record that another node has just stored
 constexpr Millis PEER_RECORD_POLL_INTERVAL {20};
+constexpr Millis HOLD_POLL_INTERVAL {20};
+constexpr Millis MAX_HOLD {800};          // then the caller may try another node, to which the store may be back
+constexpr Millis SLOW_RELAY_TIME {2'400}; // for a record to be appended by another node while the store is slow
 constexpr const char *RETRY_AFTER_SECONDS = "1";
+constexpr const char *RETRY_ELSEWHERE = "0"; // another node may reach the store
 
 HttpResponse makeResponse(int status, std::string body = {})
 {
@@ -51,17 +55,24 @@
 {
 }
 
-TimePoint JobApi::deadlineOf(const HttpRequest &request) const
+Millis JobApi::timeLeft(const HttpRequest &request) const
 {
     const std::string &text = request.fields.get(m_context.codec.deadlineHeader());
     std::int64_t remaining = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), remaining);
-    const Millis callerTimeout = error == std::errc() && remaining > 0 ? Millis(remaining) : DEFAULT_DEADLINE;
+    return error == std::errc() && remaining > 0 ? Millis(remaining) : Millis(0);
+}
+
+JobApi::CallerTime JobApi::timeOf(const HttpRequest &request) const
+{
+    const Millis announced = timeLeft(request);
+    const Millis callerTimeout = announced.count() > 0 ? announced : DEFAULT_DEADLINE;
     const Millis longest = std::max(callerTimeout - RESPONSE_MARGIN, callerTimeout / 2);
     // A node that cannot read the journal may be cut off alone, and the caller does better elsewhere.
     const Millis slowStore = m_context.upToDate() ? m_context.writer->attemptTimeout() : STORE_TIMEOUT;
     const Millis timeout = std::max(STORE_TIMEOUT, std::min(slowStore, longest - JournalWriter::ANSWER_MARGIN));
-    return Clock::now() + std::min(timeout, longest);
+    const TimePoint now = Clock::now();
+    return {now + std::min(timeout, longest), now + longest, false};
 }
 
 HttpResponse JobApi::refuse(int status, std::string_view code) const
@@ -111,7 +122,7 @@
         co_return state(id);
     }
     if (request.method == "DELETE") {
-        co_return co_await cancel(id, deadlineOf(request));
+        co_return co_await cancel(id, timeOf(request));
     }
     co_return refuse(405, "method-not-allowed");
 }
@@ -119,6 +130,8 @@
 Asio::awaitable<HttpResponse> JobApi::submit(const QueueConfig &queue, const TeamName &team, JobId id,
                                              const HttpRequest &request)
 {
+    CallerTime time = timeOf(request);
+    time.firstAttempt = m_attempts.isFirst(queue.name, id, timeLeft(request), queue.callerTimeout);
     if (m_context.jobTable.find(id) != nullptr) {
         co_return makeResponse(200); // submitted before
     }
@@ -127,11 +140,11 @@
         logEvent(LogLevel::Info, "job-malformed", {{"job", id.value()}, {"error", spec.errors().front().message}});
         co_return refuse(400, "malformed");
     }
-    co_return co_await accept(queue, team, id, std::move(*spec), deadlineOf(request));
+    co_return co_await accept(queue, team, id, std::move(*spec), time);
 }
 
 Asio::awaitable<HttpResponse> JobApi::accept(const QueueConfig &queue, const TeamName &team, JobId id, JobSpec spec,
-                                             TimePoint deadline)
+                                             CallerTime time)
 {
     if (m_context.jobTable.find(id) != nullptr) {
         co_return makeResponse(200); // submitted before
@@ -161,15 +174,22 @@
               {"memory_mb", std::int64_t(job.spec.steps.front().need.memoryMb)},
               {"estimate_ms", std::int64_t(job.spec.steps.front().estimate.count())},
               {"rack", job.spec.steps.front().dataRack.value()},
-              {"gang", job.spec.steps.front().gang ? "yes" : "no"}});
+              {"gang", job.spec.steps.front().gang ? "yes" : "no"},
+              {"first", time.firstAttempt ? "yes" : "no"},
+              {"time_left_ms", std::chrono::duration_cast<Millis>(time.latest - Clock::now()).count()}});
     JobRecord record = StepJobSubmitted {std::move(job)};
-    co_return co_await store(std::move(record), deadline, id, "job-submitted");
+    HttpResponse response = co_await store(std::move(record), time, id, "job-submitted");
+    if (response.status == 504) {
+        m_attempts.inDoubt(id);
+    }
+    co_return response;
 }
 
-Asio::awaitable<HttpResponse> JobApi::cancel(JobId id, TimePoint deadline)
+Asio::awaitable<HttpResponse> JobApi::cancel(JobId id, CallerTime time)
 {
     JobRecord record = StepJobCancelled {id};
-    HttpResponse response = co_await store(std::move(record), deadline, id, "job-cancelled");
+    time.firstAttempt = true; // that an earlier attempt may have cancelled the job makes no refusal false
+    HttpResponse response = co_await store(std::move(record), time, id, "job-cancelled");
     // The job may have just been accepted by another node. The record cancels it too, and this node will soon read its
     // submission from the journal.
     const TimePoint waitDeadline = Clock::now() + PEER_RECORD_WAIT;
@@ -180,12 +200,49 @@
     co_return response.status == 200 && !known ? refuse(410, "no-such-job") : response;
 }
 
-Asio::awaitable<HttpResponse> JobApi::store(JobRecord record, TimePoint deadline, const JobId &id, const char *event)
+Asio::awaitable<JobApi::StoreAttempt> JobApi::storeSomehow(std::vector<StoredRecord> records, CallerTime time)
+{
+    const TimePoint held = std::min(Clock::now() + MAX_HOLD, time.latest);
+    RecordSituation situation;
+    situation.mayRefuse = time.firstAttempt;
+    bool lostForOthers = m_context.relay == nullptr || !m_context.relayTo();
+    for (;;) {
+        const TimePoint now = Clock::now();
+        const std::optional<Endpoint> peer = m_context.relay == nullptr ? std::nullopt : m_context.relayTo();
+        situation.store = m_context.storeHealth();
+        situation.relayKnown = peer.has_value();
+        situation.mayHold = now < held;
+        switch (routeRecord(situation)) {
+        case RecordRoute::Append: {
+            const TimePoint attempt = std::max(time.attempt, std::min(now + STORE_TIMEOUT, time.latest));
+            co_return StoreAttempt {co_await m_context.writer->append(std::move(records), attempt), lostForOthers};
+        }
+        case RecordRoute::Relay: {
+            const RelayAnswer answer =
+                co_await m_context.relay->append(*peer, records, std::min(now + SLOW_RELAY_TIME, time.latest));
+            m_context.metrics.count(StepEvent::Relay, toString(answer.outcome));
+            if (answer.outcome != AppendOutcome::NotStored) {
+                co_return StoreAttempt {answer.outcome, false};
+            }
+            situation.relayRefused = true;
+            lostForOthers = answer.reached;
+            break;
+        }
+        case RecordRoute::Hold:
+            co_await sleepFor(HOLD_POLL_INTERVAL);
+            break;
+        case RecordRoute::Refuse:
+            co_return StoreAttempt {AppendOutcome::NotStored, lostForOthers};
+        }
+    }
+}
+
+Asio::awaitable<HttpResponse> JobApi::store(JobRecord record, CallerTime time, const JobId &id, const char *event)
 {
     const std::int64_t begun = bootMillis();
     std::vector<StoredRecord> records;
     records.push_back(encodeRecord(record));
-    const AppendOutcome outcome = co_await m_context.writer->append(std::move(records), deadline);
+    const auto [outcome, lostForOthers] = co_await storeSomehow(std::move(records), time);
     m_context.metrics.count(StepEvent::Store, toString(outcome));
     if (outcome == AppendOutcome::Stored) {
         m_context.onStored(record);
@@ -193,11 +250,15 @@
     }
     logEvent(LogLevel::Info, event,
              {{"job", id.value()}, {"outcome", toString(outcome)}, {"took_ms", bootMillis() - begun}});
+    HttpResponse response;
     switch (outcome) {
     case AppendOutcome::Stored:
         co_return makeResponse(200);
     case AppendOutcome::NotStored:
-        co_return refuse(503, "store-unavailable");
+        // Of a repeated submission, an earlier attempt may be stored, here or by another node.
+        response = time.firstAttempt ? refuse(503, "store-unavailable") : refuse(504, "unknown-outcome");
+        response.fields.set(Field::RETRY_AFTER, lostForOthers ? RETRY_AFTER_SECONDS : RETRY_ELSEWHERE);
+        co_return response;
     default:
         co_return refuse(504, "unknown-outcome");
     }
--- a/packages/dispatch/nodesettings.cpp
+++ b/packages/dispatch/nodesettings.cpp
@@ -66,6 +66,7 @@
     settings.callers = readEndpoint(root, "callers", errors);
     settings.ready = readEndpoint(root, "ready", errors);
     settings.store = readEndpoint(root, "store", errors);
+    settings.peers = readOptionalEndpoint(root, "peers", errors);
     settings.oracle = readOptionalEndpoint(root, "oracle", errors);
     settings.machines = readOptionalEndpoint(root, "machines", errors);
     if (const auto cores = root.number("cores", MIN_CORES, MAX_CORES)) {
--- a/packages/dispatch/nodesettings.h
+++ b/packages/dispatch/nodesettings.h
@@ -21,6 +21,7 @@
     Endpoint callers; ///< listener of the callers' API
     Endpoint ready;   ///< listener of the balancer's readiness probe, metrics and the operators' API
     Endpoint store;
+    std::optional<Endpoint> peers;      ///< listener for records of other nodes; none are taken without
     std::optional<Endpoint> oracle;     ///< the admission oracle, if there is one
     std::optional<Endpoint> machines;   ///< control of machines, if there is one
     std::uint32_t milliCores = 1'000;   ///< CPU limit of this node, in thousandths of a core; larger nodes lead first
--- a/packages/dispatch/operatorapi.cpp
+++ b/packages/dispatch/operatorapi.cpp
@@ -71,6 +71,13 @@
     return jsonResponse(202, toJson({{"job", id.value()}, {"state", "queued"}}));
 }
 
+/** @param firstAttempt true if the record cannot have been stored before */
+JobApi::CallerTime storeTime(bool firstAttempt)
+{
+    const TimePoint deadline = Clock::now() + STORE_TIMEOUT;
+    return {deadline, deadline, firstAttempt};
+}
+
 Millis waitOf(const HttpRequest &request)
 {
     const std::string_view text = request.query("waitMs");
@@ -205,7 +212,7 @@
         co_return failure(409, "id-taken", "the id is in use by a job of another team");
     }
     HttpResponse response =
-        co_await m_context.jobApi.accept(*queue, *team, id, std::move(read->spec), Clock::now() + STORE_TIMEOUT);
+        co_await m_context.jobApi.accept(*queue, *team, id, std::move(read->spec), storeTime(!read->id));
     if (response.status == 200) {
         response = accepted(id);
     }
@@ -228,7 +235,7 @@
         co_return failure(404, "no-such-job", "this team has no job " + id.value());
     }
     if (request.method == "DELETE") {
-        HttpResponse response = co_await m_context.jobApi.cancel(id, Clock::now() + STORE_TIMEOUT);
+        HttpResponse response = co_await m_context.jobApi.cancel(id, storeTime(true));
         if (response.status != 200) {
             co_return response;
         }
--- a/packages/dispatch/stepmetrics.cpp
+++ b/packages/dispatch/stepmetrics.cpp
@@ -18,6 +18,7 @@
     {"answers_total", "status"},
     {"refusals_total", "reason"},
     {"records_total", "outcome"},
+    {"relayed_total", "outcome"},
     {"placements_total", "queue"},
     {"start_refusals_total", "outcome"},
     {"stops_total", "reason"},
--- a/packages/dispatch/stepmetrics.h
+++ b/packages/dispatch/stepmetrics.h
@@ -18,6 +18,7 @@
     Answer,         ///< answers to callers, by HTTP status
     Refusal,        ///< refused requests, by error code
     Store,          ///< appends of callers' records, by outcome
+    Relay,          ///< callers' records passed to another node, by outcome
     Placement,      ///< placed units, by queue
     StartRefusal,   ///< refused starts, by outcome
     Stop,           ///< stopped units, by reason
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -24,7 +24,7 @@
 namespace
 {
 
-constexpr Millis JOURNAL_READ_WAIT {600};      // above the planner's heartbeat interval; a dead read ends later by it
+constexpr Millis JOURNAL_READ_WAIT {300};      // above the planner's heartbeat interval; a dead read ends later by it
 constexpr Millis CONFIG_READ_WAIT {1'200};     // below the time in which a configuration must take effect
 constexpr Millis FOLLOWER_READ_INTERVAL {200}; // nodes that do not lead read in batches to save calls
 constexpr Millis PLANNER_READ_INTERVAL {0};
@@ -82,8 +82,15 @@
         , journal(io, *platform.store, Topic::Journal, journalForwarder, JOURNAL_READ_WAIT)
         , configTopic(io, *platform.store, Topic::Config, configForwarder, CONFIG_READ_WAIT)
         , writer(JournalWriter::create(io, *platform.store, std::nullopt, readDelay()))
+        , peerPool(io)
+        , relay(peerPool)
         , jobApi({*platform.codec, writer, jobTable, [this] { return deployment.config(); },
-                  [this] { return upToDate(); }, [this](const JobRecord &record) { ownRecordStored(record); }, metrics})
+                  [this] { return upToDate(); }, [this](const JobRecord &record) { ownRecordStored(record); }, metrics,
+                  [this] { return storeHealth(); }, &relay,
+                  [this] { return relayPeer(); }})
+        , relayReceiver([this](std::vector<StoredRecord> records, TimePoint deadline) {
+            return appendRelayed(std::move(records), deadline);
+        })
         , operators({*platform.codec, jobApi, jobTable, metrics, [this] { return deployment.config(); },
                      [this] { return status(); },
                      [this](const JobId &job) {
@@ -95,6 +102,9 @@
         , readyServer(HttpServer::listen(io, settings.ready, HttpLimits {}, operators))
     {
         journal.setMinInterval(FOLLOWER_READ_INTERVAL);
+        if (settings.peers) {
+            peerServer = HttpServer::listen(io, *settings.peers, HttpLimits {}, relayReceiver);
+        }
     }
 
     void start()
@@ -237,6 +247,42 @@
         return [this] { return journal.lastReadDelay(); };
     }
 
+    // --- Store ---
+
+    [[nodiscard]] StoreHealth storeHealth() const
+    {
+        return healthOf({journal.failures(), journal.overdue(), journal.shortReadDelay()});
+    }
+
+    /** @return where the planner takes records of other nodes, unless it is this node. */
+    [[nodiscard]] std::optional<Endpoint> relayPeer() const
+    {
+        const PlannerAnnouncement &announced = jobTable.planner();
+        const auto peer = Endpoint::parse(announced.peers);
+        const bool usable = peer && !announced.resigned && announced.node != settings.node.value();
+        return usable ? std::optional(*peer) : std::nullopt;
+    }
+
+    /** Appends records that another node has passed to this one. */
+    Asio::awaitable<AppendOutcome> appendRelayed(std::vector<StoredRecord> records, TimePoint deadline)
+    {
+        if (storeHealth() == StoreHealth::Lost || draining) {
+            co_return AppendOutcome::NotStored;
+        }
+        const TimePoint attempt = deadline - JournalWriter::ANSWER_MARGIN;
+        const AppendOutcome outcome =
+            co_await writer->append(records, std::max(attempt, Clock::now() + MIN_RELAY_TIME));
+        if (outcome == AppendOutcome::Stored) {
+            applyRecords(records);
+        }
+        co_return outcome;
+    }
+
+    [[nodiscard]] std::string peersAddress() const
+    {
+        return settings.peers ? settings.peers->toString() : "";
+    }
+
     // --- Leadership ---
 
     static Asio::awaitable<void> tickLoop(Parts &parts)
@@ -260,7 +306,7 @@
     [[nodiscard]] bool shouldClaim() const
     {
         const std::int64_t now = bootMillis();
-        if (!ready() || !claimBackoff.mayClaim(now)) {
+        if (!ready() || !claimBackoff.mayClaim(now) || journal.overdue() > MAX_CLAIM_OVERDUE) {
             return false;
         }
         Candidacy candidacy;
@@ -297,8 +343,8 @@
                 break;
             }
             std::vector<StoredRecord> records;
-            records.push_back(
-                encodeRecord(PlannerAnnouncement {epoch, settings.node.value(), false, settings.milliCores}));
+            records.push_back(encodeRecord(
+                PlannerAnnouncement {epoch, settings.node.value(), false, settings.milliCores, peersAddress()}));
             outcome = co_await platform.store->append(Topic::Journal, std::move(records), producer, end,
                                                       Clock::now() + CLAIM_TIMEOUT);
         }
@@ -322,17 +368,29 @@
         auto claimWriter = JournalWriter::create(io, *platform.store, producer, readDelay());
         auto statusWriter =
             JournalWriter::create(io, *platform.store, Producer {producerName(), epoch, 0}, readDelay(), Topic::Status);
-        planner = StepPlanner::begin(
-            {io, *platform.store, *platform.minionControl, platform.oracle.get(), platform.machines.get(),
-             *platform.codec, jobTable, times, metrics, [this] { return deployment.config(); },
-             [this]() -> const ConfigDocument & { return deployment.document(); },
-             [this]() -> const std::map<WaveNumber, UpkeepWave> & { return deployment.waves(); },
-             [this] {
-                 return Freshness {minionTopic->currentAsOfMs(), journal.currentAsOfMs()};
-             },
-             settings.node.value(), settings.milliCores, settings.endedJobRetention,
-             settings.minionDrain - ARRIVAL_RESERVE, [this](const char *reason) { loseLeadership(reason); }},
-            claimWriter, statusWriter, epoch, deployment.minions());
+        planner =
+            StepPlanner::begin({io,
+                                *platform.store,
+                                *platform.minionControl,
+                                platform.oracle.get(),
+                                platform.machines.get(),
+                                *platform.codec,
+                                jobTable,
+                                times,
+                                metrics,
+                                [this] { return deployment.config(); },
+                                [this]() -> const ConfigDocument & { return deployment.document(); },
+                                [this]() -> const std::map<WaveNumber, UpkeepWave> & { return deployment.waves(); },
+                                                   [this] {
+                                    return Freshness {minionTopic->currentAsOfMs(), journal.currentAsOfMs()};
+                                },
+                                settings.node.value(),
+                                peersAddress(),
+                                settings.milliCores,
+                                settings.endedJobRetention,
+                                settings.minionDrain - ARRIVAL_RESERVE,
+                                [this](const char *reason) { loseLeadership(reason); }},
+                               claimWriter, statusWriter, epoch, deployment.minions());
     }
 
     /**
@@ -458,6 +516,8 @@
         parts.io.stop();
     }
 
+    static constexpr Millis MIN_RELAY_TIME {300};
+    static constexpr Millis MAX_CLAIM_OVERDUE {50}; // a store that answers late may hide the planner's records
     static constexpr Millis CLAIM_TIMEOUT {2'000};
     static constexpr Millis CLAIM_POLL_INTERVAL {5};
     static constexpr int CLAIM_ATTEMPTS = 6;
@@ -478,13 +538,17 @@
     std::unique_ptr<TopicFollower> minionTopic;
     std::shared_ptr<JournalWriter> writer;
     StepMetrics metrics;
+    HttpPool peerPool;
+    JournalRelay relay;
     JobApi jobApi;
+    RelayReceiver relayReceiver;
     OperatorApi operators;
     std::shared_ptr<StepPlanner> planner;
     Asio::signal_set signals;
     std::mt19937 random;
     std::unique_ptr<HttpServer> callers;
     std::unique_ptr<HttpServer> readyServer;
+    std::unique_ptr<HttpServer> peerServer; ///< null if this node takes no records of others
     std::int64_t startedMs = 0;
     std::int64_t lastPlannerRecordMs = 0;
     ClaimBackoff claimBackoff;
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -199,7 +199,7 @@
     if (m_writer->idle() && now - std::max(m_lastHeartbeatMs, m_writer->lastStoredMs()) >= HEARTBEAT_INTERVAL_MS) {
         m_lastHeartbeatMs = now;
         m_pendingRecords.push_back(
-            encodeRecord(PlannerAnnouncement {m_epoch, m_context.node, false, m_context.milliCores}));
+            encodeRecord(PlannerAnnouncement {m_epoch, m_context.node, false, m_context.milliCores, m_context.peers}));
         flushSoon();
     }
     requestPass();
@@ -211,8 +211,9 @@
     flush();
     m_leading = false;
     const auto self = shared_from_this();
-    m_writer->append({encodeRecord(PlannerAnnouncement {m_epoch, m_context.node, true, m_context.milliCores})},
-                     TimePoint::max(), [self, done = std::move(done)](AppendOutcome) { done(); });
+    m_writer->append(
+        {encodeRecord(PlannerAnnouncement {m_epoch, m_context.node, true, m_context.milliCores, m_context.peers})},
+        TimePoint::max(), [self, done = std::move(done)](AppendOutcome) { done(); });
 }
 
 void StepPlanner::stop()
@@ -261,9 +262,17 @@
 PlanInput StepPlanner::planInput(std::vector<MinionId> &ids) const
 {
     const std::int64_t now = bootMillis();
-    PlanInput input {
-        m_context.jobTable, *m_context.config(), m_context.times, m_tickets, {}, {}, {}, m_avoid, wallMillis(), now,
-        m_headroom};
+    PlanInput input {m_context.jobTable,
+                     *m_context.config(),
+                     m_context.times,
+                     m_tickets,
+                     {},
+                     {},
+                     {},
+                     m_avoid,
+                     wallMillis(),
+                     now,
+                     m_headroom};
     std::map<MinionId, std::size_t> places;
     for (const auto &[id, link] : m_links) {
         MinionView view;
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -59,6 +59,7 @@
         std::function<const std::map<WaveNumber, UpkeepWave> &()> waves;
         std::function<Freshness()> freshness; ///< of the minion entries and the job table
         std::string node;
+        std::string peers;        ///< where this node takes records of other nodes; empty if it does not
         std::uint32_t milliCores; ///< CPU limit of this node, in thousandths of a core
         Millis endedJobRetention; ///< how long an ended job is kept in the job table
         Millis maxViewAge;        ///< of the view on which a start rests when it is sent
--- a/packages/dispatch/stepplannerjournal.cpp
+++ b/packages/dispatch/stepplannerjournal.cpp
@@ -108,7 +108,7 @@
     if (m_pendingRecords.empty()) {
         // An append in flight may hold earlier ends of the same minions; a heartbeat record is queued behind it.
         m_pendingRecords.push_back(
-            encodeRecord(PlannerAnnouncement {m_epoch, m_context.node, false, m_context.milliCores}));
+            encodeRecord(PlannerAnnouncement {m_epoch, m_context.node, false, m_context.milliCores, m_context.peers}));
     }
     m_writer->append(std::move(m_pendingRecords), TimePoint::max(),
                      [self = shared_from_this(), stored](AppendOutcome outcome) {
--- a/packages/dispatch/topicfollower.cpp
+++ b/packages/dispatch/topicfollower.cpp
@@ -18,6 +18,7 @@
 {
 
 constexpr Millis RETRY_INTERVAL {100};     // after a failed read; the store counts every call
+constexpr Millis LOAD_ALLOWANCE {2'500};   // for the newest records of all keys, which come in pages
 constexpr std::size_t READ_KB = 64;        // of one read
 constexpr std::size_t MAX_READ_KB = 1'024; // for a record that exceeds READ_KB
 
@@ -59,11 +60,16 @@
     for (;;) {
         std::string readError;
         const TimePoint startTime = Clock::now();
+        if (self.m_failures == 0) { // otherwise, the store has been due since the first read that failed
+            self.m_dueMs = bootMillis() + (self.m_loaded ? self.m_wait : LOAD_ALLOWANCE).count();
+        }
         try {
             co_await self.readNext();
         } catch (const StoreError &error) {
             readError = error.what();
         }
+        self.m_failures = readError.empty() ? 0 : self.m_failures + 1;
+        self.m_dueMs = readError.empty() ? 0 : self.m_dueMs;
         if (!readError.empty()) {
             if (!self.m_failing) {
                 logEvent(LogLevel::Warning, "store-read-lost", {{"topic", nameOf(self.m_topic)}, {"error", readError}});
@@ -78,6 +84,16 @@
     }
 }
 
+Millis TopicFollower::shortReadDelay() const
+{
+    return *std::min_element(m_readDelays.begin(), m_readDelays.end());
+}
+
+Millis TopicFollower::overdue() const
+{
+    return m_dueMs == 0 ? Millis(0) : std::max(Millis(0), Millis(bootMillis() - m_dueMs));
+}
+
 Asio::awaitable<void> TopicFollower::readNext()
 {
     const std::int64_t sent = bootMillis();
@@ -92,7 +108,8 @@
         m_handler.loaded(newest.records);
         co_return;
     }
-    ReadResult result = co_await m_store.read(m_topic, m_next, m_wait, m_readKb);
+    const Millis wait = m_failures > 0 ? Millis(0) : m_wait; // finds out sooner whether the store is back
+    ReadResult result = co_await m_store.read(m_topic, m_next, wait, m_readKb);
     if (result.expired) {
         logEvent(LogLevel::Warning, "records-expired", {{"topic", nameOf(m_topic)}, {"offset", m_next.value()}});
         m_loaded = false;
@@ -102,7 +119,8 @@
     succeeded(sent, bootMillis());
     m_atEnd = m_next >= result.end;
     const Millis took(bootMillis() - sent);
-    m_lastReadDelay = result.records.empty() && m_atEnd ? took - m_wait : took;
+    m_lastReadDelay = result.records.empty() && m_atEnd ? took - wait : took;
+    m_readDelays[m_reads++ % m_readDelays.size()] = m_lastReadDelay;
     m_readKb = result.records.empty() && !m_atEnd ? std::min(2 * m_readKb, MAX_READ_KB) : READ_KB;
     if (m_atEnd) {
         m_currentAsOfMs = sent;
--- a/packages/dispatch/topicfollower.h
+++ b/packages/dispatch/topicfollower.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <string>
@@ -76,6 +77,15 @@
     {
         return m_lastReadDelay;
     }
+    /** @return the shortest of the last few reads; unlike a single one, it is not the wait for a record. */
+    [[nodiscard]] Millis shortReadDelay() const;
+    /** @return how many reads have failed since the last that succeeded. */
+    [[nodiscard]] std::uint32_t failures() const
+    {
+        return m_failures;
+    }
+    /** @return for how long an answer has been due, counted from the first read without one; 0 if none is. */
+    [[nodiscard]] Millis overdue() const;
     /** @return since when all reads have succeeded, in bootMillis(). */
     [[nodiscard]] std::int64_t healthySinceMs() const
     {
@@ -103,6 +113,10 @@
     std::int64_t m_currentAsOfMs = 0;
     std::int64_t m_healthySinceMs = 0;
     Millis m_lastReadDelay {0};
+    std::array<Millis, 3> m_readDelays {}; ///< of the last reads, in turn
+    std::size_t m_reads = 0;
+    std::uint32_t m_failures = 0;
+    std::int64_t m_dueMs = 0; ///< when the first read without an answer should have had one, in bootMillis(); or 0
 };
 
 } // namespace Papaya
--- a/packages/steps/deploymentconfig.h
+++ b/packages/steps/deploymentconfig.h
@@ -31,6 +31,7 @@
     std::uint32_t attempts = 1;
     double stretch = 1;
     std::int64_t targetMs = 0;
+    Millis callerTimeout {0};          ///< how long callers wait in all; 0 if not given
     bool authExempt = false;           ///< callers need no API key
     std::optional<OracleTerms> oracle; ///< if set, an admission oracle decides which minions may run a step
 };
--- a/packages/steps/jobrecord.cpp
+++ b/packages/steps/jobrecord.cpp
@@ -213,8 +213,8 @@
     }
     StoredRecord operator()(const PlannerAnnouncement &record) const
     {
-        return {std::string(PLANNER_KEY),
-                toCbor(Json::array({record.epoch.value(), record.node, record.resigned, record.milliCores}))};
+        return {std::string(PLANNER_KEY), toCbor(Json::array({record.epoch.value(), record.node, record.resigned,
+                                                              record.milliCores, record.peers}))};
     }
 };
 
@@ -270,7 +270,8 @@
         if (key == PLANNER_KEY) {
             return JobRecord(PlannerAnnouncement {Epoch(json->at(0).get<std::uint64_t>()),
                                                   json->at(1).get<std::string>(), json->at(2).get<bool>(),
-                                                  json->size() > 3 ? json->at(3).get<std::uint32_t>() : 0});
+                                                  json->size() > 3 ? json->at(3).get<std::uint32_t>() : 0,
+                                                  json->size() > 4 ? json->at(4).get<std::string>() : ""});
         }
     } catch (const Json::exception &) {
         return malformed(key);
--- a/packages/steps/jobrecord.h
+++ b/packages/steps/jobrecord.h
@@ -57,6 +57,7 @@
     std::string node;
     bool resigned = false;
     std::uint32_t milliCores = 0; ///< processor share of the node in thousandths of a core; 0 if unknown
+    std::string peers;            ///< address at which the node takes records of other nodes; empty if it does not
 };
 
 /** Copy of the operator's configuration in force, for nodes that cannot read the original. */
--- a/tests/integration/deployment.cpp
+++ b/tests/integration/deployment.cpp
@@ -25,7 +25,8 @@
 {
     return {{"name", name},      {"host", "jobs.example"},    {"pathPrefix", "/" + name + "/"},
             {"service", "desk"}, {"priority", priority},      {"attempts", 2},
-            {"stretch", 3.0},    {"targetDurationMs", 1'000}, {"authExempt", false}};
+            {"stretch", 3.0},    {"targetDurationMs", 1'000}, {"authExempt", false},
+            {"timeoutMs", 3'000}};
 }
 
 Json initialConfig()
@@ -64,11 +65,16 @@
         m_callers.push_back(freeEndpoint(io));
         m_operatorEndpoints.push_back(freeEndpoint(io));
         const std::string base = m_directory + "/node-" + std::to_string(i);
-        Json settings = {{"node", "node-" + std::to_string(i)},      {"place", "here"},
-                         {"callers", m_callers[i].toString()},       {"ready", m_operatorEndpoints[i].toString()},
-                         {"store", store.address().toString()},      {"drainLimitMs", DRAIN_LIMIT_MS},
-                         {"keepEndedMs", m_options.keepEndedMs},     {"oracle", oracle.address().toString()},
-                         {"machines", machines.address().toString()}};
+        Endpoint storeAddress = store.address();
+        if (m_options.storeProxies) {
+            storeProxies.push_back(Standins::FaultProxy::create(io, {"127.0.0.1", 0}, storeAddress));
+            storeAddress = storeProxies.back()->address();
+        }
+        Json settings = {{"node", "node-" + std::to_string(i)},   {"place", "here"},
+                         {"callers", m_callers[i].toString()},    {"ready", m_operatorEndpoints[i].toString()},
+                         {"store", storeAddress.toString()},      {"drainLimitMs", DRAIN_LIMIT_MS},
+                         {"peers", freeEndpoint(io).toString()},  {"keepEndedMs", m_options.keepEndedMs},
+                         {"oracle", oracle.address().toString()}, {"machines", machines.address().toString()}};
         if (i < m_options.cores.size()) {
             settings["cores"] = m_options.cores[i];
         }
@@ -167,12 +173,12 @@
 }
 
 Answer Deployment::call(std::size_t node, const std::string &method, const std::string &queue, const std::string &id,
-                        const std::string &body, const std::string &key, Millis timeout)
+                        const std::string &body, const std::string &key, Millis timeout, Millis timeLeft)
 {
     HttpRequest request {method, "/" + queue + "/" + id, {}, body};
     request.fields.set("Host", "jobs.example");
     request.fields.set("Papayahall-Key", key);
-    request.fields.set("Papayahall-Deadline-Remaining", "3000");
+    request.fields.set("Papayahall-Deadline-Remaining", std::to_string(timeLeft.count()));
     return Asio::co_spawn(io, exchange(m_pool, m_callers[node], std::move(request), timeout), Asio::use_future).get();
 }
 
--- a/tests/integration/deployment.h
+++ b/tests/integration/deployment.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cluster.h"
+#include "standins/faultproxy.h"
 #include "standins/platformminionstandin.h"
 #include "standins/platformservicestandins.h"
 #include "standins/platformstorestandin.h"
@@ -25,6 +26,7 @@
     std::size_t minionsPerRack = 6;
     std::int64_t keepEndedMs = 120'000; ///< retention period of ended jobs
     std::int64_t maintenanceMs = 300;   ///< duration of a machine's maintenance
+    bool storeProxies = false;          ///< each node reaches the store through a proxy of its own
     std::vector<double> cores = {};     ///< CPU limit of each node; those beyond the list have one core
 };
 
@@ -66,8 +68,10 @@
      */
     Answer submit(std::size_t node, const std::string &queue, const std::string &id, const Json &steps,
                   const Json &taskSpec = {{"workMs", 100}}, const Json &extraFields = Json::object());
+    /** @param timeLeft how long the caller says that it will wait */
     Answer call(std::size_t node, const std::string &method, const std::string &queue, const std::string &id,
-                const std::string &body = "", const std::string &key = "key-a", Millis timeout = Millis(4'000));
+                const std::string &body = "", const std::string &key = "key-a", Millis timeout = Millis(4'000),
+                Millis timeLeft = Millis(3'000));
     /** Calls the operator interface of a node. */
     Answer callOperatorApi(std::size_t node, const std::string &method, const std::string &target,
                            const std::string &body = "", const std::string &key = "key-a");
@@ -98,6 +102,7 @@
     Standins::PlatformMachinesStandin machines;
     std::vector<std::unique_ptr<Standins::PlatformMinionStandin>> minions;
     std::vector<std::unique_ptr<InstanceProcess>> nodes;
+    std::vector<std::unique_ptr<Standins::FaultProxy>> storeProxies; ///< of each node, if there are any
 
 private:
     DeploymentOptions m_options;
--- a/tests/unit/jobtable.cpp
+++ b/tests/unit/jobtable.cpp
@@ -138,7 +138,7 @@
     checkRoundTrip(StepJobCancelled {job.id});
     checkRoundTrip(UnitChanged {{job.id, 3, 1, *rc::gen::inRange(-1, 9)}, *statuses()});
     checkRoundTrip(PlannerAnnouncement {Epoch(*rc::gen::inRange<std::uint64_t>(0, 1ULL << 50)), "node-1",
-                                        *rc::gen::arbitrary<bool>()});
+                                        *rc::gen::arbitrary<bool>(), 500, "10.0.0.1:7000"});
 }
 
 RC_GTEST_PROP(JobRecord, IsDecodedFromArbitraryBytesToAValueOrAnError, (const std::string &bytes))
