--- a/packages/dispatch/jobapi.cpp
+++ b/packages/dispatch/jobapi.cpp
@@ -21,6 +21,7 @@
 constexpr Millis HOLD_POLL_INTERVAL {20};
 constexpr Millis MAX_HOLD {800};          // then the caller may try another node, to which the store may be back
 constexpr Millis SLOW_RELAY_TIME {2'400}; // for a record to be appended by another node while the store is slow
+constexpr Millis MAX_REFRESH {120};       // a state may be older by that much
 constexpr const char *RETRY_AFTER_SECONDS = "1";
 constexpr const char *RETRY_ELSEWHERE = "0"; // another node may reach the store
 
@@ -119,7 +120,7 @@
         co_return co_await submit(*queue, team, id, request);
     }
     if (request.method == "GET") {
-        co_return state(id);
+        co_return co_await state(id);
     }
     if (request.method == "DELETE") {
         co_return co_await cancel(id, timeOf(request));
@@ -194,6 +195,7 @@
     // submission from the journal.
     const TimePoint waitDeadline = Clock::now() + PEER_RECORD_WAIT;
     while (response.status == 200 && m_context.jobTable.find(id) == nullptr && Clock::now() < waitDeadline) {
+        co_await m_context.refresh(PEER_RECORD_POLL_INTERVAL);
         co_await sleepFor(PEER_RECORD_POLL_INTERVAL);
     }
     const bool known = m_context.jobTable.find(id) != nullptr;
@@ -264,14 +266,18 @@
     }
 }
 
-HttpResponse JobApi::state(const JobId &id) const
+Asio::awaitable<HttpResponse> JobApi::state(JobId id)
 {
     const JobEntry *entry = m_context.jobTable.find(id);
+    if (entry == nullptr || entry->live()) {
+        co_await m_context.refresh(MAX_REFRESH);
+        entry = m_context.jobTable.find(id);
+    }
     if (entry != nullptr) {
-        return makeResponse(200, m_context.codec.encodeState(toString(entry->state())));
+        co_return makeResponse(200, m_context.codec.encodeState(toString(entry->state())));
     }
     // A node that is behind in the journal cannot tell that the job does not exist.
-    return m_context.upToDate() ? refuse(410, "no-such-job") : refuse(503, "journal-unread");
+    co_return m_context.upToDate() ? refuse(410, "no-such-job") : refuse(503, "journal-unread");
 }
 
 } // namespace Papaya
--- a/packages/dispatch/jobapi.h
+++ b/packages/dispatch/jobapi.h
@@ -34,6 +34,8 @@
         std::function<void(const JobRecord &)> onStored; ///< called with each record that the API has stored
         StepMetrics &metrics;
         std::function<StoreHealth()> storeHealth;
+        /** Reads on in the journal for at most the given time. */
+        std::function<Asio::awaitable<void>(Millis)> refresh;
         JournalRelay *relay;                              ///< null if records are not passed to other nodes
         std::function<std::optional<Endpoint>()> relayTo; ///< another node that appends records, if there is one
     };
@@ -59,7 +61,7 @@
     Asio::awaitable<HttpResponse> respond(const HttpRequest &request);
     Asio::awaitable<HttpResponse> submit(const QueueConfig &queue, const TeamName &team, JobId id,
                                          const HttpRequest &request);
-    [[nodiscard]] HttpResponse state(const JobId &id) const;
+    Asio::awaitable<HttpResponse> state(JobId id);
     Asio::awaitable<HttpResponse> store(JobRecord record, CallerTime time, const JobId &id, const char *event);
     struct StoreAttempt {
         AppendOutcome outcome = AppendOutcome::NotStored; ///< Stored, NotStored or Unknown
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -26,8 +26,8 @@
 
 constexpr Millis JOURNAL_READ_WAIT {300};      // above the planner's heartbeat interval; a dead read ends later by it
 constexpr Millis CONFIG_READ_WAIT {1'200};     // below the time in which a configuration must take effect
-constexpr Millis FOLLOWER_READ_INTERVAL {200}; // nodes that do not lead read in batches to save calls
-constexpr Millis PLANNER_READ_INTERVAL {0};
+constexpr Millis FOLLOWER_READ_INTERVAL {500}; // nodes that do not lead read in batches, or when asked, to save calls
+constexpr Millis PLANNER_READ_INTERVAL {15};
 constexpr Millis MINIONS_READ_INTERVAL {400}; // each minion writes every 1 to 2 s
 constexpr Millis MINIONS_READ_WAIT {400};     // the view is as old as the wait if no minion writes
 constexpr Millis TICK_INTERVAL {100};
@@ -86,7 +86,7 @@
         , relay(peerPool)
         , jobApi({*platform.codec, writer, jobTable, [this] { return deployment.config(); },
                   [this] { return upToDate(); }, [this](const JobRecord &record) { ownRecordStored(record); }, metrics,
-                  [this] { return storeHealth(); }, &relay,
+                  [this] { return storeHealth(); }, [this](Millis limit) { return journal.refresh(limit); }, &relay,
                   [this] { return relayPeer(); }})
         , relayReceiver([this](std::vector<StoredRecord> records, TimePoint deadline) {
             return appendRelayed(std::move(records), deadline);
--- a/packages/dispatch/topicfollower.cpp
+++ b/packages/dispatch/topicfollower.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -60,6 +61,7 @@
     for (;;) {
         std::string readError;
         const TimePoint startTime = Clock::now();
+        self.m_reading = true;
         if (self.m_failures == 0) { // otherwise, the store has been due since the first read that failed
             self.m_dueMs = bootMillis() + (self.m_loaded ? self.m_wait : LOAD_ALLOWANCE).count();
         }
@@ -68,8 +70,10 @@
         } catch (const StoreError &error) {
             readError = error.what();
         }
+        self.m_reading = false;
         self.m_failures = readError.empty() ? 0 : self.m_failures + 1;
         self.m_dueMs = readError.empty() ? 0 : self.m_dueMs;
+        self.m_readEnded.notifyAll();
         if (!readError.empty()) {
             if (!self.m_failing) {
                 logEvent(LogLevel::Warning, "store-read-lost", {{"topic", nameOf(self.m_topic)}, {"error", readError}});
@@ -84,6 +88,16 @@
     }
 }
 
+Asio::awaitable<void> TopicFollower::refresh(Millis limit)
+{
+    if (m_reading || m_failing) {
+        co_return;
+    }
+    const auto ended = m_readEnded.subscribe(co_await Asio::this_coro::executor);
+    m_pause.cancel();
+    co_await ended->wait(Clock::now() + limit);
+}
+
 Millis TopicFollower::shortReadDelay() const
 {
     return *std::min_element(m_readDelays.begin(), m_readDelays.end());
--- a/packages/dispatch/topicfollower.h
+++ b/packages/dispatch/topicfollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection/waiter.h"
 #include "dispatch/recordstore.h"
 
 #include <boost/asio/io_context.hpp>
@@ -43,6 +44,12 @@
         m_minInterval = interval;
         m_pause.cancel();
     }
+    /**
+     * Makes what is known as recent as possible: waits for a read that begins now, if none is in flight. A read that is
+     * in flight returns as soon as there is a record.
+     * @param limit longest wait
+     */
+    Asio::awaitable<void> refresh(Millis limit);
     /** Makes the next read load the newest record of each key again. */
     void reload()
     {
@@ -116,7 +123,9 @@
     std::array<Millis, 3> m_readDelays {}; ///< of the last reads, in turn
     std::size_t m_reads = 0;
     std::uint32_t m_failures = 0;
+    bool m_reading = false;   ///< a read is in flight
     std::int64_t m_dueMs = 0; ///< when the first read without an answer should have had one, in bootMillis(); or 0
+    Broadcast m_readEnded;
 };
 
 } // namespace Papaya
