Take ages and due times from steady clocks

By its code, a planner whose clock was 20 s ahead took every waiting job for expired, started timed occurrences 20 s early and spent the budget of a maintenance wave: the differences were taken between wall clocks of different machines.

The age of a job now counts from when the node has applied its submission, by a clock that does not jump; a take-over changes nothing, as every node has seen the job arrive.

Left: the time of a wave that began under another planner still depends on that machine's clock at its start.

Tests: Timeliness.*, SteadyWallClock.*, JobAge.*

--- a/packages/dispatch/jobapi.cpp
+++ b/packages/dispatch/jobapi.cpp
@@ -156,7 +156,7 @@
     job.service = queue.service;
     job.team = team;
     job.spec = std::move(spec);
-    job.submittedMs = wallMillis();
+    job.submittedMs = m_context.wallNow();
     job.priority = queue.priority;
     job.attempts = queue.attempts;
     job.stretch = queue.stretch;
--- a/packages/dispatch/jobapi.h
+++ b/packages/dispatch/jobapi.h
@@ -38,6 +38,7 @@
         std::function<Asio::awaitable<void>(Millis)> refresh;
         JournalRelay *relay;                              ///< null if records are not passed to other nodes
         std::function<std::optional<Endpoint>()> relayTo; ///< another node that appends records, if there is one
+        std::function<std::int64_t()> wallNow;            ///< time of day in milliseconds since 1970, without its jumps
     };
 
     /** How long a caller waits for an answer, and what a refusal may promise it. */
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -10,6 +10,8 @@
 #include "dispatch/topicfollower.h"
 #include "process/logging.h"
 #include "steps/candidacy.h"
+#include "steps/jobage.h"
+#include "steps/steadywallclock.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -87,7 +89,7 @@
         , jobApi({*platform.codec, writer, jobTable, [this] { return deployment.config(); },
                   [this] { return upToDate(); }, [this](const JobRecord &record) { ownRecordStored(record); }, metrics,
                   [this] { return storeHealth(); }, [this](Millis limit) { return journal.refresh(limit); }, &relay,
-                  [this] { return relayPeer(); }})
+                  [this] { return relayPeer(); }, [this] { return wallNow(); }})
         , relayReceiver([this](std::vector<StoredRecord> records, TimePoint deadline) {
             return appendRelayed(std::move(records), deadline);
         })
@@ -110,6 +112,7 @@
     void start()
     {
         startedMs = bootMillis();
+        wallClock.observe(wallMillis(), startedMs);
         journal.start();
         configTopic.start();
         Asio::co_spawn(io, tickLoop(*this), Asio::detached);
@@ -163,15 +166,43 @@
 
     void journalLoaded(const std::vector<StoredRecord> &records)
     {
+        std::map<JobId, std::int64_t> accepted;
+        for (const auto &[id, entry] : jobTable.jobs()) {
+            if (entry.acceptedMs) {
+                accepted.emplace(id, *entry.acceptedMs);
+            }
+        }
         if (!planner) {
             jobTable = JobTable();
         }
+        loading = true;
         applyRecords(records);
+        loading = false;
+        restoreAges(accepted);
         lastPlannerRecordMs = journal.currentAsOfMs(); // what was loaded had been stored by then
         logEvent(LogLevel::Info, "journal-loaded",
                  {{"records", std::uint64_t(records.size())}, {"jobs", std::uint64_t(jobTable.size())}});
     }
 
+    /** Sets the ages of loaded jobs: as known before, or by the clocks that stamped the journal. */
+    void restoreAges(const std::map<JobId, std::int64_t> &accepted)
+    {
+        for (const auto &[id, acceptedMs] : accepted) {
+            jobTable.setAccepted(id, acceptedMs);
+        }
+        std::vector<std::int64_t> stamps; // of the newest submissions
+        const auto &live = jobTable.live();
+        for (auto job = live.rbegin(); job != live.rend() && stamps.size() < AGE_SAMPLES; ++job) {
+            stamps.push_back(job->second->job.submittedMs);
+        }
+        const std::int64_t now = bootMillis();
+        const std::int64_t journalNow = journalNowMs(std::move(stamps), wallClock.at(now));
+        for (const auto &[key, entry] : live) {
+            const std::int64_t age = std::max<std::int64_t>(0, journalNow - entry->job.submittedMs);
+            jobTable.setAccepted(entry->job.id, now - age);
+        }
+    }
+
     void journalReceived(const std::vector<StoredRecord> &records)
     {
         applyRecords(records);
@@ -232,6 +263,9 @@
         const JobEntry *entry = change == nullptr ? nullptr : jobTable.find(change->unit.job);
         const bool lived = entry != nullptr && entry->live();
         jobTable.apply(record);
+        if (const auto *submitted = std::get_if<StepJobSubmitted>(&record); submitted != nullptr && !loading) {
+            jobTable.setAccepted(submitted->job.id, bootMillis());
+        }
         if (lived && !entry->live() && journal.isLoaded()) {
             metrics.record(JobStage::Shown, wallMillis() - entry->job.submittedMs);
         }
@@ -242,6 +276,12 @@
         applyRecord(record);
     }
 
+    /** @return the time of day in milliseconds since 1970, without its jumps. */
+    [[nodiscard]] std::int64_t wallNow() const
+    {
+        return wallClock.at(bootMillis());
+    }
+
     std::function<Millis()> readDelay()
     {
         return [this] { return journal.lastReadDelay(); };
@@ -289,6 +329,7 @@
     {
         for (;;) {
             co_await sleepFor(TICK_INTERVAL);
+            parts.wallClock.observe(wallMillis(), bootMillis());
             if (parts.planner) {
                 parts.planner->tick();
             } else if (!parts.claiming && parts.shouldClaim()) {
@@ -381,7 +422,8 @@
                                 [this] { return deployment.config(); },
                                 [this]() -> const ConfigDocument & { return deployment.document(); },
                                 [this]() -> const std::map<WaveNumber, UpkeepWave> & { return deployment.waves(); },
-                                                   [this] {
+                                [this] { return wallNow(); },
+                                [this] {
                                     return Freshness {minionTopic->currentAsOfMs(), journal.currentAsOfMs()};
                                 },
                                 settings.node.value(),
@@ -516,6 +558,7 @@
         parts.io.stop();
     }
 
+    static constexpr std::size_t AGE_SAMPLES = 15;
     static constexpr Millis MIN_RELAY_TIME {300};
     static constexpr Millis MAX_CLAIM_OVERDUE {50}; // a store that answers late may hide the planner's records
     static constexpr Millis CLAIM_TIMEOUT {2'000};
@@ -549,6 +592,8 @@
     std::unique_ptr<HttpServer> callers;
     std::unique_ptr<HttpServer> readyServer;
     std::unique_ptr<HttpServer> peerServer; ///< null if this node takes no records of others
+    SteadyWallClock wallClock;
+    bool loading = false; ///< the newest record of each key is being applied
     std::int64_t startedMs = 0;
     std::int64_t lastPlannerRecordMs = 0;
     ClaimBackoff claimBackoff;
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -58,7 +58,7 @@
     if (planner->m_context.machines != nullptr) {
         const Context &own = planner->m_context;
         UpkeepController::begin({own.io, *own.machines, std::shared_ptr<FleetAccess>(planner, planner.get()),
-                                 own.jobTable, own.waves, own.codec, std::move(status), own.node, epoch});
+                                 own.jobTable, own.waves, own.codec, std::move(status), own.node, epoch, own.wallNow});
     }
     return planner;
 }
@@ -270,7 +270,7 @@
                      {},
                      {},
                      m_avoid,
-                     wallMillis(),
+                     m_context.wallNow(),
                      now,
                      m_headroom};
     std::map<MinionId, std::size_t> places;
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -57,7 +57,8 @@
         std::function<const DeploymentConfig *()> config;
         std::function<const ConfigDocument &()> configDocument;
         std::function<const std::map<WaveNumber, UpkeepWave> &()> waves;
-        std::function<Freshness()> freshness; ///< of the minion entries and the job table
+        std::function<std::int64_t()> wallNow; ///< time of day in milliseconds since 1970, without its jumps
+        std::function<Freshness()> freshness;  ///< of the minion entries and the job table
         std::string node;
         std::string peers;        ///< where this node takes records of other nodes; empty if it does not
         std::uint32_t milliCores; ///< CPU limit of this node, in thousandths of a core
--- a/packages/dispatch/upkeepcontroller.cpp
+++ b/packages/dispatch/upkeepcontroller.cpp
@@ -107,7 +107,7 @@
         progress = known->second;
     } else {
         progress.number = wave.number;
-        progress.firstSeenMs = wallMillis();
+        progress.firstSeenMs = m_context.wallNow();
     }
     for (const MachineId &machine : wave.machines) {
         UpkeepState &state = progress.machines.try_emplace(machine, UpkeepState::Pending).first->second;
@@ -147,7 +147,7 @@
         pending.push_back(
             {machine, entry.up, work.overBudget, work.running, work.lossMs, since(m_reservedMs), since(m_vacatedMs)});
     }
-    const std::int64_t elapsed = wallMillis() - progress.firstSeenMs;
+    const std::int64_t elapsed = std::max<std::int64_t>(0, m_context.wallNow() - progress.firstSeenMs);
     return planUpkeep(wave.maximum, down, std::move(pending), wave.within.count() - elapsed);
 }
 
--- a/packages/dispatch/upkeepcontroller.h
+++ b/packages/dispatch/upkeepcontroller.h
@@ -61,6 +61,7 @@
         std::shared_ptr<JournalWriter> status; ///< appends to the operator's status topic
         std::string node;
         Epoch epoch;
+        std::function<std::int64_t()> wallNow; ///< time of day in milliseconds since 1970, without its jumps
     };
 
     /** Starts a controller, which runs until its planner no longer leads. */
--- a/packages/steps/jobtable.cpp
+++ b/packages/steps/jobtable.cpp
@@ -185,6 +185,14 @@
     }
 }
 
+void JobTable::setAccepted(const JobId &id, std::int64_t steadyMs)
+{
+    const auto found = m_jobs.find(id);
+    if (found != m_jobs.end() && !found->second.acceptedMs) {
+        found->second.acceptedMs = steadyMs;
+    }
+}
+
 const JobEntry *JobTable::find(const JobId &id) const
 {
     const auto found = m_jobs.find(id);
--- a/packages/steps/jobtable.h
+++ b/packages/steps/jobtable.h
@@ -36,8 +36,9 @@
 struct JobEntry {
     StepJob job;
     bool cancelled = false;
-    std::uint32_t unitsLeft = 0;   ///< units that are not done
-    std::uint32_t unitsFailed = 0; ///< units that have failed on all attempts
+    std::optional<std::int64_t> acceptedMs; ///< when it was accepted, by the steady clock of this node, if known
+    std::uint32_t unitsLeft = 0;            ///< units that are not done
+    std::uint32_t unitsFailed = 0;          ///< units that have failed on all attempts
     std::uint32_t unitsStarted = 0;
     std::vector<OccurrenceProgress> occurrences;
 
@@ -58,6 +59,9 @@
      */
     void apply(const JobRecord &record);
 
+    /** Sets when job @p id was accepted, by the steady clock of this node, unless that is known. */
+    void setAccepted(const JobId &id, std::int64_t steadyMs);
+
     [[nodiscard]] const JobEntry *find(const JobId &id) const;
     /** @return the keys of all units of @p entry. */
     [[nodiscard]] static std::vector<UnitKey> unitsOf(const JobEntry &entry);
--- a/packages/steps/stepscheduler.cpp
+++ b/packages/steps/stepscheduler.cpp
@@ -90,7 +90,7 @@
                 continue;
             }
             Candidate candidate {&entry, occurrence, s};
-            candidate.timeliness = timelinessOf(entry, occurrence, m_input.times, m_input.nowMs);
+            candidate.timeliness = timelinessOf(entry, occurrence, m_input.times, {m_input.nowMs, m_input.steadyMs});
             candidate.guaranteed = entry.job.priority == 0 && withinGuarantee(entry, candidate.spec());
             all.push_back(candidate);
         }
--- a/packages/steps/timeliness.cpp
+++ b/packages/steps/timeliness.cpp
@@ -11,9 +11,18 @@
 
 constexpr double LATE_FACTOR = 3; // a result is of use up to this multiple of the objective
 
+/** The wall clocks of two machines may differ, so that the age of a job counts by the clock of this one. */
+std::int64_t ageMs(const JobEntry &entry, std::uint32_t occurrence, DecisionTime now)
+{
+    if (entry.job.spec.timetable.runs == 0 && entry.acceptedMs) {
+        return now.steadyMs - *entry.acceptedMs;
+    }
+    return now.wallMs - std::max(entry.job.submittedMs, entry.dueMs(occurrence));
+}
+
 } // namespace
 
-Timeliness timelinessOf(const JobEntry &entry, std::uint32_t occurrence, const RunTimes &times, std::int64_t nowMs)
+Timeliness timelinessOf(const JobEntry &entry, std::uint32_t occurrence, const RunTimes &times, DecisionTime now)
 {
     const StepJob &job = entry.job;
     const std::size_t count = job.spec.steps.size();
@@ -34,9 +43,8 @@
         criticalPathMs = std::max(criticalPathMs, pathEndsMs[s]);
         remainingMs = std::max(remainingMs, remainingEndsMs[s]);
     }
-    const std::int64_t startMs = std::max(job.submittedMs, entry.dueMs(occurrence));
     const double objective = job.stretch * double(criticalPathMs) + double(job.targetMs);
-    const double expectedTotalMs = double(nowMs - startMs + remainingMs);
+    const double expectedTotalMs = double(ageMs(entry, occurrence, now) + remainingMs);
     if (expectedTotalMs <= objective) {
         return Timeliness::InTime;
     }
--- a/packages/steps/timeliness.h
+++ b/packages/steps/timeliness.h
@@ -18,7 +18,13 @@
     Expired ///< will take more than three times as long as its objective
 };
 
+/** The present time. */
+struct DecisionTime {
+    std::int64_t wallMs = 0;   ///< milliseconds since 1970
+    std::int64_t steadyMs = 0; ///< steady clock by which JobEntry::acceptedMs was taken
+};
+
 /** @return the rating of @p occurrence, by the learned run times of its remaining steps. */
-Timeliness timelinessOf(const JobEntry &entry, std::uint32_t occurrence, const RunTimes &times, std::int64_t nowMs);
+Timeliness timelinessOf(const JobEntry &entry, std::uint32_t occurrence, const RunTimes &times, DecisionTime now);
 
 } // namespace Papaya
