Provoke a hang with tasks that must all be placed, and fail without the limit for runs that never began

The first form of the test used a gang; the minion stand-in lets the other members of a gang go on, so that the test passed with a limit of 3 s. It now places a task on each minion, and was seen red with that limit (3.1 s).

--- a/tests/integration/stepjobs.cpp
+++ b/tests/integration/stepjobs.cpp
@@ -189,18 +189,16 @@
     EXPECT_TRUE(deployment.runs.doubled().empty());
 }
 
-// Load pattern: an urgent gang with a member on a minion that hangs while it reports itself as healthy.
-TEST(StepJobs, OfAGangThatNeverBeginsOnAHangingMinionRunElsewhereWithinSeconds)
+// Load pattern: urgent tasks that are placed on a minion that hangs while it reports itself as healthy.
+TEST(StepJobs, ThatNeverBeginOnAHangingMinionRunElsewhereWithinSeconds)
 {
     Deployment deployment;
     deployment.start();
     PlatformMinionFaults hangs;
     hangs.hang = true;
     deployment.minion("i-0").setFaults(hangs);
-    // Two whole minions of three, so that no second gang fits beside the first.
-    const Json gang = Deployment::step(2, {1'000, 1'000, 8}, {{"gang", true}});
-    const std::string id = deployment.newId();
-    ASSERT_EQ(200, deployment.submit(0, "urgent", id, gang).status);
+    const std::string id = deployment.newId(); // a task for each minion
+    ASSERT_EQ(200, deployment.submit(0, "urgent", id, {Deployment::step(3, {1'000, 1'000, 8})}).status);
     EXPECT_TRUE(deployment.waitForState("urgent", id, "completed", Millis(3'000)));
     EXPECT_TRUE(deployment.runs.doubled().empty());
 }
