Reject jobs that no node can hold, and resources below zero

A task with gpu -8 was accepted and would have made room on a minion that has none.

Tests, seen red before: StepJobs.ThatAreTooLarge... (500 and 200 instead of 400, and no job ran afterwards); JobRecord.OfAJobThatNoNodeCanHold... was written with the fix.

--- a/packages/dispatch/jobspecreader.cpp
+++ b/packages/dispatch/jobspecreader.cpp
@@ -114,6 +114,9 @@
     }
     request.spec.timetable = readTimetable(root, errors);
     root.refuseUnknownKeys();
+    if (const char *fault = errors.empty() ? faultOf(request.spec) : nullptr) {
+        root.report("wrong-value", fault, "steps");
+    }
     if (!errors.empty()) {
         return errors;
     }
--- a/packages/steps/jobrecord.cpp
+++ b/packages/steps/jobrecord.cpp
@@ -262,7 +262,9 @@
             return malformed(key);
         }
         if (key.starts_with(JOB_PREFIX)) {
-            return JobRecord(StepJobSubmitted {decodeJob(key.substr(JOB_PREFIX.size()), *json)});
+            StepJob job = decodeJob(key.substr(JOB_PREFIX.size()), *json);
+            return faultOf(job.spec) == nullptr ? Result<JobRecord>(JobRecord(StepJobSubmitted {std::move(job)}))
+                                                : Result<JobRecord>(malformed(key));
         }
         if (key.starts_with(WAVE_PREFIX)) {
             return JobRecord(decodeWave(key.substr(WAVE_PREFIX.size()), *json));
--- a/packages/steps/stepjob.h
+++ b/packages/steps/stepjob.h
@@ -62,6 +62,12 @@
     }
 };
 
+/**
+ * Checks what every node must be able to hold and schedule.
+ * @return why @p spec must not be accepted, or null if it may be
+ */
+const char *faultOf(const JobSpec &spec);
+
 /** A job as stored: its submission, with the settings of its queue at that time. */
 struct StepJob {
     JobId id;
--- a/tests/integration/stepjobs.cpp
+++ b/tests/integration/stepjobs.cpp
@@ -88,6 +88,28 @@
     EXPECT_TRUE(deployment.runs.of(id).empty());
 }
 
+// One submission that no node can hold must not reach the journal, which every node applies.
+TEST(StepJobs, ThatAreTooLargeOrNeedLessThanNothingAreRejectedAndHarmNoNode)
+{
+    DeploymentOptions options;
+    options.nodes = 1;
+    Deployment deployment(options);
+    deployment.start();
+    const Json step = Deployment::step(1);
+    const Json endless = {{"runCount", 4'000'000'000U}, {"firstRunMs", 4'000'000'000'000}, {"intervalMs", 1'000}};
+    EXPECT_EQ(400, deployment.submit(0, "plan", deployment.newId(), {step}, {{"workMs", 100}}, endless).status);
+    Json wide = Json::array();
+    for (int i = 0; i < 1'000; ++i) {
+        wide.push_back(Deployment::step(10'000));
+    }
+    EXPECT_EQ(400, deployment.submit(0, "plan", deployment.newId(), wide).status);
+    const Json freeing = Deployment::step(1, {1'000, 1'000, 0}, {{"gpu", -8}});
+    EXPECT_EQ(400, deployment.submit(0, "plan", deployment.newId(), {freeing}).status);
+    const std::string after = deployment.newId();
+    EXPECT_EQ(200, deployment.submit(0, "plan", after, {step}).status);
+    EXPECT_TRUE(deployment.waitForState("plan", after, "completed"));
+}
+
 TEST(StepJobs, WhenCancelledStopTheirTasksAndGangs)
 {
     Deployment deployment;
--- a/tests/unit/jobtable.cpp
+++ b/tests/unit/jobtable.cpp
@@ -141,6 +141,29 @@
                                         *rc::gen::arbitrary<bool>(), 500, "10.0.0.1:7000"});
 }
 
+// A record that some other program wrote, or a caller's job that was stored before it was checked. Every node applies
+// it.
+TEST(JobRecord, OfAJobThatNoNodeCanHoldIsRejected)
+{
+    const auto isRejected = [](const StepJob &job) {
+        const StoredRecord stored = encodeRecord(StepJobSubmitted {job});
+        return !decodeRecord(stored.key, stored.value).ok();
+    };
+    EXPECT_FALSE(isRejected(sampleJob()));
+    StepJob endless = sampleJob();
+    endless.spec.timetable.runs = 4'000'000'000U;
+    EXPECT_TRUE(isRejected(endless));
+    StepJob empty = sampleJob();
+    empty.spec.steps.clear();
+    EXPECT_TRUE(isRejected(empty));
+    StepJob circular = sampleJob();
+    circular.spec.steps[1].dependencies = {1};
+    EXPECT_TRUE(isRejected(circular));
+    StepJob freeing = sampleJob();
+    freeing.spec.steps[0].need.gpus = -8;
+    EXPECT_TRUE(isRejected(freeing));
+}
+
 RC_GTEST_PROP(JobRecord, IsDecodedFromArbitraryBytesToAValueOrAnError, (const std::string &bytes))
 {
     for (const char *key : {"j/00", "x/00", "u/00.0.0.1", "q", "", "z"}) {
