Let a test wait until a node knows the planner before it is cut off

In green plays it had read the announcement. The test now waits for that, by the node's own status; its checks and bounds are unchanged. A node that has never read an announcement cannot relay, which the code does not hide: it answers 503.

--- a/tests/integration/storeoutage.cpp
+++ b/tests/integration/storeoutage.cpp
@@ -111,7 +111,13 @@
     options.storeProxies = true;
     Deployment deployment(options);
     deployment.start();
-    const std::size_t cut = 1 - *deployment.leader();
+    const std::size_t leader = *deployment.leader();
+    const std::size_t cut = 1 - leader;
+    // The node learns from the journal which node plans and where that takes records.
+    ASSERT_TRUE(Cluster::eventually([&] {
+        return deployment.callOperatorApi(cut, "GET", "/admin/status").json().value("planner", "")
+               == "node-" + std::to_string(leader);
+    }));
     deployment.storeProxies[cut]->setRefuse(true);
     deployment.storeProxies[cut]->cutOpen();
     std::string id;
