--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,53 +1,61 @@
-// Jobs come and end all the time; now and then a minion crashes and is started again at once under its id.
+// A minion that has been idle for a while is cut off for some seconds, and a job for it comes meanwhile.
 
 #include "site.h"
 
-#include <random>
-
 using namespace Review;
 
 namespace
 {
 
-constexpr std::size_t MINIONS = 8;
-constexpr Millis LENGTH {75'000};
-constexpr Millis JOB_INTERVAL {700};
-constexpr Millis CRASH_INTERVAL {1'500}; // and up to a second more
-constexpr Millis DOWN {100};
+constexpr std::size_t MINIONS = 6;
+constexpr std::size_t ONLY = 5;      // the only minion of kind "b"
+constexpr Millis IDLE {34'000};      // connections to it are given up after 30 s
+constexpr Millis JOB_AFTER {300};    // from the cut
+constexpr Millis CUT_FOR {5'500};    // 5.5 s at most
+constexpr Millis WATCHED {40'000};   // from the end of the cut
+constexpr Millis ALLOWED {17'000};   // finish_s, 14 s, and the 3 s of the rule
 
 std::vector<std::string> play(const std::string &folder)
 {
     SiteShape shape;
     shape.minions = MINIONS;
+    shape.relayed = true;
+    shape.kinds = {"a", "a", "a", "a", "a", "b"};
     Site site(folder, shape);
     site.start();
-    const TimePoint end = Clock::now() + LENGTH;
-    std::thread crashes;
+    std::this_thread::sleep_for(IDLE);
+    const TimePoint cutAt = Clock::now();
     if (withTrouble()) {
-        crashes = std::thread([&site, end] {
-            std::mt19937 random(27);
-            for (std::size_t i = 0; Clock::now() < end; ++i) {
-                std::this_thread::sleep_for(CRASH_INTERVAL + Millis(random() % 1'000));
-                site.killMinion(i % MINIONS);
-                std::this_thread::sleep_for(DOWN);
-                site.startMinion(i % MINIONS);
-            }
-        });
+        site.cutOff(ONLY, true);
+    }
+    std::this_thread::sleep_for(JOB_AFTER);
+    const std::string job = site.newId();
+    const Json steps = Json::array(
+        {{{"count", 1}, {"cpu", 1'000}, {"memMb", 1'000}, {"gpu", 1}, {"estimateMs", 500}, {"requires", "b"}}});
+    if (site.submit(0, job, steps, {{"workMs", 500}}).status != 200) {
+        throw CannotRun("the job is not accepted");
     }
-    // Each job has six tasks that need a whole minion each and work for 400 ms.
-    const Json steps = Json::array({{{"count", 6}, {"cpu", 1'000}, {"memMb", 1'000}, {"gpu", 8}, {"estimateMs", 400}}});
-    std::vector<std::string> jobs;
-    while (Clock::now() < end) {
-        const TimePoint next = Clock::now() + JOB_INTERVAL;
-        jobs.push_back(site.newId());
-        site.submit(jobs.size() % 2, jobs.back(), steps, {{"workMs", 400}});
-        std::this_thread::sleep_until(next);
+    if (withTrouble()) {
+        std::this_thread::sleep_until(cutAt + Site::SILENCE);
+        site.removeEntry(ONLY);
+    }
+    std::this_thread::sleep_until(cutAt + CUT_FOR);
+    if (withTrouble()) {
+        site.cutOff(ONLY, false);
     }
-    if (crashes.joinable()) {
-        crashes.join();
+    const TimePoint healedAt = Clock::now();
+    const bool completed = Site::eventually(
+        [&] {
+            std::this_thread::sleep_for(Millis(500));
+            return site.state(0, job) == "completed";
+        },
+        WATCHED);
+    const auto took = std::chrono::duration_cast<Millis>(Clock::now() - healedAt);
+    if (completed && took < ALLOWED) {
+        return {};
     }
-    Site::eventually([&] { return site.state(0, jobs.back()) == "completed"; }, Millis(10'000));
-    return site.doubled();
+    return {"job " + job + " was accepted and " + (completed ? "completed only " : "not completed ")
+            + std::to_string(took.count()) + " ms after the end of the cut; its minion was up, listed and idle"};
 }
 
 } // namespace
--- a/review/build.sh
+++ b/review/build.sh
@@ -19,6 +19,9 @@
 shared="target/review/tests_standins_standinserver.cpp.o"
 # shellcheck disable=SC2086
 g++ target/review/review_harness_minion.cpp.o $shared $libraries -o target/review/minion
+# shellcheck disable=SC2086
+g++ target/review/review_harness_relay.cpp.o target/review/tests_standins_faultproxy.cpp.o $shared $libraries \
+    -o target/review/relay
 for source in review/[1-5]/case.cpp; do
     [ -e "$source" ] || continue
     number=$(basename "$(dirname "$source")")
--- a/review/harness/minion.cpp
+++ b/review/harness/minion.cpp
@@ -2,9 +2,10 @@
 // a lease on its own steady clock, lists running tasks and ends, and registers itself in the store under its id. What it
 // holds is gone when the process ends; a new process under the same id is a new life with a new "born".
 //
-// usage: minion ID LISTEN STORE RECORD KIND CHECKPOINTS HEALTH
+// usage: minion ID LISTEN STORE RECORD KIND CHECKPOINTS HEALTH ADVERTISED
 // KIND is the first of its labels. CHECKPOINTS is "plain" (a number) or "spaced" (words with spaces between them). HEALTH is
-// "well", or "ill": then it answers 503 to every order to start a task and does nothing.
+// "well", or "ill": then it answers 503 to every order to start a task and does nothing. ADVERTISED is the address in its
+// entry.
 
 #include "standins/standinserver.h"
 
@@ -60,6 +61,7 @@
         , m_kind(arguments[4])
         , m_spaced(arguments[5] == "spaced")
         , m_ill(arguments[6] == "ill")
+        , m_advertised(arguments[7])
     {
         listen(io, m_listen);
         write("minion " + m_id + " is up, kind " + m_kind + ", born " + std::to_string(m_bornMs));
@@ -239,9 +241,10 @@
 
     static Asio::awaitable<void> heartbeats(Minion &self)
     {
+        bool registered = false;
         for (;;) {
             const Json entry = {{"service", "desk"},
-                                {"address", self.address().toString()},
+                                {"address", self.m_advertised},
                                 {"zone", "here"},
                                 {"version", "v1"},
                                 {"slots", 8},
@@ -262,11 +265,12 @@
             request.body += self.m_id + value;
             try {
                 co_await self.m_pool.exchange(self.m_store, std::move(request), Clock::now() + Millis(1'000));
-                if (self.m_sequence == 1) {
+                if (!registered) {
                     self.write("minion " + self.m_id + " is registered, born " + std::to_string(self.m_bornMs));
                 }
+                registered = true;
             } catch (const HttpError &) {
-                // The next heartbeat follows.
+                registered = false; // the next heartbeat follows
             }
             co_await sleepFor(HEARTBEAT);
         }
@@ -280,6 +284,7 @@
     std::string m_kind;
     bool m_spaced;
     bool m_ill;
+    std::string m_advertised;
     TimePoint m_begun = Clock::now();
     std::int64_t m_bornMs = nowMs();
     std::uint64_t m_sequence = 0;
@@ -296,8 +301,8 @@
 int main(int argc, char **argv)
 {
     try {
-        if (argc != 8) {
-            throw std::runtime_error("usage: minion ID LISTEN STORE RECORD KIND CHECKPOINTS HEALTH");
+        if (argc != 9) {
+            throw std::runtime_error("usage: minion ID LISTEN STORE RECORD KIND CHECKPOINTS HEALTH ADVERTISED");
         }
         Asio::io_context io;
         Minion minion(io, std::vector<std::string>(argv + 1, argv + argc));
--- a/review/harness/site.cpp
+++ b/review/harness/site.cpp
@@ -10,15 +10,17 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
-#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <map>
+#include <random>
+#include <set>
 #include <sstream>
 
 extern char **environ;
@@ -29,15 +31,52 @@
 namespace
 {
 
+constexpr unsigned TIME_LIMIT_S = 116; // of a case; it may run for 120 s
+constexpr std::size_t MAX_CHILDREN = 256;
+std::array<std::atomic<pid_t>, MAX_CHILDREN> children {}; // 0 where there is none
+
+/** Ends all child processes and then this one; called on signals. */
+void endAll(int /*signal*/)
+{
+    for (const auto &child : children) {
+        if (const pid_t pid = child; pid > 0) {
+            ::kill(pid, SIGKILL);
+        }
+    }
+    ::_exit(2);
+}
+
+void note(pid_t pid, pid_t replaced)
+{
+    for (auto &child : children) {
+        if (pid_t expected = replaced; child.compare_exchange_strong(expected, pid)) {
+            return;
+        }
+    }
+}
+
+constexpr unsigned FIRST_PORT = 15'000;
+constexpr unsigned PORTS = 17'000;
 constexpr Millis CALL_TIMEOUT {3'000};
 constexpr Millis MAINTENANCE {2'000}; // maintenanceS
 constexpr Millis START_TIMEOUT {15'000};
 constexpr std::int64_t MIN_OVERLAP_MS = 20; // the record's clock is in milliseconds, and lines are written one by one
 
+/** @return an address that is free, with a port below those that the system gives to connections. */
 Endpoint freeEndpoint(Asio::io_context &io)
 {
-    Asio::ip::tcp::acceptor acceptor(io, {Asio::ip::address_v4::loopback(), 0});
-    return {"127.0.0.1", acceptor.local_endpoint().port()};
+    static std::random_device random;
+    static std::set<std::uint16_t> given;
+    for (;;) {
+        const auto port = static_cast<std::uint16_t>(FIRST_PORT + random() % PORTS);
+        Asio::ip::tcp::acceptor acceptor(io);
+        boost::system::error_code error;
+        acceptor.open(Asio::ip::tcp::v4());
+        acceptor.bind({Asio::ip::address_v4::loopback(), port}, error);
+        if (!error && given.insert(port).second) {
+            return {"127.0.0.1", port};
+        }
+    }
 }
 
 Json queueConfig(const std::string &name, int priority)
@@ -79,6 +118,7 @@
         m_pid = -1;
         throw CannotRun("cannot start " + command[0]);
     }
+    note(m_pid, 0);
 }
 
 Child::~Child()
@@ -98,6 +138,7 @@
     if (m_pid > 0) {
         ::kill(m_pid, SIGKILL);
         ::waitpid(m_pid, nullptr, 0);
+        note(0, m_pid);
         m_pid = -1;
     }
 }
@@ -248,6 +289,9 @@
     }
     for (std::size_t i = 0; i < m_shape.minions; ++i) {
         m_minionAddresses.push_back(freeEndpoint(m_io));
+        m_advertised.push_back(freeEndpoint(m_io));
+        m_minionCallPaths.emplace_back();
+        m_minionStorePaths.push_back(Standins::FaultProxy::create(m_io, {"127.0.0.1", 0}, m_store.address()));
         m_minions.emplace_back();
     }
 }
@@ -260,6 +304,7 @@
         thread.join();
     }
     m_nodes.clear();
+    m_minionCallPaths.clear();
     m_minions.clear();
     if (std::getenv("KEEP") == nullptr) {
         std::filesystem::remove_all(m_directory);
@@ -303,8 +348,9 @@
     }
     m_minions[minion] = std::make_unique<Child>(
         std::vector<std::string> {"target/review/minion", minionId(minion), m_minionAddresses[minion].toString(),
-                                  m_store.address().toString(), m_folder + "/record.txt", m_kinds[minion],
-                                  m_shape.checkpoints, m_shape.ill.contains(minion) ? "ill" : "well"},
+                                  m_minionStorePaths[minion]->address().toString(), m_folder + "/record.txt",
+                                  m_kinds[minion], m_shape.checkpoints, m_shape.ill.contains(minion) ? "ill" : "well",
+                                  (m_shape.relayed ? m_advertised : m_minionAddresses)[minion].toString()},
         m_directory + "/" + minionId(minion) + ".log");
 }
 
@@ -314,6 +360,33 @@
     record("minion " + minionId(minion) + " is killed");
 }
 
+void Site::openCallPath(std::size_t minion)
+{
+    m_minionCallPaths[minion] = std::make_unique<Child>(
+        std::vector<std::string> {"target/review/relay", m_advertised[minion].toString(),
+                                  m_minionAddresses[minion].toString()},
+        m_directory + "/relay.log");
+}
+
+void Site::cutOff(std::size_t minion, bool cut)
+{
+    record("minion " + minionId(minion) + (cut ? " is cut off" : " is reached again"));
+    if (cut) {
+        m_minionStorePaths[minion]->setSilent(true);
+        m_minionCallPaths[minion]->kill();
+    } else {
+        m_minionStorePaths[minion]->setSilent(false);
+        m_minionStorePaths[minion]->cutOpen();
+        openCallPath(minion);
+    }
+}
+
+void Site::removeEntry(std::size_t minion)
+{
+    record("the entry of " + minionId(minion) + " is removed");
+    m_store.put("keyed.servers", minionId(minion), "");
+}
+
 void Site::cutFromStore(std::size_t node, bool cut)
 {
     record("node-" + std::to_string(node) + (cut ? " is cut off from the store" : " reaches the store again"));
@@ -329,6 +402,9 @@
     m_store.put("keyed.op", "config", config.dump());
     for (std::size_t i = 0; i < m_minions.size(); ++i) {
         startMinion(i);
+        if (m_shape.relayed) {
+            openCallPath(i);
+        }
     }
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
         startNode(i);
@@ -490,6 +566,10 @@
 
 int runCase(const std::function<std::vector<std::string>()> &body)
 {
+    for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGALRM}) {
+        ::signal(number, endAll);
+    }
+    ::alarm(TIME_LIMIT_S);
     try {
         const std::vector<std::string> broken = body();
         for (const std::string &line : broken) {
--- a/review/harness/site.h
+++ b/review/harness/site.h
@@ -75,6 +75,7 @@
     std::vector<std::string> kinds; ///< of each minion; "a" where there is none
     std::string checkpoints = "plain";
     std::set<std::size_t> ill; ///< minions that refuse every start with 503
+    bool relayed = false;      ///< the servers reach each minion through a relay, so that it can be cut off
     bool machines = false; ///< the platform's machine control is there; each minion has a machine of its own
 };
 
@@ -126,6 +127,15 @@
     void killNode(std::size_t node);
     void startMinion(std::size_t minion, const std::string &kind = "");
     void killMinion(std::size_t minion);
+    /**
+     * Cuts @p minion off from the servers, which are refused, and from the store, or heals the cut. The process runs on.
+     * The platform removes its entry SILENCE after the cut, if that lasts.
+     */
+    void cutOff(std::size_t minion, bool cut);
+    /** Three heartbeat intervals, after which a silent minion's entry is removed. */
+    static constexpr Millis SILENCE {4'500};
+    /** Removes the entry of @p minion, as the platform does after SILENCE. */
+    void removeEntry(std::size_t minion);
     /** Cuts the path between @p node and the store, or heals it. */
     void cutFromStore(std::size_t node, bool cut);
 
@@ -156,6 +166,8 @@
     }
 
 private:
+    void openCallPath(std::size_t minion);
+
     std::string m_folder;
     SiteShape m_shape;
     std::string m_directory; ///< temporary
@@ -169,6 +181,9 @@
     std::vector<Endpoint> m_callers;
     std::vector<Endpoint> m_ready;
     std::vector<Endpoint> m_minionAddresses;
+    std::vector<Endpoint> m_advertised;                                   ///< where the servers reach the minions
+    std::vector<std::unique_ptr<Child>> m_minionCallPaths;                ///< from there to the minions
+    std::vector<std::unique_ptr<Standins::FaultProxy>> m_minionStorePaths;
     std::vector<std::string> m_kinds;
     std::vector<std::atomic<unsigned>> m_upkeeps;
     std::unique_ptr<Machines> m_machines;
