--- a/review/1/case.cpp
+++ b/review/1/case.cc
@@ -1,6 +1,6 @@
 // A minion that has been idle for a while is cut off for some seconds, and a job for it comes meanwhile.
 
-#include "site.h"
+#include "site.hh"
 
 using namespace Review;
 
@@ -8,12 +8,12 @@
 {
 
 constexpr std::size_t MINIONS = 6;
-constexpr std::size_t ONLY = 5;      // the only minion of kind "b"
-constexpr Millis IDLE {34'000};      // connections to it are given up after 30 s
-constexpr Millis JOB_AFTER {300};    // from the cut
-constexpr Millis CUT_FOR {5'500};    // 5.5 s at most
-constexpr Millis WATCHED {40'000};   // from the end of the cut
-constexpr Millis ALLOWED {17'000};   // finish_s, 14 s, and the 3 s of the rule
+constexpr std::size_t ONLY = 5;    // the only minion of kind "b"
+constexpr Millis IDLE {34'000};    // connections to it are given up after 30 s
+constexpr Millis JOB_AFTER {300};  // from the cut
+constexpr Millis CUT_FOR {5'500};  // 5.5 s at most
+constexpr Millis WATCHED {40'000}; // from the end of the cut
+constexpr Millis ALLOWED {17'000}; // finish_s, 14 s, and the 3 s of the rule
 
 std::vector<std::string> play(const std::string &folder)
 {
--- a/review/2/case.cpp
+++ b/review/2/case.cc
@@ -1,6 +1,6 @@
 // Jobs come and end all the time; now and then a minion crashes and is started again at once under its id.
 
-#include "site.h"
+#include "site.hh"
 
 #include <random>
 
--- a/review/3/case.cpp
+++ b/review/3/case.cc
@@ -1,7 +1,7 @@
-// The planner's node is cut off from the store. A job's last task ends meanwhile, a client is told so by that node, and the
-// task's minion crashes.
+// The planner's node is cut off from the store. A job's last task ends meanwhile, a client is told so by that node, and
+// the task's minion crashes.
 
-#include "site.h"
+#include "site.hh"
 
 using namespace Review;
 
@@ -15,7 +15,7 @@
 constexpr Millis DOWN {3'000};      // 4.5 s at most
 constexpr Millis STARTED_LIMIT {8'000};
 constexpr Millis AFTERWARDS {20'000}; // a successor may wait for 13.65 s before it starts work of a lost minion anew
-constexpr Millis SETTLED {4'000};   // above contactMs, before the next job
+constexpr Millis SETTLED {4'000};     // above contactMs, before the next job
 constexpr std::int64_t NOTE_MS = 1'000;
 
 std::vector<RunSeen> runsOf(const Site &site, const std::string &job)
--- a/review/4/case.cpp
+++ b/review/4/case.cc
@@ -1,6 +1,6 @@
 // A task resumes from a checkpoint that has spaces in it; then the process that leads is killed.
 
-#include "site.h"
+#include "site.hh"
 
 #include <regex>
 
@@ -12,7 +12,7 @@
 constexpr std::int64_t LONG_MS = 9'000;
 constexpr std::int64_t URGENT_MS = 800;
 constexpr Millis BEFORE_URGENT {2'200}; // work of the first run
-constexpr Millis DOWN {3'500}; // at most
+constexpr Millis DOWN {3'500};          // at most
 constexpr Millis STEP_LIMIT {10'000};
 constexpr Millis END_LIMIT {45'000}; // a successor may wait for 13.65 s before it starts work anew
 
--- a/review/5/case.cpp
+++ b/review/5/case.cc
@@ -1,6 +1,6 @@
 // Two waves of upkeep, one after the other, over the same machines. One order of the second wave gets no answer.
 
-#include "site.h"
+#include "site.hh"
 
 using namespace Review;
 
--- a/review/harness/minion.cpp
+++ b/review/harness/minion.cc
@@ -1,11 +1,11 @@
-// A minion of the platform as a process of its own. It follows PROTOCOL.md: it keeps the highest fence, runs tasks under
-// a lease on its own steady clock, lists running tasks and ends, and registers itself in the store under its id. What it
-// holds is gone when the process ends; a new process under the same id is a new life with a new "born".
+// A minion of the platform as a process of its own. It follows PROTOCOL.md: it keeps the highest fence, runs tasks
+// under a lease on its own steady clock, lists running tasks and ends, and registers itself in the store under its id.
+// What it holds is gone when the process ends; a new process under the same id is a new life with a new "born".
 //
 // usage: minion ID LISTEN STORE RECORD KIND CHECKPOINTS HEALTH ADVERTISED
-// KIND is the first of its labels. CHECKPOINTS is "plain" (a number) or "spaced" (words with spaces between them). HEALTH is
-// "well", or "ill": then it answers 503 to every order to start a task and does nothing. ADVERTISED is the address in its
-// entry.
+// KIND is the first of its labels. CHECKPOINTS is "plain" (a number) or "spaced" (words with spaces between them).
+// HEALTH is "well", or "ill": then it answers 503 to every order to start a task and does nothing. ADVERTISED is the
+// address in its entry.
 
 #include "standins/standinserver.h"
 
@@ -206,8 +206,8 @@
         for (const End &end : m_ends) {
             ended.push_back({end.number, end.task, end.run, end.how, end.saved});
         }
-        co_return jsonAnswer(
-            200, {{"clockMs", clock()}, {"born", m_bornMs}, {"runningTasks", running}, {"ended", ended}});
+        co_return jsonAnswer(200,
+                             {{"clockMs", clock()}, {"born", m_bornMs}, {"runningTasks", running}, {"ended", ended}});
     }
 
     static Asio::awaitable<void> advance(Minion &self)
--- a/review/harness/relay.cpp
+++ b/review/harness/relay.cc
@@ -1,5 +1,5 @@
-// A path to a minion as a process of its own: relays connections. Where it is killed, connections to the minion end and new
-// ones are refused.
+// A path to a minion as a process of its own: relays connections. Where it is killed, connections to the minion end and
+// new ones are refused.
 //
 // usage: relay LISTEN TARGET
 
@@ -8,7 +8,6 @@
 
 #include <iostream>
 
-
 using namespace Papaya;
 
 int main(int argc, char **argv)
@@ -18,8 +17,8 @@
             throw std::runtime_error("usage: relay LISTEN TARGET");
         }
         Asio::io_context io;
-        const auto proxy = Standins::FaultProxy::create(io, Endpoint::parse(argv[1]).value(),
-                                                        Endpoint::parse(argv[2]).value());
+        const auto proxy =
+            Standins::FaultProxy::create(io, Endpoint::parse(argv[1]).value(), Endpoint::parse(argv[2]).value());
         io.run();
     } catch (const std::exception &error) {
         std::cerr << error.what() << "\n";
--- a/review/harness/site.cpp
+++ b/review/harness/site.cc
@@ -1,4 +1,4 @@
-#include "site.h"
+#include "site.hh"
 
 #include "steps/jobrecord.h"
 
@@ -272,15 +272,15 @@
         m_proxies.push_back(Standins::FaultProxy::create(m_io, {"127.0.0.1", 0}, m_store.address()));
         // The fields of deploy/settings.json, with the bounds of a small deployment.
         Json settings = {{"node", "node-" + std::to_string(i)},
-                               {"place", "here"},
-                               {"callers", m_callers[i].toString()},
-                               {"ready", m_ready[i].toString()},
-                               {"store", m_proxies[i]->address().toString()},
-                               {"peers", freeEndpoint(m_io).toString()},
-                               {"cores", 0.25},
-                               {"minionDrainMs", 2'000},
-                               {"drainLimitMs", 6'000},
-                               {"keepEndedMs", 120'000}};
+                         {"place", "here"},
+                         {"callers", m_callers[i].toString()},
+                         {"ready", m_ready[i].toString()},
+                         {"store", m_proxies[i]->address().toString()},
+                         {"peers", freeEndpoint(m_io).toString()},
+                         {"cores", 0.25},
+                         {"minionDrainMs", 2'000},
+                         {"drainLimitMs", 6'000},
+                         {"keepEndedMs", 120'000}};
         if (m_machines) {
             settings["machines"] = m_machines->address().toString();
         }
@@ -362,10 +362,10 @@
 
 void Site::openCallPath(std::size_t minion)
 {
-    m_minionCallPaths[minion] = std::make_unique<Child>(
-        std::vector<std::string> {"target/review/relay", m_advertised[minion].toString(),
-                                  m_minionAddresses[minion].toString()},
-        m_directory + "/relay.log");
+    m_minionCallPaths[minion] =
+        std::make_unique<Child>(std::vector<std::string> {"target/review/relay", m_advertised[minion].toString(),
+                                                          m_minionAddresses[minion].toString()},
+                                m_directory + "/relay.log");
 }
 
 void Site::cutOff(std::size_t minion, bool cut)
--- a/review/harness/site.h
+++ b/review/harness/site.hh
@@ -76,7 +76,7 @@
     std::string checkpoints = "plain";
     std::set<std::size_t> ill; ///< minions that refuse every start with 503
     bool relayed = false;      ///< the servers reach each minion through a relay, so that it can be cut off
-    bool machines = false; ///< the platform's machine control is there; each minion has a machine of its own
+    bool machines = false;     ///< the platform's machine control is there; each minion has a machine of its own
 };
 
 /** The platform's machine control: lists the machines and takes them down for upkeep, once for each wave. */
@@ -128,8 +128,8 @@
     void startMinion(std::size_t minion, const std::string &kind = "");
     void killMinion(std::size_t minion);
     /**
-     * Cuts @p minion off from the servers, which are refused, and from the store, or heals the cut. The process runs on.
-     * The platform removes its entry SILENCE after the cut, if that lasts.
+     * Cuts @p minion off from the servers, which are refused, and from the store, or heals the cut. The process runs
+     * on. The platform removes its entry SILENCE after the cut, if that lasts.
      */
     void cutOff(std::size_t minion, bool cut);
     /** Three heartbeat intervals, after which a silent minion's entry is removed. */
@@ -181,8 +181,8 @@
     std::vector<Endpoint> m_callers;
     std::vector<Endpoint> m_ready;
     std::vector<Endpoint> m_minionAddresses;
-    std::vector<Endpoint> m_advertised;                                   ///< where the servers reach the minions
-    std::vector<std::unique_ptr<Child>> m_minionCallPaths;                ///< from there to the minions
+    std::vector<Endpoint> m_advertised;                    ///< where the servers reach the minions
+    std::vector<std::unique_ptr<Child>> m_minionCallPaths; ///< from there to the minions
     std::vector<std::unique_ptr<Standins::FaultProxy>> m_minionStorePaths;
     std::vector<std::string> m_kinds;
     std::vector<std::atomic<unsigned>> m_upkeeps;
