--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
+rm -f target/review/*.o
 flags="-std=c++20 -O1 -Wall -Wextra -Wno-restrict -Wno-array-bounds -Wno-stringop-overread -Wno-mismatched-new-delete
     -DBOOST_ALL_DYN_LINK -DBOOST_ASIO_NO_DEPRECATED -DBOOST_LOG_DYN_LINK -Ipackages -Itests -Ireview/harness"
 libraries="target/libpapayahall_dispatch.a target/libpapayahall_steps.a target/libpapayahall_process.a
