--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -32,7 +32,7 @@
     const std::string job = site.newId();
     const Json steps = Json::array(
         {{{"count", 1}, {"cpu", 1'000}, {"memMb", 1'000}, {"gpu", 1}, {"estimateMs", 500}, {"requires", "b"}}});
-    if (site.submit(0, job, steps, {{"workMs", 500}}).status != 200) {
+    if (site.submit(0, job, steps, {{"workMs", 500}, {"gpu", 1}}).status != 200) {
         throw CannotRun("the job is not accepted");
     }
     if (withTrouble()) {
--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -40,7 +40,7 @@
     while (Clock::now() < end) {
         const TimePoint next = Clock::now() + JOB_INTERVAL;
         jobs.push_back(site.newId());
-        site.submit(jobs.size() % 2, jobs.back(), steps, {{"workMs", 400}});
+        site.submit(jobs.size() % 2, jobs.back(), steps, {{"workMs", 400}, {"gpu", 8}});
         std::this_thread::sleep_until(next);
     }
     if (crashes.joinable()) {
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -33,7 +33,7 @@
     const std::string job = site.newId();
     const Json steps =
         Json::array({{{"count", 1}, {"cpu", 1'000}, {"memMb", 1'000}, {"gpu", 1}, {"estimateMs", WORK_MS}}});
-    if (site.submit(other, job, steps, {{"workMs", WORK_MS}}).status != 200
+    if (site.submit(other, job, steps, {{"workMs", WORK_MS}, {"gpu", 1}}).status != 200
         || !Site::eventually([&] { return !runsOf(site, job).empty(); }, STARTED_LIMIT)) {
         throw CannotRun("the job does not start");
     }
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -44,10 +44,10 @@
     const std::string batch = site.newId();
     const std::string urgent = site.newId();
     const std::size_t other = 1 - site.leader().value_or(0);
-    site.submit(other, batch, oneTask(LONG_MS), {{"workMs", LONG_MS}}, "batch");
+    site.submit(other, batch, oneTask(LONG_MS), {{"workMs", LONG_MS}, {"gpu", 8}}, "batch");
     Site::eventually([&] { return startsOf(site, batch) == 1; }, STEP_LIMIT);
     std::this_thread::sleep_for(BEFORE_URGENT);
-    site.submit(other, urgent, oneTask(URGENT_MS), {{"workMs", URGENT_MS}}, "urgent");
+    site.submit(other, urgent, oneTask(URGENT_MS), {{"workMs", URGENT_MS}, {"gpu", 8}}, "urgent");
     // 2. It goes on from its checkpoint afterwards.
     if (!Site::eventually([&] { return startsOf(site, batch) == 2; }, STEP_LIMIT)) {
         throw CannotRun("the long task does not go on");
--- a/review/harness/minion.cc
+++ b/review/harness/minion.cc
@@ -29,7 +29,8 @@
 
 constexpr std::int64_t HOLD_MAX_MS = 10'000; // holdMaxMs
 constexpr std::int64_t STOP_MS = 100;        // stopGraceMs is 200
-constexpr std::int64_t SAVE_MS = 500;        // of work, between two checkpoints
+constexpr std::int64_t SAVE_MS = 2'000;      // of work, between two checkpoints: checkpointS
+constexpr std::int64_t GPUS = 8;             // what does not fit is refused
 constexpr std::int64_t MAX_WAIT_MS = 2'000;
 constexpr Millis HEARTBEAT {1'500}; // heartbeatMs
 constexpr Millis TICK {5};
@@ -38,6 +39,7 @@
     std::uint32_t run = 0;
     std::int64_t workMs = 0;
     std::int64_t doneMs = 0;
+    std::int64_t gpus = 0;
     std::optional<std::int64_t> stopAtMs;
 };
 
@@ -130,11 +132,14 @@
 
     [[nodiscard]] std::string checkpointAt(std::int64_t doneMs) const
     {
-        const std::int64_t saved = doneMs / SAVE_MS * SAVE_MS;
-        if (saved == 0) {
-            return "";
-        }
-        return m_spaced ? "epoch " + std::to_string(saved) + " of " + m_id : std::to_string(saved);
+        return m_spaced ? "epoch " + std::to_string(doneMs) + " of " + m_id : std::to_string(doneMs);
+    }
+
+    /** @return the last checkpoint of a run that goes on; empty before the first. */
+    [[nodiscard]] std::string lastCheckpoint(const Run &run) const
+    {
+        const std::int64_t saved = run.doneMs / SAVE_MS * SAVE_MS;
+        return saved == 0 ? "" : checkpointAt(saved);
     }
 
     /** @return the work that @p checkpoint stands for; none if it isn't one of a minion. */
@@ -163,7 +168,15 @@
         }
         renew(body);
         const Json spec = Json::parse(body.value("taskSpec", "{}"), nullptr, false);
-        m_running[task] = {run, spec.value("workMs", std::int64_t(500)), workAt(checkpoint), std::nullopt};
+        std::int64_t gpus = spec.value("gpu", std::int64_t(0));
+        for (const auto &[other, placed] : m_running) {
+            gpus += placed.gpus;
+        }
+        if (gpus > GPUS) {
+            return refusal("room");
+        }
+        m_running[task] = {run, spec.value("workMs", std::int64_t(500)), workAt(checkpoint),
+                           spec.value("gpu", std::int64_t(0)), std::nullopt};
         write("start " + task + " " + std::to_string(run) + " on " + m_id + " kind " + m_kind + " fence "
               + std::to_string(m_fence) + " checkpoint [" + checkpoint + "]");
         return jsonAnswer(200, {{"clockMs", clock()}});
@@ -199,7 +212,7 @@
         }
         Json running = Json::array();
         for (const auto &[task, run] : m_running) {
-            running.push_back({task, run.run, checkpointAt(run.doneMs),
+            running.push_back({task, run.run, lastCheckpoint(run),
                                std::min<std::int64_t>(100, 100 * run.doneMs / run.workMs), 1'000});
         }
         Json ended = Json::array();
