--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -79,7 +79,9 @@
 
 std::vector<std::string> play(const std::string &folder)
 {
-    Site site(folder, SiteShape());
+    SiteShape shape;
+    shape.minions = 8; // one of them is a share of 0.125
+    Site site(folder, shape);
     site.start();
     std::vector<std::string> broken;
     for (int i = 0; i < ROUNDS; ++i) {
--- a/review/harness/site.cc
+++ b/review/harness/site.cc
@@ -356,8 +356,9 @@
 
 void Site::killMinion(std::size_t minion)
 {
+    const std::int64_t since = Standins::nowMs();
     m_minions[minion]->kill();
-    record("minion " + minionId(minion) + " is killed");
+    record("minion " + minionId(minion) + " is killed, since " + std::to_string(since));
 }
 
 void Site::openCallPath(std::size_t minion)
@@ -506,12 +507,13 @@
                     run.how = how;
                 }
             }
-        } else if (what == "minion" && line.ends_with(" is killed")) {
+        } else if (what == "minion" && line.find(" is killed, since ") != std::string::npos) {
             std::string minion;
             words >> minion;
+            const std::int64_t since = std::stoll(line.substr(line.rfind(' ') + 1));
             for (RunSeen &run : runs) {
                 if (run.endedMs == 0 && run.minion == minion) {
-                    run.endedMs = at;
+                    run.endedMs = std::max(run.startedMs, since);
                     run.how = "gone";
                 }
             }
