--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -11,7 +11,7 @@
 constexpr int ROUNDS = 3;
 constexpr std::int64_t WORK_MS = 3'000;
 constexpr Millis CUT_AFTER {2'800}; // from the first start of the task
-constexpr Millis CUT_FOR {5'000};   // 5.5 s at most
+constexpr Millis CUT_FOR {4'000};   // 4 s at most for the leader
 constexpr Millis DOWN {3'000};      // 4.5 s at most
 constexpr Millis STARTED_LIMIT {8'000};
 constexpr Millis AFTERWARDS {20'000}; // a successor may wait for 13.65 s before it starts work of a lost minion anew
