Let stand-ins restart minions unlisted, drop orders, and note acknowledged ends

Test programs that run at the same time get blocks of ports of their own (PAPAYAHALL_TEST_PORT_BLOCK); two soaks started side by side had talked to each other's nodes.

--- a/tests/integration/cluster.cpp
+++ b/tests/integration/cluster.cpp
@@ -32,8 +32,11 @@
 {
     constexpr unsigned FIRST_PORT = 12'000;
     constexpr unsigned PORTS = 2'500;
+    // Test programs that run at the same time need ports of their own.
     const char *shardIndex = std::getenv("GTEST_SHARD_INDEX");
-    const unsigned shard = shardIndex == nullptr ? 7 : static_cast<unsigned>(std::atoi(shardIndex)) % 7;
+    const char *ports = std::getenv("PAPAYAHALL_TEST_PORT_BLOCK");
+    const char *block = ports == nullptr ? shardIndex : ports;
+    const unsigned shard = block == nullptr ? 7 : static_cast<unsigned>(std::atoi(block)) % 8;
     static std::atomic<unsigned> next {0};
     while (true) {
         const auto port = static_cast<std::uint16_t>(FIRST_PORT + shard * PORTS + next++ % PORTS);
--- a/tests/integration/deployment.cpp
+++ b/tests/integration/deployment.cpp
@@ -59,6 +59,11 @@
         minions.push_back(
             std::make_unique<Standins::PlatformMinionStandin>("i-" + std::to_string(i), "desk", rack, runs));
         minions.back()->start(io, store);
+        if (m_options.minionProxies) {
+            minionProxies.push_back(Standins::FaultProxy::create(io, {"127.0.0.1", 0}, minions.back()->address()));
+            minions.back()->advertise(minionProxies.back()->address());
+            minions.back()->list();
+        }
         machines.add(*minions.back());
     }
     for (std::size_t i = 0; i < m_options.nodes; ++i) {
@@ -89,7 +94,7 @@
     for (auto &node : nodes) {
         node->kill();
     }
-    if (::testing::Test::HasFailure()) {
+    if (::testing::Test::HasFailure() && m_options.printLogs) {
         for (std::size_t i = 0; i < nodes.size(); ++i) {
             std::printf("--- log of node %zu\n%s\n", i, log(i).c_str());
         }
--- a/tests/integration/deployment.h
+++ b/tests/integration/deployment.h
@@ -6,6 +6,7 @@
 #include "standins/platformservicestandins.h"
 #include "standins/platformstorestandin.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -27,6 +28,8 @@
     std::int64_t keepEndedMs = 120'000; ///< retention period of ended jobs
     std::int64_t maintenanceMs = 300;   ///< duration of a machine's maintenance
     bool storeProxies = false;          ///< each node reaches the store through a proxy of its own
+    bool minionProxies = false;         ///< all nodes reach each minion through a proxy of its own
+    bool printLogs = true;              ///< prints the nodes' logs if the test has failed
     std::vector<double> cores = {};     ///< CPU limit of each node; those beyond the list have one core
 };
 
@@ -102,7 +105,8 @@
     Standins::PlatformMachinesStandin machines;
     std::vector<std::unique_ptr<Standins::PlatformMinionStandin>> minions;
     std::vector<std::unique_ptr<InstanceProcess>> nodes;
-    std::vector<std::unique_ptr<Standins::FaultProxy>> storeProxies; ///< of each node, if there are any
+    std::vector<std::unique_ptr<Standins::FaultProxy>> storeProxies;  ///< of each node, if there are any
+    std::vector<std::unique_ptr<Standins::FaultProxy>> minionProxies; ///< of each minion, if there are any
 
 private:
     DeploymentOptions m_options;
@@ -114,7 +118,7 @@
     std::vector<Endpoint> m_operatorEndpoints;
     Json m_config;
     std::uint64_t m_version = 0;
-    unsigned m_lastId = 0;
+    std::atomic<unsigned> m_lastId = 0;
 };
 
 } // namespace Papaya::Testing
--- a/tests/standins/platformminionstandin.cpp
+++ b/tests/standins/platformminionstandin.cpp
@@ -85,6 +85,12 @@
     m_runs[index].how = how;
 }
 
+void PlatformRuns::note(std::size_t index)
+{
+    const std::lock_guard lock(m_mutex);
+    m_runs[index].notedMs = nowMs();
+}
+
 PlatformMinionStandin::PlatformMinionStandin(std::string id, std::string service, std::string rack, PlatformRuns &runs)
     : m_id(std::move(id))
     , m_service(std::move(service))
@@ -102,6 +108,12 @@
     Asio::co_spawn(io, advanceLoop(*this), Asio::detached);
 }
 
+void PlatformMinionStandin::advertise(const Endpoint &address)
+{
+    const std::lock_guard lock(m_mutex);
+    m_advertised = address;
+}
+
 void PlatformMinionStandin::setFaults(const PlatformMinionFaults &faults)
 {
     const std::lock_guard lock(m_mutex);
@@ -134,13 +146,16 @@
 
 void PlatformMinionStandin::restart()
 {
-    {
-        const std::lock_guard lock(m_mutex);
-        resetState();
-    }
+    restartUnlisted();
     list();
 }
 
+void PlatformMinionStandin::restartUnlisted()
+{
+    const std::lock_guard lock(m_mutex);
+    resetState();
+}
+
 void PlatformMinionStandin::powerOff()
 {
     {
@@ -221,7 +236,7 @@
     {
         const std::lock_guard lock(m_mutex);
         entry = {{"service", m_service},
-                 {"address", address().toString()},
+                 {"address", m_advertised.value_or(address()).toString()},
                  {"zone", "here"},
                  {"version", "v1"},
                  {"slots", 8},
@@ -269,6 +284,9 @@
 void PlatformMinionStandin::advance(std::int64_t byMs)
 {
     std::vector<std::pair<std::string, std::string>> ended;
+    for (End &end : m_ends) {
+        end.leaseExpired = end.leaseExpired || clock() > m_leaseUntilMs;
+    }
     for (auto &[task, running] : m_running) {
         if (clock() > m_leaseUntilMs) {
             ended.emplace_back(task, "lapsed");
@@ -295,7 +313,7 @@
     m_lastRun[task] = std::max(m_lastRun[task], running.run);
     m_runs.end(running.index, how);
     const std::string checkpoint = how == "done" ? "" : std::to_string(running.doneMs);
-    m_ends.push_back({++m_endCount, task, running.run, how, checkpoint});
+    m_ends.push_back({++m_endCount, task, running.run, how, checkpoint, running.index});
 }
 
 bool PlatformMinionStandin::fenced(const Json &body)
@@ -466,6 +484,11 @@
                 m_leaseUntilMs =
                     std::max(m_leaseUntilMs, std::min(body["untilMs"].get<std::int64_t>(), clock() + MAX_LEASE_MS));
             }
+            for (const End &end : m_ends) {
+                if (end.number <= seen && !end.leaseExpired) {
+                    m_runs.note(end.index);
+                }
+            }
             std::erase_if(m_ends, [seen](const End &end) { return end.number <= seen; });
             if (!m_ends.empty() || Clock::now() >= deadline) {
                 co_return jsonAnswer(200, report());
--- a/tests/standins/platformminionstandin.h
+++ b/tests/standins/platformminionstandin.h
@@ -21,6 +21,7 @@
     std::string checkpoint;     ///< checkpoint that the run was started from; empty without one
     std::int64_t startedMs = 0; ///< milliseconds since the Unix epoch
     std::int64_t endedMs = 0;   ///< milliseconds since the Unix epoch; 0 during the run
+    std::int64_t notedMs = 0;   ///< when the end was acknowledged, if the lease had not expired since; or 0
     /** done, failed, stopped, lapsed (lease expired) or gone (minion restarted or lost power); empty during the run. */
     std::string how;
 };
@@ -63,6 +64,8 @@
     std::size_t begin(TaskRun run);
     /** Records the end of the run at @p index. */
     void end(std::size_t index, const std::string &how);
+    /** Records that the end of the run at @p index was acknowledged. */
+    void note(std::size_t index);
 
 private:
     mutable std::mutex m_mutex;
@@ -78,6 +81,8 @@
 public:
     PlatformMinionStandin(std::string id, std::string service, std::string rack, PlatformRuns &runs);
 
+    /** Publishes @p address instead of the minion's own, for a proxy. To be called before the next list(). */
+    void advertise(const Endpoint &address);
     /** Starts to serve and publishes the minion's entry in @p store. Called once. */
     void start(Asio::io_context &io, class PlatformStoreStandin &store);
     void setFaults(const PlatformMinionFaults &faults);
@@ -85,6 +90,8 @@
     void drain(std::int64_t remainingMs);
     /** Restarts under the same id: all runs end and all state is lost. */
     void restart();
+    /** Restarts like restart(), but does not publish its new entry; list() does. */
+    void restartUnlisted();
     /** Simulates loss of power: all runs end, no call is answered and the minion's entry is removed. */
     void powerOff();
     /** Restarts without state after powerOff(). */
@@ -136,6 +143,8 @@
         std::uint32_t run = 0;
         std::string how;
         std::string checkpoint;
+        std::size_t index = 0;     ///< index in PlatformRuns
+        bool leaseExpired = false; ///< the minion's lease has expired since the end
     };
 
     static Asio::awaitable<void> advanceLoop(PlatformMinionStandin &self);
@@ -156,6 +165,7 @@
     std::string m_id;
     std::string m_service;
     std::string m_rack;
+    std::optional<Endpoint> m_advertised; ///< published instead of the minion's own address
     PlatformRuns &m_runs;
     class PlatformStoreStandin *m_store = nullptr;
     const class PlatformOracleStandin *m_oracle = nullptr;
--- a/tests/standins/platformservicestandins.cpp
+++ b/tests/standins/platformservicestandins.cpp
@@ -114,6 +114,12 @@
     m_answersToLose = count;
 }
 
+void PlatformMachinesStandin::dropOrders(std::uint64_t wave, std::int64_t count)
+{
+    const std::lock_guard lock(m_mutex);
+    m_ordersToDrop[wave] = count;
+}
+
 void PlatformMachinesStandin::setBusy(bool busy)
 {
     const std::lock_guard lock(m_mutex);
@@ -148,6 +154,11 @@
     if (found == m_machines.end()) {
         return jsonAnswer(400, Json::object());
     }
+    if (std::int64_t &drops = m_ordersToDrop[body.at("wave")]; drops > 0) {
+        --drops;
+        lost = true;
+        return {};
+    }
     Machine &machine = found->second;
     MachineOrder order;
     order.machine = name;
--- a/tests/standins/platformservicestandins.h
+++ b/tests/standins/platformservicestandins.h
@@ -65,6 +65,8 @@
     void add(class PlatformMinionStandin &minion);
     /** The next @p count orders are carried out but get no answer. */
     void loseAnswers(std::int64_t count);
+    /** The next @p count orders of @p wave get no answer and have no effect. */
+    void dropOrders(std::uint64_t wave, std::int64_t count);
     /** While @p busy, answers every call with 503. */
     void setBusy(bool busy);
     [[nodiscard]] std::vector<MachineOrder> orders() const;
@@ -90,6 +92,7 @@
     std::map<std::string, Machine> m_machines;
     std::vector<MachineOrder> m_orders;
     std::int64_t m_answersToLose = 0;
+    std::map<std::uint64_t, std::int64_t> m_ordersToDrop; ///< by wave
     bool m_busy = false;
 };
 
