Keep runs that a restarted minion has accepted, and acknowledge only ends that were read

Cause: a minion takes orders before its new entry has been read, and a start names only the id. When the planner noticed the restart it took every placed member as lost, also one that the new instance had confirmed. Its polls went on acknowledging ends by the numbers of the former instance, so that the new one forgot ends that nobody had read; and an append in flight across the restart confirmed ends by number alone.

Fix: the first report of the new instance decides which members it runs. Ends are acknowledged only once a report has followed every start that another instance may have accepted, which the clock in the answer to a start tells. Pending ends carry the instance that they are of. A start that is not verified counts with the longest lease that a minion keeps (new setting maxLeaseMs). The entry of a former instance places no more work, since the new one may be of another kind.

--- a/packages/dispatch/assignment.h
+++ b/packages/dispatch/assignment.h
@@ -25,7 +25,9 @@
     MemberState state = MemberState::Ordered;
     bool sent = false;            ///< a start order may have reached the minion
     std::int64_t confirmedMs = 0; ///< when the start was confirmed
-    bool stopping = false;        ///< a stop loop is running
+    /** Until when the run may hold a lease if another instance of the minion than expected has accepted the start. */
+    std::int64_t unverifiedUntilMs = 0;
+    bool stopping = false; ///< a stop loop is running
     std::int64_t stopAnsweredMs = 0;
     std::int64_t percent = 0;                   ///< completed work, as last reported
     std::optional<std::int64_t> lastProgressMs; ///< start of its unit or last rise of percent, on the minion's clock
--- a/packages/dispatch/leaseterms.h
+++ b/packages/dispatch/leaseterms.h
@@ -7,6 +7,11 @@
 namespace Papaya
 {
 
+/** Longest time on a slow minion's clock for a lease of @p leaseMs, with a margin for tasks to end. */
+constexpr std::int64_t slowestLeaseMs(std::int64_t leaseMs)
+{
+    return leaseMs * 103 / 100 + 100;
+}
 /** Duration of a lease. It outlasts a failed poll and its repetition, which take 3 s. */
 constexpr std::int64_t LEASE_MS = 5'000;
 /** How long a planner renews leases after its last successful append. */
--- a/packages/dispatch/minionlink.h
+++ b/packages/dispatch/minionlink.h
@@ -32,6 +32,11 @@
     std::int64_t unlistedMs = 0;        ///< when the entry was removed
     bool fenceRaised = false;           ///< it refuses orders of earlier planners
     bool polling = false;               ///< a poll loop is running
+    std::uint64_t restarts = 0;         ///< restarts of the minion that were noticed
+    std::int64_t formerStartTimeMs = 0; ///< MinionEntry::startTimeMs before the last restart
+    bool entryOutdated = false;         ///< the minion has restarted since it wrote its entry
+    std::uint64_t unverifiedStarts = 0; ///< starts that another instance of the minion may have accepted
+    std::uint64_t verifiedStarts = 0;   ///< of these, the ones that a later report has covered
     std::uint64_t endsHandled = 0;      ///< ends up to this number have been applied to the job table
     std::uint64_t endsStored = 0;       ///< ends up to this number are journaled and may be acknowledged
     std::uint64_t endsAcked = 0;        ///< ends up to this number have been acknowledged
@@ -44,7 +49,25 @@
     std::int64_t leavesAtMs = 0;        ///< earliest departure, while draining
     FillPace fillPace;                  ///< throttling of best-effort tasks
     bool shared = false;                ///< runs best-effort tasks beside services
-    std::int64_t priorLeaseUntilMs = 0; ///< latest end of earlier planners' leases; unused after the first answer
+    /** Latest end of leases of earlier planners or by a former clock of the minion; unused after the first answer. */
+    std::int64_t priorLeaseUntilMs = 0;
+
+    /**
+     * @return true if ends may be acknowledged. An instance that is not the expected one would forget ends that were
+     * never read. It has some only if it has accepted a start, so a report must have followed every start.
+     */
+    [[nodiscard]] bool mayAcknowledge() const
+    {
+        return verifiedStarts == unverifiedStarts && !hasStartInFlight();
+    }
+
+    /** @return true if a start order may have reached the minion and has not been confirmed. */
+    [[nodiscard]] bool hasStartInFlight() const
+    {
+        return std::any_of(placed.begin(), placed.end(), [](const PlacedMember &item) {
+            return item.member().state == MemberState::Ordered && item.member().sent;
+        });
+    }
 
     void remove(const Assignment &assignment, std::size_t index)
     {
--- a/packages/dispatch/nodesettings.cpp
+++ b/packages/dispatch/nodesettings.cpp
@@ -75,6 +75,9 @@
     if (const auto drain = root.integer("minionDrainMs", MIN_MINION_DRAIN_MS, MAX_DRAIN_MS)) {
         settings.minionDrain = Millis(*drain);
     }
+    if (const auto lease = root.integer("maxLeaseMs", 1'000, MAX_DRAIN_MS)) {
+        settings.maxLease = Millis(*lease);
+    }
     if (const auto limit = root.integer("drainLimitMs", 1'000, MAX_DRAIN_MS)) {
         settings.drainLimit = Millis(*limit);
     }
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -430,6 +430,7 @@
                                 peersAddress(),
                                 settings.milliCores,
                                 settings.endedJobRetention,
+                                settings.maxLease,
                                 settings.minionDrain - ARRIVAL_RESERVE,
                                 [this](const char *reason) { loseLeadership(reason); }},
                                claimWriter, statusWriter, epoch, deployment.minions());
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -121,14 +121,23 @@
 {
     const auto [place, added] = m_links.try_emplace(entry.id);
     MinionLink &link = place->second;
+    const bool isOther =
+        !added && entry.startTimeMs != 0 && link.entry.startTimeMs != 0 && entry.startTimeMs != link.entry.startTimeMs;
+    if (isOther && link.entryOutdated && entry.startTimeMs == link.formerStartTimeMs) {
+        return; // written before the restart that a report has shown
+    }
     if (added) {
         link.priorLeaseUntilMs = m_takeoverMs + PRIOR_LEASE_SPAN_MS;
         logEvent(LogLevel::Debug, "minion-listed", {{"minion", entry.id.value()}});
-    } else if (entry.startTimeMs != 0 && link.entry.startTimeMs != 0 && entry.startTimeMs != link.entry.startTimeMs) {
-        handleMinionRestart(link);
+    } else if (isOther) {
+        handleMinionRestart(link, entry.startTimeMs);
+        if (!link.placed.empty()) {
+            // A poll of the former instance may be in flight for seconds.
+            Asio::co_spawn(m_context.io, pollRestarted(shared_from_this(), entry.id), Asio::detached);
+        }
     }
-    const bool changed =
-        added || !link.listed || link.entry.draining != entry.draining || !(link.entry.capacity == entry.capacity);
+    const bool changed = added || !link.listed || link.entryOutdated || link.entry.draining != entry.draining
+                         || !(link.entry.capacity == entry.capacity);
     if (entry.draining && (!link.entry.draining || entry.remainingMs < link.entry.remainingMs)) {
         link.leavesAtMs = bootMillis() + entry.remainingMs - MAX_ENTRY_AGE_MS;
     }
@@ -139,6 +148,7 @@
                   {"members", std::uint64_t(link.placed.size())}});
     }
     link.entry = entry;
+    link.entryOutdated = false;
     link.listed = true;
     ensurePolling(link);
     if (changed) {
@@ -250,8 +260,8 @@
 
 bool StepPlanner::isUsable(const MinionLink &link, std::int64_t nowMs) const
 {
-    return link.listed && !link.entry.draining && link.fenceRaised && link.clock.known() && link.pollFailures == 0
-           && nowMs >= link.backOffUntilMs && !m_reserved.contains(link.entry.id);
+    return link.listed && !link.entryOutdated && !link.entry.draining && link.fenceRaised && link.clock.known()
+           && link.pollFailures == 0 && nowMs >= link.backOffUntilMs && !m_reserved.contains(link.entry.id);
 }
 
 bool StepPlanner::viewIsCurrent(Millis reserve) const
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -28,8 +28,9 @@
 // 1. A start is journaled before it is ordered, so that a successor knows of every run that may exist.
 // 2. An end is journaled before it is acknowledged to the minion, which then forgets it.
 // 3. A member counts as running until one of these holds: the minion refuses the first order to start it, the minion
-//    lists its end, a later poll does not list the run, the minion has restarted, or the lease has expired even on the
-//    slowest permitted clock. Until then its unit is not started elsewhere.
+//    lists its end, a later poll does not list the run, or the lease has expired even on the slowest permitted clock.
+//    Until then its unit is not started elsewhere. This holds also if the minion has restarted, since its new instance
+//    may have accepted the start before the restart was noticed.
 // 4. A start leaves this node only while its minion may get work and the view of minions and jobs is not older than
 //    Context::maxViewAge. Both are checked when the order is written, as it may have waited for the journal, for its
 //    turn or for a connection. While the view is too old, nothing is placed or started.
@@ -63,6 +64,7 @@
         std::string peers;        ///< where this node takes records of other nodes; empty if it does not
         std::uint32_t milliCores; ///< CPU limit of this node, in thousandths of a core
         Millis endedJobRetention; ///< how long an ended job is kept in the job table
+        Millis maxLease;          ///< minions shorten longer leases to this
         Millis maxViewAge;        ///< of the view on which a start rests when it is sent
         std::function<void(const char *reason)> onLeadershipLost; ///< called once, when leadership is lost
     };
@@ -174,7 +176,13 @@
     void handleReport(MinionLink &link, const MinionReport &report, std::int64_t sentMs);
     void handleEnd(MinionLink &link, const EndedTask &end);
     void handleRunning(MinionLink &link, const MinionReport &report, std::int64_t sentMs);
-    void handleMinionRestart(MinionLink &link);
+    /** Discards what is known of the former instance of a minion; the present one began at @p startTimeMs. */
+    void handleMinionRestart(MinionLink &link, std::int64_t startTimeMs);
+    static Asio::awaitable<void> pollRestarted(std::shared_ptr<StepPlanner> self, MinionId id);
+    /** Notes that a start was accepted by an instance of the minion that may not be the expected one. */
+    void doubtInstance(MinionLink &link, Member &member);
+    /** @return the time after which no lease that is granted now can last, on any clock of a minion. */
+    [[nodiscard]] std::int64_t leaseBoundMs() const;
     /**
      * Counts a failed or stuck run against its minion, which gets no new work for a while after several in a row.
      * @param strikes how many failures the run counts as
@@ -219,7 +227,13 @@
     std::map<UnitKey, std::uint32_t> m_moves;         ///< how often a unit was moved because it was stuck
     std::map<UnitKey, std::int64_t> m_notBefore;      ///< earliest time of the next start, by unit
     std::vector<StoredRecord> m_pendingRecords;       ///< to be journaled by the next flush
-    std::vector<std::pair<MinionId, std::uint64_t>> m_pendingEnds;
+    /** Ends of one instance of a minion, up to a number, that the next flush stores. */
+    struct PendingEnds {
+        MinionId minion;
+        std::uint64_t restarts = 0; ///< MinionLink::restarts of the instance
+        std::uint64_t upTo = 0;
+    };
+    std::vector<PendingEnds> m_pendingEnds;
     std::vector<AssignmentPtr> m_pendingStarts;
     std::deque<AssignmentPtr> m_startQueue; ///< journaled units whose start has not been ordered
     std::size_t m_unsentStarts = 0;         ///< start orders that wait for a connection or for their turn
--- a/packages/dispatch/stepplannerhealth.cpp
+++ b/packages/dispatch/stepplannerhealth.cpp
@@ -6,6 +6,7 @@
 #include "steps/progresswatch.h"
 
 #include <algorithm>
+#include <iterator>
 
 // Handling of expired leases, draining minions, stuck runs and minions on which runs keep failing.
 
@@ -64,7 +65,8 @@
         const bool lapsed =
             link.clock.known() ? link.pollFailures > 0 && link.clock.lapsed(now) : now > link.priorLeaseUntilMs;
         if (lapsed) {
-            lost.insert(lost.end(), link.placed.begin(), link.placed.end());
+            std::copy_if(link.placed.begin(), link.placed.end(), std::back_inserter(lost),
+                         [now](const PlacedMember &placed) { return now > placed.member().unverifiedUntilMs; });
         }
     }
     for (const auto &[assignment, index] : lost) {
--- a/packages/dispatch/stepplannerjournal.cpp
+++ b/packages/dispatch/stepplannerjournal.cpp
@@ -89,9 +89,13 @@
     }
     const auto stored = [self = shared_from_this(), ends = std::move(m_pendingEnds),
                          starts = std::move(m_pendingStarts)] {
-        for (const auto &[minion, number] : ends) {
-            MinionLink &link = self->m_links.at(minion);
-            link.endsStored = std::max(link.endsStored, std::min(number, link.endsHandled));
+        for (const PendingEnds &pending : ends) {
+            const auto found = self->m_links.find(pending.minion);
+            if (found == self->m_links.end() || found->second.restarts != pending.restarts) {
+                continue; // a new instance of the minion numbers its ends anew
+            }
+            MinionLink &link = found->second;
+            link.endsStored = std::max(link.endsStored, std::min(pending.upTo, link.endsHandled));
             self->ensurePolling(link);
         }
         for (const AssignmentPtr &assignment : starts) {
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -40,6 +40,17 @@
 
 } // namespace
 
+std::int64_t StepPlanner::leaseBoundMs() const
+{
+    return bootMillis() + ORDER_TIMEOUT.count() + slowestLeaseMs(m_context.maxLease.count());
+}
+
+void StepPlanner::doubtInstance(MinionLink &link, Member &member)
+{
+    ++link.unverifiedStarts;
+    member.unverifiedUntilMs = leaseBoundMs();
+}
+
 bool StepPlanner::mayRenew() const
 {
     const std::int64_t lastContactMs = std::max(m_writer->lastStoredMs(), m_takeoverMs);
@@ -140,7 +151,7 @@
 Asio::awaitable<OrderAnswer> StepPlanner::orderStart(std::shared_ptr<StepPlanner> self, AssignmentPtr assignment,
                                                      std::size_t index)
 {
-    const Member &member = assignment->members[index];
+    Member &member = assignment->members[index];
     StartOrder order;
     order.task = assignment->unit.taskName(static_cast<std::uint32_t>(index));
     order.run = assignment->run;
@@ -156,8 +167,16 @@
         }
         MinionLink &link = self->m_links.at(member.minion);
         order.ticket = self->m_tickets.ticket(assignment->unit.stepKey(), member.minion, bootMillis());
-        order.leaseUntilMs = link.clock.grant(bootMillis(), LEASE_MS);
+        const std::int64_t sent = bootMillis();
+        order.leaseUntilMs = link.clock.grant(sent, LEASE_MS);
         answer = co_await self->m_context.minionControl.start(link.entry, order, ORDER_TIMEOUT);
+        if (member.sent && self->m_leading) {
+            MinionLink &present = self->m_links.at(member.minion);
+            const bool expected = answer.clockMs && present.clock.agreesWith(*answer.clockMs, sent, bootMillis());
+            if (!expected && (answer.outcome == OrderOutcome::Done || answer.outcome == OrderOutcome::NoAnswer)) {
+                self->doubtInstance(present, member);
+            }
+        }
         if (i > 0 && answer.outcome != OrderOutcome::Done && answer.outcome != OrderOutcome::Fenced) {
             answer.outcome = OrderOutcome::NoAnswer; // the first attempt may still have started the run
         }
@@ -313,10 +332,11 @@
         }
         if (!answered) {
             co_await sleepFor(POLL_RETRY_INTERVAL);
-        } else if (link.endsStored < link.endsHandled) {
-            // Until the ends are journaled, a poll would return at once with the same ends.
+        } else if (link.endsAcked < link.endsHandled) {
+            // Until the ends can be acknowledged, a poll would return at once with the same ends.
             const TimePoint deadline = Clock::now() + JOURNAL_WAIT_LIMIT;
-            while (link.endsStored < link.endsHandled && self->m_leading && Clock::now() < deadline) {
+            const auto mustWait = [&link] { return link.endsStored < link.endsHandled || link.hasStartInFlight(); };
+            while (mustWait() && self->m_leading && Clock::now() < deadline) {
                 co_await sleepFor(JOURNAL_POLL_INTERVAL);
             }
         }
@@ -326,6 +346,11 @@
     }
 }
 
+Asio::awaitable<void> StepPlanner::pollRestarted(std::shared_ptr<StepPlanner> self, MinionId id)
+{
+    co_await self->pollOnce(id);
+}
+
 Asio::awaitable<bool> StepPlanner::pollOnce(MinionId id)
 {
     MinionLink *link = &m_links.at(id);
@@ -333,7 +358,9 @@
     ++m_load.counts.polls;
     PollOrder order;
     order.fence = m_epoch;
-    order.ackUpTo = link->endsStored;
+    order.ackUpTo = link->mayAcknowledge() ? link->endsStored : 0;
+    const std::uint64_t coveredStarts = link->unverifiedStarts;
+    const std::uint64_t knownRestarts = link->restarts;
     // Leases of a minion that does not answer are not renewed, so that they expire.
     if (!link->placed.empty() && link->clock.known() && link->pollFailures <= MAX_UNANSWERED_RENEWALS && mayRenew()) {
         order.leaseUntilMs = link->clock.grant(sent, LEASE_MS);
@@ -343,7 +370,6 @@
     const Millis steadyWait = link->shared ? SHARED_POLL_WAIT : POLL_WAIT;
     const Millis longWait = hasQuietRun(*link) ? std::min(WATCH_POLL_WAIT, steadyWait) : steadyWait;
     order.wait = mayWait ? longWait : Millis(0);
-    const std::int64_t knownStartTimeMs = link->entry.startTimeMs;
     const PollAnswer answer =
         co_await m_context.minionControl.poll(link->entry, order, order.wait + POLL_REPLY_TIMEOUT);
     if (!m_leading) {
@@ -363,7 +389,7 @@
         }
         co_return false;
     }
-    if (link->entry.startTimeMs != knownStartTimeMs) {
+    if (link->restarts != knownRestarts) {
         co_return false; // the report may predate the restart
     }
     if (link->pollFailures > 0) {
@@ -374,15 +400,17 @@
     link->pollFailures = 0;
     const std::int64_t reportedStartTimeMs = answer.report.startTimeMs;
     if (reportedStartTimeMs != 0 && link->entry.startTimeMs != 0 && reportedStartTimeMs != link->entry.startTimeMs) {
-        handleMinionRestart(*link);
-        link->entry.startTimeMs = reportedStartTimeMs;
+        handleMinionRestart(*link, reportedStartTimeMs);
+    } else {
+        link->endsAcked = std::max(link->endsAcked, order.ackUpTo);
     }
+    link->verifiedStarts = std::max(link->verifiedStarts, coveredStarts);
     link->clock.addReading(answer.report.clockMs, bootMillis());
-    link->endsAcked = std::max(link->endsAcked, order.ackUpTo);
     if (!link->fenceRaised) {
         link->fenceRaised = true;
-        // A predecessor may have renewed the lease until just before the fence was raised, but no later.
-        link->clock.grant(bootMillis(), LEASE_MS);
+        // A predecessor may have renewed the lease until just before the fence was raised, but no later. A lease that
+        // was granted by the clock of a former instance is only limited by the minion.
+        link->clock.grant(bootMillis(), link->restarts > 0 ? m_context.maxLease.count() : LEASE_MS);
         requestPass();
     }
     handleReport(*link, answer.report, sent);
--- a/packages/dispatch/stepplannerreports.cpp
+++ b/packages/dispatch/stepplannerreports.cpp
@@ -47,7 +47,7 @@
         }
     }
     if (link.endsHandled > link.endsStored) {
-        m_pendingEnds.emplace_back(link.entry.id, link.endsHandled);
+        m_pendingEnds.push_back({link.entry.id, link.restarts, link.endsHandled});
         flushSoon();
     }
     handleRunning(link, report, sentMs);
@@ -100,6 +100,7 @@
             continue;
         }
         listed[running.task] = running.run;
+        assignment->members[index].unverifiedUntilMs = 0;
         assignment->percent = std::max(assignment->percent, running.percent);
         Member &member = assignment->members[index];
         if (running.percent > member.percent || !member.lastProgressMs) {
@@ -130,22 +131,34 @@
     }
 }
 
-void StepPlanner::handleMinionRestart(MinionLink &link)
+void StepPlanner::handleMinionRestart(MinionLink &link, std::int64_t startTimeMs)
 {
     logEvent(LogLevel::Warning, "minion-reborn",
-             {{"minion", link.entry.id.value()}, {"members", std::uint64_t(link.placed.size())}});
-    const std::vector<PlacedMember> lost = link.placed; // memberEnded() modifies the list
-    for (const auto &[assignment, index] : lost) {
-        m_context.metrics.count(StepEvent::RunLost, "minion-reborn");
-        memberEnded(assignment, index, EndKind::Unknown);
-    }
+             {{"minion", link.entry.id.value()},
+              {"members", std::uint64_t(link.placed.size())},
+              {"former", link.entry.startTimeMs},
+              {"present", startTimeMs}});
+    ++link.restarts;
+    link.formerStartTimeMs = link.entry.startTimeMs;
+    link.entry.startTimeMs = startTimeMs;
+    link.entryOutdated = true;
     link.clock = MinionClock();
     link.fenceRaised = false;
     link.endsHandled = link.endsStored = link.endsAcked = 0;
     link.runFailures = 0;
     link.fillPace = FillPace();
+    link.priorLeaseUntilMs = leaseBoundMs();
+    // Which of the members the new instance runs is shown by its first report.
+    for (const PlacedMember &placed : link.placed) {
+        Member &member = placed.member();
+        member.stopAnsweredMs = 0;
+        member.percent = 0;
+        member.lastProgressMs.reset();
+        member.lastReportMs.reset();
+        member.pacePercent.reset();
+    }
     m_tickets.expireAll(link.entry.id);
-    std::erase_if(m_pendingEnds, [&](const auto &item) { return item.first == link.entry.id; });
+    std::erase_if(m_pendingEnds, [&](const PendingEnds &ends) { return ends.minion == link.entry.id; });
 }
 
 void StepPlanner::memberEnded(const AssignmentPtr &assignment, std::size_t index, EndKind kind)
--- a/packages/steps/minionclock.h
+++ b/packages/steps/minionclock.h
@@ -39,6 +39,19 @@
         return m_minionMs + (localMs - m_localMs);
     }
 
+    /**
+     * @param minionMs a reading that an answer carried
+     * @param sentMs local time when the request left
+     * @param receivedMs local time when the answer arrived
+     * @return true if the reading may be of the clock that earlier readings were of; a minion's clock starts anew with
+     * the minion
+     */
+    [[nodiscard]] bool agreesWith(std::int64_t minionMs, std::int64_t sentMs, std::int64_t receivedMs) const
+    {
+        const auto drift = static_cast<std::int64_t>(double(receivedMs - m_localMs) * MAX_SLOWNESS) + AGREEMENT_MS;
+        return m_known && minionMs >= at(sentMs) - drift && minionMs <= at(receivedMs) + drift;
+    }
+
     /** Grants a lease. @return its end on the minion's clock, about @p leaseMs from now */
     std::int64_t grant(std::int64_t localMs, std::int64_t leaseMs)
     {
@@ -60,6 +73,7 @@
 private:
     static constexpr double MAX_SLOWNESS = 0.02; // bound on how much slower than the local clock a minion's clock runs
     static constexpr std::int64_t MARGIN_MS = 100;     // for tasks to end after their lease has expired
+    static constexpr std::int64_t AGREEMENT_MS = 150;  // error of a reading by the transit time of its answer
     static constexpr std::int64_t REFRESH_MS = 10'000; // age at which a reading is replaced, since clocks drift
 
     bool m_known = false;
--- a/tests/standins/platformminionstandin.cpp
+++ b/tests/standins/platformminionstandin.cpp
@@ -470,11 +470,13 @@
 {
     const std::uint64_t seen = body.value("lastSeen", std::uint64_t(0));
     const TimePoint deadline = Clock::now() + Millis(body.value("waitMs", 0));
+    std::int64_t bornMs = 0; // of the instance that the call has reached
     bool first = true;
     for (;;) {
         {
             const std::lock_guard lock(m_mutex);
-            if (m_faults.unresponsive || m_poweredOff) {
+            bornMs = first ? m_bornMs : bornMs;
+            if (m_faults.unresponsive || m_faults.silentPolls || m_poweredOff || bornMs != m_bornMs) {
                 co_return noAnswer();
             }
             if (first && fenced(body)) {
