Take a task as done whichever of its runs was done

What callers saw: a task whose minion had been cut off ran a second time, though its first run had ended done and the minion listed that end as soon as it was reached again (TWICE if the lease had not lapsed in between).

Cause: the planner acknowledged every end that it had read, but applied only ends of the run that it knew at that time. The end of a run that it had taken as lost was acknowledged and forgotten.

Fix: an end 'done' of an earlier run of a unit that is still open makes the unit done; a later run is stopped. It can't hide a failure: only runs that were ordered count, and units that have failed for good stay failed.

--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -175,6 +175,11 @@
     // Reports
     void handleReport(MinionLink &link, const MinionReport &report, std::int64_t sentMs);
     void handleEnd(MinionLink &link, const EndedTask &end);
+    /**
+     * Takes note that a task was done in a run that was taken as lost. Once its end is acknowledged, the task must not
+     * run again.
+     */
+    void acceptDoneOfOtherRun(const EndedTask &end);
     void handleRunning(MinionLink &link, const MinionReport &report, std::int64_t sentMs);
     /** Discards what is known of the former instance of a minion; the present one began at @p startTimeMs. */
     void handleMinionRestart(MinionLink &link, std::int64_t startTimeMs);
--- a/packages/dispatch/stepplannerreports.cpp
+++ b/packages/dispatch/stepplannerreports.cpp
@@ -71,6 +71,9 @@
         countRunFailure(link, bootMillis(), 1);
     }
     if (!assignment || assignment->members[index].minion != link.entry.id) {
+        if (end.kind == EndKind::Done) {
+            acceptDoneOfOtherRun(end);
+        }
         return;
     }
     if (!end.checkpoint.empty()) {
@@ -82,6 +85,36 @@
     memberEnded(assignment, index, end.kind);
 }
 
+void StepPlanner::acceptDoneOfOtherRun(const EndedTask &end)
+{
+    UnitKey unit;
+    if (!UnitKey::parse(end.task, unit)) {
+        return;
+    }
+    if (m_context.jobTable.find(unit) == nullptr) {
+        unit.index = UnitKey::GANG; // one end stands for all members of a gang
+    }
+    const UnitStatus *known = m_context.jobTable.find(unit);
+    const bool isOpen = known != nullptr && (known->state == UnitState::Waiting || known->state == UnitState::Placed);
+    if (!isOpen || end.run == 0 || end.run > known->run || m_context.jobTable.stepOf(unit).longRunning) {
+        return;
+    }
+    logEvent(LogLevel::Warning, "earlier-run-done", {{"task", end.task}, {"run", std::uint64_t(end.run)}});
+    const auto placed = m_assignments.find(unit);
+    if (placed != m_assignments.end()) {
+        const AssignmentPtr assignment = placed->second;
+        assignment->outcome = EndKind::Done;
+        applyOutcome(assignment);
+        stopAssignment(assignment, "earlier-run-done");
+        return;
+    }
+    UnitStatus status = *known;
+    status.state = UnitState::Done;
+    status.minions.clear();
+    record(unit, std::move(status));
+    jobChanged(unit.job);
+}
+
 void StepPlanner::handleRunning(MinionLink &link, const MinionReport &report, std::int64_t sentMs)
 {
     const std::int64_t now = bootMillis();
--- a/tests/integration/rebornminions.cpp
+++ b/tests/integration/rebornminions.cpp
@@ -4,8 +4,8 @@
 
 #include <algorithm>
 
-// Tests minions that restart under their ids. A minion registers its new entry some time after it has begun to take
-// orders, so the planner may send orders to a new instance that it takes for the former one.
+// Tests minions that restart under their ids or are cut off. A minion registers its new entry some time after it has
+// begun to take orders, so the planner may send orders to a new instance that it takes for the former one.
 
 namespace Papaya::Testing
 {
@@ -113,6 +113,28 @@
     EXPECT_TRUE(deployment.waitForState("plan", second, "completed"));
 }
 
+// Guards against acknowledging, and then ignoring, the end of a run that was taken as lost: its task would be done
+// twice.
+TEST(LostRun, ThatTurnsOutToBeDoneEndsItsTask)
+{
+    DeploymentOptions options {1, 2};
+    options.minionProxies = true;
+    Deployment deployment(options);
+    deployment.minions[1]->setCapacity(0, 0, 0);
+    deployment.minions[1]->list();
+    deployment.start();
+    const std::string id = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", id, Deployment::step(1), {{"workMs", 1'200}}).status);
+    ASSERT_TRUE(deployment.waitForRunCount(id, 1));
+    deployment.minionProxies[0]->setSilent(true);
+    const auto lapsed = [&] { return deployment.log(0).find("lease-lapsed unit=" + id) != std::string::npos; };
+    ASSERT_TRUE(Cluster::eventually(lapsed, Millis(12'000)));
+    deployment.minionProxies[0]->setSilent(false);
+    deployment.minionProxies[0]->cutOpen();
+    ASSERT_TRUE(deployment.waitForState("plan", id, "completed"));
+    EXPECT_EQ(1U, deployment.runs.of(id).size());
+}
+
 } // namespace
 
 } // namespace Papaya::Testing
