Show callers only what the store has acknowledged

If the minion that held the end crashed before a successor read it, the end was known to nobody.

Fix: the job table keeps the stored status of a unit beside changes that have not been acknowledged. Both interfaces to callers answer with the stored state, and a node that loses the lead returns to it. An ended job is forgotten once its deletion is stored.

--- a/packages/dispatch/jobapi.cpp
+++ b/packages/dispatch/jobapi.cpp
@@ -22,6 +22,7 @@
 constexpr Millis MAX_HOLD {800};          // then the caller may try another node, to which the store may be back
 constexpr Millis SLOW_RELAY_TIME {2'400}; // for a record to be appended by another node while the store is slow
 constexpr Millis MAX_REFRESH {120};       // a state may be older by that much
+constexpr Millis STORED_POLL_INTERVAL {5};
 constexpr const char *RETRY_AFTER_SECONDS = "1";
 constexpr const char *RETRY_ELSEWHERE = "0"; // another node may reach the store
 
@@ -273,8 +274,15 @@
         co_await m_context.refresh(MAX_REFRESH);
         entry = m_context.jobTable.find(id);
     }
+    // A planner may know of an end that is being stored. Callers are not told before, as it may yet be lost.
+    const TimePoint waitDeadline = Clock::now() + MAX_REFRESH;
+    while (entry != nullptr && !entry->live() && m_context.jobTable.stored(*entry).live()
+           && Clock::now() < waitDeadline) {
+        co_await sleepFor(STORED_POLL_INTERVAL);
+        entry = m_context.jobTable.find(id);
+    }
     if (entry != nullptr) {
-        co_return makeResponse(200, m_context.codec.encodeState(toString(entry->state())));
+        co_return makeResponse(200, m_context.codec.encodeState(toString(m_context.jobTable.stored(*entry).state)));
     }
     // A node that is behind in the journal cannot tell that the job does not exist.
     co_return m_context.upToDate() ? refuse(410, "no-such-job") : refuse(503, "journal-unread");
--- a/packages/dispatch/operatorapi.cpp
+++ b/packages/dispatch/operatorapi.cpp
@@ -55,14 +55,14 @@
     return id;
 }
 
-Json describeJob(const JobId &id, const JobEntry &entry)
+Json describeJob(const JobId &id, const JobEntry &entry, const StoredJobState &stored)
 {
     return {{"job", id.value()},
             {"queue", entry.job.queue.value()},
             {"team", entry.job.team.value()},
-            {"state", toString(entry.state())},
-            {"unitsLeft", entry.unitsLeft},
-            {"unitsFailed", entry.unitsFailed},
+            {"state", toString(stored.state)},
+            {"unitsLeft", stored.units.left},
+            {"unitsFailed", stored.units.failed},
             {"reason", ""}};
 }
 
@@ -159,13 +159,14 @@
         return failure(404, "no-such-job", "this node has no job " + id.value());
     }
     const NodeStatus status = m_context.status();
-    Json answer = describeJob(id, *entry);
+    const StoredJobState stored = m_context.jobTable.stored(*entry);
+    Json answer = describeJob(id, *entry, stored);
     if (!status.leading) {
-        answer["explanation"] = "the job is " + std::string(toString(entry->state())) + "; node " + status.planner
+        answer["explanation"] = "the job is " + std::string(toString(stored.state)) + "; node " + status.planner
                                 + " leads and knows why its units wait";
         return jsonResponse(200, toJson(answer));
     }
-    std::string text = "the job is " + std::string(toString(entry->state()));
+    std::string text = "the job is " + std::string(toString(stored.state));
     Json units = Json::array();
     for (const auto &[unit, why] : m_context.explain(id)) {
         if (units.size() < MAX_EXPLAINED_UNITS) {
@@ -240,9 +241,14 @@
             co_return response;
         }
     } else if (request.method == "GET") {
-        const StepJobState first = entry->state();
+        const StepJobState first = m_context.jobTable.stored(*entry).state;
         const TimePoint deadline = Clock::now() + waitOf(request);
-        while (Clock::now() < deadline && find() != nullptr && find()->state() == first && find()->live()) {
+        const auto isUnchanged = [&] {
+            const JobEntry *present = find();
+            const StoredJobState state = present == nullptr ? StoredJobState() : m_context.jobTable.stored(*present);
+            return present != nullptr && state.state == first && state.live();
+        };
+        while (Clock::now() < deadline && isUnchanged()) {
             co_await sleepFor(WAIT_POLL_INTERVAL);
         }
     } else {
@@ -250,7 +256,7 @@
     }
     entry = find();
     co_return entry == nullptr ? failure(404, "no-such-job", "the job has ended and its retention period is over")
-                               : jsonResponse(200, toJson(describeJob(id, *entry)));
+                               : jsonResponse(200, toJson(describeJob(id, *entry, m_context.jobTable.stored(*entry))));
 }
 
 } // namespace Papaya
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -496,7 +496,8 @@
         planner->stop();
         planner.reset();
         journal.setMinInterval(FOLLOWER_READ_INTERVAL);
-        // The job table may contain decisions that were never journaled.
+        // The job table may contain decisions that were never journaled. If they were, they are read again.
+        jobTable.discardUnstored();
         journal.reload();
     }
 
@@ -547,6 +548,7 @@
             parts.planner->resign([&parts] {
                 parts.planner.reset();
                 parts.journal.setMinInterval(FOLLOWER_READ_INTERVAL);
+                parts.jobTable.discardUnstored();
                 parts.journal.reload();
             });
         }
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -218,6 +218,8 @@
     void journalConfig(std::int64_t nowMs);
     /** Removes jobs from the job table and the journal once their retention period is over. */
     void forgetEnded(std::int64_t nowMs);
+    /** Removes a job whose deletion has been stored. */
+    void forget(const JobId &job);
     void flushSoon();
     void flush();
     void stepDown(const char *reason);
@@ -232,6 +234,8 @@
     std::map<UnitKey, std::uint32_t> m_moves;         ///< how often a unit was moved because it was stuck
     std::map<UnitKey, std::int64_t> m_notBefore;      ///< earliest time of the next start, by unit
     std::vector<StoredRecord> m_pendingRecords;       ///< to be journaled by the next flush
+    std::vector<UnitChanged> m_pendingChanges;        ///< the changes among m_pendingRecords
+    std::vector<JobId> m_pendingDeletions;            ///< jobs that m_pendingRecords delete
     /** Ends of one instance of a minion, up to a number, that the next flush stores. */
     struct PendingEnds {
         MinionId minion;
@@ -251,6 +255,7 @@
     std::int64_t m_lastStuckCheckMs = 0;
     std::set<JobId> m_startedJobs;           ///< jobs of which this planner has started a task
     std::map<JobId, std::int64_t> m_endedMs; ///< when each job was first found ended
+    std::set<JobId> m_forgetting;            ///< jobs whose deletion has not been stored
     std::int64_t m_lastForgetMs = 0;
     ConfigVersion m_journaledConfigVersion;
     std::int64_t m_lastConfigJournalMs = 0;
--- a/packages/dispatch/stepplannerjournal.cpp
+++ b/packages/dispatch/stepplannerjournal.cpp
@@ -40,7 +40,8 @@
     UnitChanged change {unit, std::move(status)};
     m_pendingRecords.push_back(encodeRecord(change));
     m_context.times.observe(m_context.jobTable.find(unit.job)->job, change, bootMillis());
-    m_context.jobTable.apply(change);
+    m_context.jobTable.applyUnstored(change);
+    m_pendingChanges.push_back(std::move(change));
     flushSoon();
 }
 
@@ -48,7 +49,7 @@
 {
     std::vector<JobId> old;
     for (const auto &[id, entry] : m_context.jobTable.jobs()) {
-        if (entry.live()) {
+        if (entry.live() || m_context.jobTable.stored(entry).live() || m_forgetting.contains(id)) {
             continue;
         }
         const std::int64_t ended = m_endedMs.try_emplace(id, nowMs).first->second;
@@ -61,10 +62,8 @@
     for (const JobId &id : old) {
         const auto records = encodeForgetting(id, JobTable::unitsOf(*m_context.jobTable.find(id)));
         m_pendingRecords.insert(m_pendingRecords.end(), records.begin(), records.end());
-        m_context.jobTable.apply(StepJobForgotten {id});
-        m_endedMs.erase(id);
-        m_tickets.forget(id);
-        m_startedJobs.erase(id);
+        m_forgetting.insert(id);
+        m_pendingDeletions.push_back(id);
         flushSoon();
     }
     if (!old.empty()) {
@@ -72,6 +71,15 @@
     }
 }
 
+void StepPlanner::forget(const JobId &job)
+{
+    m_context.jobTable.apply(StepJobForgotten {job});
+    m_forgetting.erase(job);
+    m_endedMs.erase(job);
+    m_tickets.forget(job);
+    m_startedJobs.erase(job);
+}
+
 void StepPlanner::flushSoon()
 {
     if (m_flushPosted) {
@@ -88,7 +96,14 @@
         return;
     }
     const auto stored = [self = shared_from_this(), ends = std::move(m_pendingEnds),
-                         starts = std::move(m_pendingStarts)] {
+                         starts = std::move(m_pendingStarts), changes = std::move(m_pendingChanges),
+                         deletions = std::move(m_pendingDeletions)] {
+        for (const UnitChanged &change : changes) {
+            self->m_context.jobTable.confirmStored(change);
+        }
+        for (const JobId &job : deletions) {
+            self->forget(job);
+        }
         for (const PendingEnds &pending : ends) {
             const auto found = self->m_links.find(pending.minion);
             if (found == self->m_links.end() || found->second.restarts != pending.restarts) {
@@ -105,6 +120,8 @@
     };
     m_pendingEnds.clear();
     m_pendingStarts.clear();
+    m_pendingChanges.clear();
+    m_pendingDeletions.clear();
     if (m_pendingRecords.empty() && m_writer->idle()) {
         stored(); // ends of unknown runs need no record
         return;
--- a/packages/steps/jobtable.cpp
+++ b/packages/steps/jobtable.cpp
@@ -1,6 +1,7 @@
 #include "steps/jobtable.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Papaya
 {
@@ -23,6 +24,37 @@
     return key.index == UnitKey::GANG ? 0 : static_cast<std::size_t>(key.index);
 }
 
+bool isDone(const UnitStatus &status, bool longRunning)
+{
+    return status.state == UnitState::Done && !longRunning;
+}
+
+/** Adds @p sign to each count that a unit with @p status belongs to. */
+void count(UnitCounts &counts, const UnitStatus &status, bool longRunning, int sign)
+{
+    const auto add = [sign](std::uint32_t &number, bool applies) {
+        number += applies ? static_cast<std::uint32_t>(sign) : 0U;
+    };
+    add(counts.left, !isDone(status, longRunning));
+    add(counts.failed, status.state == UnitState::Failed);
+    add(counts.started, status.run > 0);
+}
+
+StepJobState stateOf(const UnitCounts &units, bool cancelled)
+{
+    // A job whose units are all done stays completed, even if a cancellation arrives afterwards.
+    if (units.left == 0) {
+        return StepJobState::Completed;
+    }
+    if (cancelled) {
+        return StepJobState::Cancelled;
+    }
+    if (units.failed > 0) {
+        return StepJobState::Failed;
+    }
+    return units.started > 0 ? StepJobState::Running : StepJobState::Queued;
+}
+
 } // namespace
 
 std::string_view toString(StepJobState state)
@@ -44,22 +76,12 @@
 
 StepJobState JobEntry::state() const
 {
-    // A job whose units are all done stays completed, even if a cancellation arrives afterwards.
-    if (unitsLeft == 0) {
-        return StepJobState::Completed;
-    }
-    if (cancelled) {
-        return StepJobState::Cancelled;
-    }
-    if (unitsFailed > 0) {
-        return StepJobState::Failed;
-    }
-    return unitsStarted > 0 ? StepJobState::Running : StepJobState::Queued;
+    return stateOf(units, cancelled);
 }
 
 bool JobEntry::live() const
 {
-    return !cancelled && unitsFailed == 0 && unitsLeft > 0;
+    return !cancelled && units.failed == 0 && units.left > 0;
 }
 
 std::int64_t JobEntry::dueMs(std::uint32_t occurrence) const
@@ -116,7 +138,7 @@
     entry.job = job;
     entry.occurrences.assign(job.spec.occurrences(), emptyOccurrence(job.spec));
     for (const StepProgress &step : entry.occurrences[0].steps) {
-        entry.unitsLeft += static_cast<std::uint32_t>(step.units.size()) * job.spec.occurrences();
+        entry.units.left += static_cast<std::uint32_t>(step.units.size()) * job.spec.occurrences();
     }
     updateLive(entry);
     if (const auto pending = m_pendingRecords.extract(job.id)) {
@@ -129,6 +151,10 @@
 void JobTable::forget(const JobId &id)
 {
     m_pendingRecords.erase(id);
+    for (auto place = m_unstored.lower_bound({id, 0, 0, UnitKey::GANG});
+         place != m_unstored.end() && place->first.job == id;) {
+        place = m_unstored.erase(place);
+    }
     const auto found = m_jobs.find(id);
     if (found != m_jobs.end()) {
         m_live.erase(std::make_pair(found->second.job.submittedMs, id));
@@ -159,20 +185,56 @@
     StepProgress &step = entry.occurrences[key.occurrence].steps[key.step];
     UnitStatus &unit = step.units[unitIndex(key)];
     const bool longRunning = entry.job.spec.steps[key.step].longRunning;
-    const auto isDone = [&](const UnitStatus &of) { return of.state == UnitState::Done && !longRunning; };
-    if (isDone(unit) != isDone(status)) {
-        const std::uint32_t change = isDone(status) ? 1 : -1;
-        step.done += change;
-        entry.unitsLeft -= change;
+    step.done +=
+        static_cast<std::uint32_t>(isDone(status, longRunning)) - static_cast<std::uint32_t>(isDone(unit, longRunning));
+    count(entry.units, unit, longRunning, -1);
+    count(entry.units, status, longRunning, 1);
+    unit = status;
+    updateLive(entry);
+}
+
+void JobTable::applyUnstored(const UnitChanged &change)
+{
+    const UnitStatus *known = find(change.unit);
+    if (known == nullptr) {
+        return;
+    }
+    Unstored &unstored = m_unstored.try_emplace(change.unit, Unstored {*known, 0}).first->second;
+    ++unstored.changes;
+    applyUnitChange(change.unit, change.status);
+}
+
+void JobTable::confirmStored(const UnitChanged &change)
+{
+    const auto found = m_unstored.find(change.unit);
+    if (found == m_unstored.end()) {
+        return; // discarded meanwhile
     }
-    if ((unit.state == UnitState::Failed) != (status.state == UnitState::Failed)) {
-        entry.unitsFailed += status.state == UnitState::Failed ? 1 : -1;
+    found->second.stored = change.status;
+    if (--found->second.changes == 0) {
+        m_unstored.erase(found);
     }
-    if ((unit.run > 0) != (status.run > 0)) {
-        entry.unitsStarted += status.run > 0 ? 1 : -1;
+}
+
+void JobTable::discardUnstored()
+{
+    for (const auto &[unit, unstored] : std::exchange(m_unstored, {})) {
+        applyUnitChange(unit, unstored.stored);
     }
-    unit = status;
-    updateLive(entry);
+}
+
+StoredJobState JobTable::stored(const JobEntry &entry) const
+{
+    StoredJobState state;
+    state.units = entry.units;
+    for (auto place = m_unstored.lower_bound({entry.job.id, 0, 0, UnitKey::GANG});
+         place != m_unstored.end() && place->first.job == entry.job.id; ++place) {
+        const bool longRunning = entry.job.spec.steps[place->first.step].longRunning;
+        count(state.units, *find(place->first), longRunning, -1);
+        count(state.units, place->second.stored, longRunning, 1);
+    }
+    state.state = stateOf(state.units, entry.cancelled);
+    return state;
 }
 
 void JobTable::updateLive(JobEntry &entry)
@@ -222,7 +284,7 @@
 {
     return static_cast<std::size_t>(std::count_if(m_live.begin(), m_live.end(), [&](const auto &item) {
         const JobEntry &entry = *item.second;
-        return entry.job.queue == queue && entry.unitsStarted == 0 && entry.job.spec.timetable.runs == 0;
+        return entry.job.queue == queue && entry.units.started == 0 && entry.job.spec.timetable.runs == 0;
     }));
 }
 
--- a/packages/steps/jobtable.h
+++ b/packages/steps/jobtable.h
@@ -10,8 +10,10 @@
 #include <vector>
 
 // The state of all jobs, built from their records. Every node maintains a table by following the journal; the planner
-// updates its own table first and then appends the records. Applying a record is idempotent, so a node may start from
-// the newest record of each key and then replay journal entries that overlap with them.
+// applies its decisions to its own table first and then appends the records. Until the store has acknowledged such a
+// record, a successor does not know of it, so the table also keeps the stored status of the unit: callers are told no
+// other, and a planner that loses its role returns to it. Applying a record is idempotent, so a node may start from the
+// newest record of each key and then replay journal entries that overlap with them.
 
 namespace Papaya
 {
@@ -21,6 +23,25 @@
 /** @return the name of @p state for logs and callers. */
 std::string_view toString(StepJobState state);
 
+/** How many units of a job are in which state. */
+struct UnitCounts {
+    std::uint32_t left = 0;    ///< not done
+    std::uint32_t failed = 0;  ///< have failed on all attempts
+    std::uint32_t started = 0; ///< have been placed at least once
+};
+
+/** A job as its records in the store describe it, which is what callers may be told. */
+struct StoredJobState {
+    StepJobState state = StepJobState::Queued;
+    UnitCounts units;
+
+    /** @return true if units of this job may still run. */
+    [[nodiscard]] bool live() const
+    {
+        return state == StepJobState::Queued || state == StepJobState::Running;
+    }
+};
+
 /** Progress of one step in one occurrence of its job. */
 struct StepProgress {
     std::vector<UnitStatus> units; ///< one for a gang, otherwise one for each task
@@ -37,9 +58,7 @@
     StepJob job;
     bool cancelled = false;
     std::optional<std::int64_t> acceptedMs; ///< when it was accepted, by the steady clock of this node, if known
-    std::uint32_t unitsLeft = 0;            ///< units that are not done
-    std::uint32_t unitsFailed = 0;          ///< units that have failed on all attempts
-    std::uint32_t unitsStarted = 0;
+    UnitCounts units;
     std::vector<OccurrenceProgress> occurrences;
 
     [[nodiscard]] StepJobState state() const;
@@ -59,6 +78,15 @@
      */
     void apply(const JobRecord &record);
 
+    /** Applies a decision whose record has not been stored yet. */
+    void applyUnstored(const UnitChanged &change);
+    /** Takes note that the record of an earlier applyUnstored() has been stored. */
+    void confirmStored(const UnitChanged &change);
+    /** Returns all units to their stored status. */
+    void discardUnstored();
+    /** @return the state of @p entry without the changes that have not been stored. */
+    [[nodiscard]] StoredJobState stored(const JobEntry &entry) const;
+
     /** Sets when job @p id was accepted, by the steady clock of this node, unless that is known. */
     void setAccepted(const JobId &id, std::int64_t steadyMs);
 
@@ -104,6 +132,12 @@
     }
 
 private:
+    /** Status of a unit in the store, and how many of its changes have not been stored. */
+    struct Unstored {
+        UnitStatus stored;
+        std::uint32_t changes = 0;
+    };
+
     void applySubmission(const StepJob &job);
     void forget(const JobId &id);
     void applyUnitChange(const UnitKey &key, const UnitStatus &status);
@@ -113,6 +147,7 @@
     std::map<std::pair<std::int64_t, JobId>, JobEntry *> m_live;
     std::unordered_map<JobId, std::vector<JobRecord>>
         m_pendingRecords; ///< records that arrived before the submission of their job
+    std::map<UnitKey, Unstored> m_unstored;
     PlannerAnnouncement m_planner;
     std::uint32_t m_strongestMilliCores = 0;
     std::map<WaveNumber, WaveProgress> m_waves;
--- a/tests/unit/jobtable.cpp
+++ b/tests/unit/jobtable.cpp
@@ -198,7 +198,7 @@
         rebuilt.apply(journal[i]);
     }
     RC_ASSERT(complete.find(job.id)->state() == rebuilt.find(job.id)->state());
-    RC_ASSERT(complete.find(job.id)->unitsLeft == rebuilt.find(job.id)->unitsLeft);
+    RC_ASSERT(complete.find(job.id)->units.left == rebuilt.find(job.id)->units.left);
     for (const UnitKey &unit : units) {
         RC_ASSERT(*complete.find(unit) == *rebuilt.find(unit));
     }
