Escape spaces in the text fields of a unit's record

Cause: the record of a unit is a line of fields separated by spaces, and the checkpoint was written as it was. Its first word was read as the checkpoint and the rest as names of minions. A checkpoint '-' was read as none, and names of minions had the same fault.

Fix: spaces, the escape character and a text '-' are escaped in the checkpoint and in the names of minions. Other records are CBOR or JSON.

Result: JobRecord.OfAUnitKeepsACheckpointWithSpaces is new; the property JobRecord.IsUnchangedByEncodingAndDecoding now draws arbitrary text for every text field and compares values in place of encoded forms.

--- a/packages/steps/jobrecord.cpp
+++ b/packages/steps/jobrecord.cpp
@@ -21,6 +21,9 @@
 constexpr std::string_view PLANNER_KEY = "q";
 constexpr std::string_view CONFIG_KEY = "c";
 constexpr char FIELD_SEPARATOR = ' ';
+constexpr char ESCAPE = '%'; // precedes the two hexadecimal digits of a byte
+constexpr std::string_view EMPTY_FIELD = "-";
+constexpr std::string_view HEX_DIGITS = "0123456789ABCDEF";
 
 enum StepFlag : std::uint32_t {
     Checkpointing = 1,
@@ -132,9 +135,42 @@
     return wave;
 }
 
+/** @return @p text without FIELD_SEPARATOR, so that it can be a field; "-" if it is empty. */
+std::string toField(std::string_view text)
+{
+    if (text.empty()) {
+        return std::string(EMPTY_FIELD);
+    }
+    std::string field;
+    for (const char c : text) {
+        const bool escaped = c == FIELD_SEPARATOR || c == ESCAPE || text == EMPTY_FIELD;
+        field += escaped ? std::string {ESCAPE, HEX_DIGITS[static_cast<unsigned char>(c) >> 4],
+                                        HEX_DIGITS[static_cast<unsigned char>(c) & 15]}
+                         : std::string(1, c);
+    }
+    return field;
+}
+
+/** @return the text that toField() was called with; an ESCAPE without two digits stands for itself. */
+std::string fromField(std::string_view field)
+{
+    if (field == EMPTY_FIELD) {
+        return {};
+    }
+    std::string text;
+    for (std::size_t i = 0; i < field.size(); ++i) {
+        const std::size_t high = i + 2 < field.size() ? HEX_DIGITS.find(field[i + 1]) : std::string_view::npos;
+        const std::size_t low = i + 2 < field.size() ? HEX_DIGITS.find(field[i + 2]) : std::string_view::npos;
+        const bool escaped = field[i] == ESCAPE && high != std::string_view::npos && low != std::string_view::npos;
+        text += escaped ? static_cast<char>(high << 4 | low) : field[i];
+        i += escaped ? 2 : 0;
+    }
+    return text;
+}
+
 /**
- * Encodes a unit record as a line of fields: state, run, failures, last failed run, checkpoint or "-", minions. Most
- * records are of units, so they use this compact form instead of CBOR.
+ * Encodes a unit record as a line of fields: state, run, failures, last failed run, checkpoint, minions. Most records
+ * are of units, so they use this compact form instead of CBOR.
  */
 std::string encodeStatus(const UnitStatus &status)
 {
@@ -142,9 +178,9 @@
     text += FIELD_SEPARATOR + std::to_string(status.run);
     text += FIELD_SEPARATOR + std::to_string(status.failures);
     text += FIELD_SEPARATOR + std::to_string(status.failedRun);
-    text += FIELD_SEPARATOR + (status.checkpoint.empty() ? std::string("-") : status.checkpoint);
+    text += FIELD_SEPARATOR + toField(status.checkpoint);
     for (const MinionId &minion : status.minions) {
-        text += FIELD_SEPARATOR + minion.value();
+        text += FIELD_SEPARATOR + toField(minion.value());
     }
     return text;
 }
@@ -173,10 +209,9 @@
     if (!takeNumber(text, status.run) || !takeNumber(text, status.failures) || !takeNumber(text, status.failedRun)) {
         return false;
     }
-    const std::string_view checkpoint = takeField(text);
-    status.checkpoint = checkpoint == "-" ? "" : checkpoint;
+    status.checkpoint = fromField(takeField(text));
     while (!text.empty()) {
-        status.minions.emplace_back(std::string(takeField(text)));
+        status.minions.emplace_back(fromField(takeField(text)));
     }
     return true;
 }
--- a/tests/unit/jobtable.cpp
+++ b/tests/unit/jobtable.cpp
@@ -44,6 +44,14 @@
     return job;
 }
 
+/** Generates text that minions may choose: any bytes, and often what could be taken for a separator. */
+rc::Gen<std::string> arbitraryText()
+{
+    return rc::gen::oneOf(
+        rc::gen::arbitrary<std::string>(),
+        rc::gen::element<std::string>("", "-", "--", " ", "%", "%20", "a b", " a", "a ", "00ab", "\n"));
+}
+
 /** Generates arbitrary statuses of a unit. */
 rc::Gen<UnitStatus> statuses()
 {
@@ -53,10 +61,10 @@
         status.run = *rc::gen::inRange(0U, 9U);
         status.failures = *rc::gen::inRange(0U, 3U);
         status.failedRun = *rc::gen::inRange(0U, 9U);
-        status.checkpoint = *rc::gen::element<std::string>("", "00ab", "17");
+        status.checkpoint = *arbitraryText();
         const int minions = *rc::gen::inRange(0, 4);
         for (int i = 0; i < minions; ++i) {
-            status.minions.emplace_back("i-" + std::to_string(i));
+            status.minions.emplace_back("i-" + std::to_string(i) + *arbitraryText());
         }
         return status;
     });
@@ -136,11 +144,30 @@
     };
     checkRoundTrip(StepJobSubmitted {job});
     checkRoundTrip(StepJobCancelled {job.id});
-    checkRoundTrip(UnitChanged {{job.id, 3, 1, *rc::gen::inRange(-1, 9)}, *statuses()});
+    const UnitChanged change {{job.id, 3, 1, *rc::gen::inRange(-1, 9)}, *statuses()};
+    checkRoundTrip(change);
+    const StoredRecord stored = encodeRecord(change);
+    RC_ASSERT(std::get<UnitChanged>(*decodeRecord(stored.key, stored.value)).status == change.status);
     checkRoundTrip(PlannerAnnouncement {Epoch(*rc::gen::inRange<std::uint64_t>(0, 1ULL << 50)), "node-1",
                                         *rc::gen::arbitrary<bool>(), 500, "10.0.0.1:7000"});
 }
 
+// Guards against a checkpoint with spaces being cut when another node reads its record.
+TEST(JobRecord, OfAUnitKeepsACheckpointWithSpaces)
+{
+    for (const char *checkpoint : {"epoch 2000 of i-0", "-", " ", "%20", "a%"}) {
+        UnitStatus status;
+        status.state = UnitState::Placed;
+        status.run = 2;
+        status.checkpoint = checkpoint;
+        status.minions = {MinionId("i-0"), MinionId("i 1")};
+        const StoredRecord stored = encodeRecord(UnitChanged {{JobId("aa"), 0, 0, 0}, status});
+        const auto decoded = decodeRecord(stored.key, stored.value);
+        ASSERT_TRUE(decoded.ok());
+        EXPECT_EQ(status, std::get<UnitChanged>(*decoded).status) << checkpoint;
+    }
+}
+
 // A record that some other program wrote, or a caller's job that was stored before it was checked. Every node applies
 // it.
 TEST(JobRecord, OfAJobThatNoNodeCanHoldIsRejected)
