Keep what is known of an order to a machine for each wave

Cause: the last order to a machine was kept by machine, not by wave. After an order of the second wave had got no answer, the machine counted as serviced, since its order of the first wave was confirmed. Reservations and vacations were kept in the same way.

Evidence: 'upkeep-ordered wave=2 outcome=no-answer' and 'upkeep-done wave=2' in the next pass, without a second order. Ruled out: that the order had taken effect; the platform's list showed no change of the machine.

Fix: orders, reservations and vacations are kept for each machine of each wave, and a machine counts as going down until no wave has it down. On related paths: a wave is published as completed only once its progress is stored, which a failed append did not prevent; machines that only an earlier request of the wave named are looked up in the list, where a missing one ended the process.

--- a/packages/dispatch/upkeepcontroller.cpp
+++ b/packages/dispatch/upkeepcontroller.cpp
@@ -110,9 +110,12 @@
         progress.firstSeenMs = m_context.wallNow();
     }
     for (const MachineId &machine : wave.machines) {
-        UpkeepState &state = progress.machines.try_emplace(machine, UpkeepState::Pending).first->second;
+        progress.machines.try_emplace(machine, UpkeepState::Pending);
+    }
+    // Includes machines that an earlier request of the wave named.
+    for (auto &[machine, state] : progress.machines) {
         const auto entry = listed.find(machine);
-        const Order &lastOrder = m_orders[machine];
+        const Order &lastOrder = m_orders[{wave.number, machine}];
         if (entry == listed.end()) {
             state = state == UpkeepState::Done ? state : UpkeepState::Removed;
         } else if (state == UpkeepState::Begun && lastOrder.confirmed && lastOrder.confirmedMs < listedMs
@@ -134,14 +137,14 @@
     for (const auto &[machine, state] : progress.machines) {
         down += state == UpkeepState::Begun ? 1 : 0;
         if (state != UpkeepState::Pending) {
-            m_reservedMs.erase(machine);
-            m_vacatedMs.erase(machine);
+            m_reservedMs.erase({wave.number, machine});
+            m_vacatedMs.erase({wave.number, machine});
             continue;
         }
         const MachineEntry &entry = listed.at(machine);
         const MinionWorkload work = m_context.fleet->workloadOn(entry.minion);
-        const auto since = [&machine = machine, now](const std::map<MachineId, std::int64_t> &times) {
-            const auto found = times.find(machine);
+        const auto since = [key = WaveMachine(wave.number, machine), now](const auto &times) {
+            const auto found = times.find(key);
             return found == times.end() ? -1 : now - found->second;
         };
         pending.push_back(
@@ -158,8 +161,12 @@
     const WaveProgress progress = updatedProgress(wave, listed, listedMs);
     const auto known = m_context.jobTable.waves().find(wave.number);
     const bool changed = known == m_context.jobTable.waves().end() || known->second.machines != progress.machines;
-    if (changed && !co_await m_context.fleet->store(progress)) {
-        co_return;
+    if (changed || m_unstored.contains(wave.number)) {
+        m_unstored.insert(wave.number);
+        if (!co_await m_context.fleet->store(progress)) {
+            co_return;
+        }
+        m_unstored.erase(wave.number);
     }
     if (progress.completed()) {
         publish(wave.number, WaveStatus::Completed);
@@ -168,15 +175,15 @@
     publish(wave.number, WaveStatus::Running);
     // 2. Repeats unconfirmed orders, including those of a predecessor.
     for (const auto &[machine, state] : progress.machines) {
-        if (state == UpkeepState::Begun && !m_orders[machine].confirmed) {
-            m_orders[machine].inDoubt = true;
+        if (state == UpkeepState::Begun && !m_orders[{wave.number, machine}].confirmed) {
+            m_orders[{wave.number, machine}].inDoubt = true;
             co_await order(wave.number, listed.at(machine));
         }
     }
     // 3. Reserves the machines that come next, vacates them, and orders them down in turn.
     const UpkeepDecisions decisions = decide(wave, progress, listed);
     for (const MachineId &machine : decisions.reserve) {
-        m_reservedMs.try_emplace(machine, bootMillis());
+        m_reservedMs.try_emplace({wave.number, machine}, bootMillis());
         m_reserved.insert(listed.at(machine).minion);
     }
     m_context.fleet->reserve(m_reserved);
@@ -184,7 +191,7 @@
     for (const MachineId &machine : decisions.vacate) {
         const MinionId &minion = listed.at(machine).minion;
         if (!m_context.fleet->workloadOn(minion).overBudget) {
-            m_vacatedMs.try_emplace(machine, bootMillis());
+            m_vacatedMs.try_emplace({wave.number, machine}, bootMillis());
             m_context.fleet->vacate(minion);
         }
     }
@@ -208,7 +215,7 @@
         co_return;
     }
     // 2. Sends the order; from now on the machine may be down.
-    Order &lastOrder = m_orders[machine.id];
+    Order &lastOrder = m_orders[{wave, machine.id}];
     lastOrder.minion = machine.minion;
     m_context.fleet->setGoingDown(machine.minion, true);
     const MachineOutcome outcome =
@@ -235,8 +242,22 @@
         break;
     }
     // 3. The order had no effect. If that cannot be stored, the machine counts as down until the order is repeated.
-    m_context.fleet->setGoingDown(machine.minion, false);
-    co_await m_context.fleet->store(std::move(progress));
+    if (!isDownForOther(wave, machine.id)) {
+        m_context.fleet->setGoingDown(machine.minion, false);
+    }
+    m_unstored.insert(wave);
+    if (co_await m_context.fleet->store(std::move(progress))) {
+        m_unstored.erase(wave);
+    }
+}
+
+bool UpkeepController::isDownForOther(WaveNumber wave, const MachineId &machine) const
+{
+    const auto &waves = m_context.jobTable.waves();
+    return std::any_of(waves.begin(), waves.end(), [&](const auto &item) {
+        const auto found = item.second.machines.find(machine);
+        return item.first != wave && found != item.second.machines.end() && found->second == UpkeepState::Begun;
+    });
 }
 
 void UpkeepController::publish(WaveNumber wave, WaveStatus status)
--- a/packages/dispatch/upkeepcontroller.h
+++ b/packages/dispatch/upkeepcontroller.h
@@ -10,13 +10,16 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 
 // Carries out maintenance waves while this node leads.
 //
 // 1. The start of a machine's upkeep is journaled before it is ordered, so that a successor counts the machine as down.
 //    An order follows only a record that was stored just before, so that a planner that has been replaced gives none.
-// 2. An unanswered order is repeated until it is answered; the platform carries it out only once.
-// 3. A successor waits before its first order, since the platform requires a minimum time between the orders of
+// 2. An unanswered order is repeated until it is answered; the platform carries it out only once. A machine may be in
+//    several waves, so what is known of its orders is kept for each wave.
+// 3. A wave is published as completed only once its progress is stored.
+// 4. A successor waits before its first order, since the platform requires a minimum time between the orders of
 //    two holders to a machine.
 
 namespace Papaya
@@ -68,7 +71,10 @@
     static void begin(Context context);
 
 private:
-    /** The last order of this controller to a machine. */
+    /** A machine's part in a wave. */
+    using WaveMachine = std::pair<WaveNumber, MachineId>;
+
+    /** The last order of this controller to a machine for a wave. */
     struct Order {
         bool confirmed = false; ///< answered as done
         std::int64_t confirmedMs = 0;
@@ -88,12 +94,15 @@
     UpkeepDecisions decide(const UpkeepWave &wave, const WaveProgress &progress,
                            const std::map<MachineId, MachineEntry> &listed);
     Asio::awaitable<void> order(WaveNumber wave, MachineEntry machine);
+    /** @return true if @p machine is down for another wave than @p wave. */
+    [[nodiscard]] bool isDownForOther(WaveNumber wave, const MachineId &machine) const;
     void publish(WaveNumber wave, WaveStatus status);
 
     Context m_context;
-    std::map<MachineId, Order> m_orders;
-    std::map<MachineId, std::int64_t> m_reservedMs; ///< since when each has been reserved
-    std::map<MachineId, std::int64_t> m_vacatedMs;  ///< when the work on each was first ordered to stop
+    std::map<WaveMachine, Order> m_orders;
+    std::map<WaveMachine, std::int64_t> m_reservedMs; ///< since when each has been reserved
+    std::map<WaveMachine, std::int64_t> m_vacatedMs;  ///< when the work on each was first ordered to stop
+    std::set<WaveNumber> m_unstored;                  ///< waves whose progress has not been stored
     std::set<MinionId> m_reserved;
     std::map<WaveNumber, WaveStatus> m_published;
     bool m_listFailing = false;
--- a/tests/integration/stepservices.cpp
+++ b/tests/integration/stepservices.cpp
@@ -3,6 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
+#include <set>
+#include <string>
 
 // Tests filling (best-effort) tasks beside services, queues with an admission oracle, and maintenance waves.
 
@@ -229,6 +232,63 @@
     expectValidOrders(deployment.machines.orders(), 3, 1);
 }
 
+/** @return the machines whose upkeep for @p wave has begun. */
+std::set<std::string> machinesBegun(const Deployment &deployment, std::uint64_t wave)
+{
+    std::set<std::string> machines;
+    for (const MachineOrder &order : deployment.machines.orders()) {
+        if (order.wave == wave && order.begun) {
+            machines.insert(order.machine);
+        }
+    }
+    return machines;
+}
+
+// Guards against an order of an earlier wave being taken for one of the present wave.
+TEST(MaintenanceWaves, OverTheSameMachinesEachRepeatTheirUnansweredOrders)
+{
+    Deployment deployment({2, 3});
+    deployment.start();
+    requestWave(deployment, 1, 30, 1);
+    ASSERT_TRUE(waveCompletes(deployment, 1, Millis(30'000)));
+    deployment.machines.dropOrders(2, 1);
+    requestWave(deployment, 2, 30, 1);
+    ASSERT_TRUE(waveCompletes(deployment, 2, Millis(30'000)));
+    EXPECT_EQ(3U, machinesBegun(deployment, 1).size());
+    EXPECT_EQ(3U, machinesBegun(deployment, 2).size());
+}
+
+// Guards against a reservation or a stop of work for one wave being taken for one of another that is open as well.
+TEST(MaintenanceWaves, ThatOverlapInTimeServiceEveryMachineForBoth)
+{
+    Deployment deployment({2, 3});
+    deployment.start();
+    deployment.machines.dropOrders(7, 2);
+    requestWave(deployment, 6, 30, 1);
+    requestWave(deployment, 7, 30, 1);
+    ASSERT_TRUE(waveCompletes(deployment, 6, Millis(40'000)));
+    ASSERT_TRUE(waveCompletes(deployment, 7, Millis(40'000)));
+    EXPECT_EQ(3U, machinesBegun(deployment, 6).size());
+    EXPECT_EQ(3U, machinesBegun(deployment, 7).size());
+}
+
+// Guards against publishing a wave as completed whose progress the store has not acknowledged.
+TEST(MaintenanceWaves, AreNotPublishedAsCompletedBeforeTheirProgressIsStored)
+{
+    Deployment deployment({1, 1});
+    deployment.start();
+    requestWave(deployment, 3, 30, 1);
+    ASSERT_TRUE(Cluster::eventually([&] { return !deployment.machines.orders().empty(); }, Millis(15'000)));
+    Standins::StoreFaults faults;
+    faults.silentAppends = "keyed.journal";
+    deployment.store.setFaults(faults);
+    const auto isDone = [&] { return deployment.log(0).find("upkeep-done wave=3") != std::string::npos; };
+    ASSERT_TRUE(Cluster::eventually(isDone, Millis(10'000)));
+    EXPECT_FALSE(waveCompletes(deployment, 3, Millis(3'000)));
+    deployment.store.setFaults({});
+    EXPECT_TRUE(waveCompletes(deployment, 3, Millis(20'000)));
+}
+
 TEST(MaintenanceWaves, WaitWhileTheMachineServiceIsUnavailable)
 {
     Deployment deployment({1, 2});
