--- a/tests/integration/storedstates.cpp
+++ b/tests/integration/storedstates.cpp
@@ -20,7 +20,7 @@
 /** Submits a job of one task and waits until the task runs. @return the id of the job */
 std::string startJob(Deployment &deployment, std::size_t node, int workMs)
 {
-    const std::string id = deployment.newId();
+    std::string id = deployment.newId();
     EXPECT_EQ(200, deployment.submit(node, "plan", id, Deployment::step(1), {{"workMs", workMs}}).status);
     EXPECT_TRUE(deployment.waitForRunCount(id, 1));
     return id;
--- /dev/null
+++ b/tests/soak/chaos.cpp
@@ -0,0 +1,255 @@
+#include "chaos.h"
+
+#include <array>
+#include <csignal>
+
+namespace Papaya::Testing
+{
+
+namespace
+{
+
+using Standins::StoreFaults;
+
+constexpr Millis PAUSE_STEP {20};
+constexpr Millis MAX_GAP {900}; // between two faults of a lane
+constexpr Millis MIN_LENGTH {100};
+constexpr Millis MAX_LENGTH {4'500};
+constexpr Millis EXIT_LIMIT {6'000};
+
+constexpr std::array<std::string_view, 20> NAMES {
+    "node-killed",     "leader-killed", "node-frozen",  "leader-frozen", "node-stopped",
+    "settings-reread", "node-cut",      "leader-cut",   "node-reset",    "store-silent",
+    "store-busy",      "store-slow",    "appends-lost", "appends-late",  "minion-restarted",
+    "minion-down",     "minion-cut",    "minion-reset", "starts-late",   "configuration-changed"};
+
+} // namespace
+
+std::vector<FaultKind> Chaos::allKinds()
+{
+    std::vector<FaultKind> kinds;
+    for (std::size_t i = 0; i < NAMES.size(); ++i) {
+        kinds.push_back(static_cast<FaultKind>(i));
+    }
+    return kinds;
+}
+
+Chaos::Chaos(Deployment &deployment, std::uint32_t seed, unsigned lanes, std::vector<FaultKind> kinds)
+    : m_deployment(deployment)
+    , m_kinds(std::move(kinds))
+{
+    for (std::size_t i = 0; i < deployment.nodes.size(); ++i) {
+        m_nodeLocks.push_back(std::make_unique<std::mutex>());
+    }
+    for (std::size_t i = 0; i < deployment.minions.size(); ++i) {
+        m_minionLocks.push_back(std::make_unique<std::mutex>());
+    }
+    for (unsigned lane = 0; lane < lanes; ++lane) {
+        m_lanes.emplace_back([this, seed, lane] { runLane(seed * 16 + lane); });
+    }
+}
+
+Chaos::~Chaos()
+{
+    end();
+}
+
+void Chaos::end()
+{
+    m_ending = true;
+    for (std::thread &lane : m_lanes) {
+        lane.join();
+    }
+    m_lanes.clear();
+}
+
+std::vector<std::string> Chaos::history() const
+{
+    const std::lock_guard lock(m_historyLock);
+    return m_history;
+}
+
+void Chaos::pause(Millis length) const
+{
+    const TimePoint until = Clock::now() + length;
+    while (!m_ending && Clock::now() < until) {
+        std::this_thread::sleep_for(PAUSE_STEP);
+    }
+}
+
+std::size_t Chaos::leaderOr(std::size_t fallback)
+{
+    return m_deployment.leader().value_or(fallback);
+}
+
+void Chaos::runLane(std::uint32_t seed)
+{
+    std::mt19937 random(seed);
+    while (!m_ending) {
+        pause(Millis(random() % MAX_GAP.count()));
+        const FaultKind kind = m_kinds[random() % m_kinds.size()];
+        const std::size_t node = random() % m_deployment.nodes.size();
+        const std::size_t minion = random() % m_deployment.minions.size();
+        const Millis length = MIN_LENGTH + Millis(random() % (MAX_LENGTH - MIN_LENGTH).count());
+        if (m_ending) {
+            break;
+        }
+        const std::int64_t begun = Standins::nowMs();
+        inject(kind, node, minion, length, random);
+        const std::lock_guard lock(m_historyLock);
+        m_history.push_back(std::to_string(begun) + " to " + std::to_string(Standins::nowMs()) + " "
+                            + std::string(NAMES[static_cast<std::size_t>(kind)]) + " node " + std::to_string(node)
+                            + " minion " + std::to_string(minion));
+    }
+}
+
+void Chaos::restartNode(std::size_t node, int signal, Millis down)
+{
+    const std::unique_lock lock(*m_nodeLocks[node], std::try_to_lock);
+    if (!lock.owns_lock()) {
+        return;
+    }
+    InstanceProcess &process = *m_deployment.nodes[node];
+    if (signal == SIGKILL) {
+        process.kill();
+        pause(down);
+    } else {
+        process.signal(signal);
+        if (!process.waitForExit(EXIT_LIMIT)) {
+            process.kill();
+        }
+    }
+    m_deployment.startNode(node);
+}
+
+void Chaos::freezeNode(std::size_t node, Millis length)
+{
+    const std::unique_lock lock(*m_nodeLocks[node], std::try_to_lock);
+    if (!lock.owns_lock()) {
+        return;
+    }
+    m_deployment.nodes[node]->signal(SIGSTOP);
+    pause(length);
+    m_deployment.nodes[node]->signal(SIGCONT);
+}
+
+void Chaos::disturbStore(const StoreFaults &faults, Millis length)
+{
+    const std::unique_lock lock(m_storeLock, std::try_to_lock);
+    if (!lock.owns_lock()) {
+        return;
+    }
+    m_deployment.store.setFaults(faults);
+    pause(length);
+    m_deployment.store.setFaults({});
+}
+
+void Chaos::inject(FaultKind kind, std::size_t node, std::size_t minion, Millis length, std::mt19937 &random)
+{
+    StoreFaults store;
+    auto &standin = *m_deployment.minions[minion];
+    Standins::FaultProxy &toMinion = *m_deployment.minionProxies[minion];
+    const auto cutFromStore = [&](std::size_t of) {
+        m_deployment.storeProxies[of]->setSilent(true);
+        pause(length);
+        m_deployment.storeProxies[of]->setSilent(false);
+        m_deployment.storeProxies[of]->cutOpen();
+    };
+    const std::unique_lock minionLock(*m_minionLocks[minion], std::try_to_lock);
+    const bool aboutMinion = kind >= FaultKind::MinionRestarted && kind <= FaultKind::StartsLate;
+    if (aboutMinion && !minionLock.owns_lock()) {
+        return;
+    }
+    switch (kind) {
+    case FaultKind::NodeKilled:
+        restartNode(node, SIGKILL, length);
+        break;
+    case FaultKind::LeaderKilled:
+        restartNode(leaderOr(node), SIGKILL, length);
+        break;
+    case FaultKind::NodeFrozen:
+        freezeNode(node, length);
+        break;
+    case FaultKind::LeaderFrozen:
+        freezeNode(leaderOr(node), length);
+        break;
+    case FaultKind::NodeStopped:
+        restartNode(node, SIGTERM, length);
+        break;
+    case FaultKind::SettingsReread: {
+        const std::unique_lock lock(*m_nodeLocks[node], std::try_to_lock);
+        if (lock.owns_lock()) {
+            m_deployment.nodes[node]->signal(SIGHUP);
+        }
+        break;
+    }
+    case FaultKind::NodeCutFromStore:
+        cutFromStore(node);
+        break;
+    case FaultKind::LeaderCutFromStore:
+        cutFromStore(leaderOr(node));
+        break;
+    case FaultKind::NodeResetFromStore:
+        m_deployment.storeProxies[node]->setRefuse(true);
+        m_deployment.storeProxies[node]->cutOpen();
+        pause(length);
+        m_deployment.storeProxies[node]->setRefuse(false);
+        break;
+    case FaultKind::StoreSilent:
+        store.silent = true;
+        disturbStore(store, length);
+        break;
+    case FaultKind::StoreBusy:
+        store.busy = true;
+        disturbStore(store, length);
+        break;
+    case FaultKind::StoreSlow:
+        store.delayMs = 20 + random() % 200;
+        disturbStore(store, length);
+        break;
+    case FaultKind::AppendsLost:
+        store.loseAnswers = 1 + random() % 20;
+        disturbStore(store, length);
+        break;
+    case FaultKind::AppendsLate:
+        store.lateAppends = 1 + random() % 10;
+        store.lateMs = 1'000 + random() % 4'000;
+        disturbStore(store, length);
+        break;
+    case FaultKind::MinionRestarted:
+        standin.restartUnlisted();
+        toMinion.cutOpen();
+        pause(Millis(random() % 600));
+        standin.list();
+        break;
+    case FaultKind::MinionDown:
+        standin.powerOff();
+        toMinion.cutOpen();
+        pause(length);
+        standin.powerOn();
+        break;
+    case FaultKind::MinionCut:
+        toMinion.setSilent(true);
+        pause(length * 2);
+        toMinion.setSilent(false);
+        toMinion.cutOpen();
+        break;
+    case FaultKind::MinionReset:
+        toMinion.cutOpen();
+        break;
+    case FaultKind::StartsLate: {
+        Standins::PlatformMinionFaults late;
+        late.lateStarts = 1 + random() % 4;
+        late.lateMs = 1 + random() % 3'000;
+        standin.setFaults(late);
+        pause(length);
+        standin.setFaults({});
+        break;
+    }
+    case FaultKind::ConfigurationChanged:
+        m_deployment.configure();
+        break;
+    }
+}
+
+} // namespace Papaya::Testing
--- /dev/null
+++ b/tests/soak/chaos.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "integration/deployment.h"
+
+#include <atomic>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+// Injects faults into a running deployment, in series that overlap. The seed decides which faults come, when, where and
+// for how long.
+
+namespace Papaya::Testing
+{
+
+/** Kinds of faults. */
+enum class FaultKind {
+    NodeKilled,          ///< SIGKILL, restarted later
+    LeaderKilled,        ///< the same for the node that leads
+    NodeFrozen,          ///< SIGSTOP, resumed later
+    LeaderFrozen,        ///< the same for the node that leads
+    NodeStopped,         ///< SIGTERM, restarted after it has exited
+    SettingsReread,      ///< SIGHUP
+    NodeCutFromStore,    ///< its connections to the store go silent
+    LeaderCutFromStore,  ///< the same for the node that leads
+    NodeResetFromStore,  ///< its connections to the store are closed, and new ones for a while
+    StoreSilent,         ///< no call to the store is answered
+    StoreBusy,           ///< every call to the store is answered with 503
+    StoreSlow,           ///< calls to the store are delayed
+    AppendsLost,         ///< some appends take effect and get no answer
+    AppendsLate,         ///< some appends take effect late and get no answer
+    MinionRestarted,     ///< crashes and starts again at once; its new entry follows later
+    MinionDown,          ///< crashes and starts again later
+    MinionCut,           ///< its connections go silent; its tasks run on
+    MinionReset,         ///< its connections are closed
+    StartsLate,          ///< some starts are carried out late and get no answer
+    ConfigurationChanged ///< the next version of the configuration
+};
+
+/** Runs faults on threads of its own from its creation until end(). */
+class Chaos
+{
+public:
+    /**
+     * @param deployment has proxies to the store and to the minions, and outlives the chaos
+     * @param lanes series of faults that run at the same time
+     * @param kinds the faults to choose from
+     */
+    Chaos(Deployment &deployment, std::uint32_t seed, unsigned lanes, std::vector<FaultKind> kinds);
+    ~Chaos();
+    Chaos(const Chaos &) = delete;
+    Chaos &operator=(const Chaos &) = delete;
+
+    /** Ends the last faults, repairs everything and returns once all nodes run. */
+    void end();
+    /** @return a line for each fault so far, with the time of its begin and end. */
+    [[nodiscard]] std::vector<std::string> history() const;
+    [[nodiscard]] static std::vector<FaultKind> allKinds();
+
+private:
+    void runLane(std::uint32_t seed);
+    void inject(FaultKind kind, std::size_t node, std::size_t minion, Millis length, std::mt19937 &random);
+    /** Stops the node with @p signal and starts it again. Does nothing if another lane is doing that. */
+    void restartNode(std::size_t node, int signal, Millis down);
+    void freezeNode(std::size_t node, Millis length);
+    /** Changes the faults of the store for a while, unless another lane has changed them. */
+    void disturbStore(const Standins::StoreFaults &faults, Millis length);
+    void pause(Millis length) const;
+    /** @return the node that leads, or @p fallback. */
+    std::size_t leaderOr(std::size_t fallback);
+
+    Deployment &m_deployment;
+    std::vector<FaultKind> m_kinds;
+    std::atomic<bool> m_ending {false};
+    std::vector<std::unique_ptr<std::mutex>> m_nodeLocks; ///< one lane at a time restarts or freezes a node
+    std::vector<std::unique_ptr<std::mutex>> m_minionLocks;
+    std::mutex m_storeLock;
+    mutable std::mutex m_historyLock;
+    std::vector<std::string> m_history;
+    std::vector<std::thread> m_lanes;
+};
+
+} // namespace Papaya::Testing
