--- a/tests/integration/rebornminions.cpp
+++ b/tests/integration/rebornminions.cpp
@@ -113,6 +113,23 @@
     EXPECT_TRUE(deployment.waitForState("plan", second, "completed"));
 }
 
+// Guards against taking an answer that the protocol does not define for a refusal without effect.
+TEST(LostRun, OfAStartWithAnUndefinedAnswerIsNotStartedElsewhere)
+{
+    Deployment deployment({1, 2});
+    deployment.start();
+    runShortJobs(deployment, 1);
+    PlatformMinionFaults garbled;
+    garbled.garbledStarts = 1;
+    for (auto &minion : deployment.minions) {
+        minion->setFaults(garbled);
+    }
+    const std::string id = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", id, Deployment::step(1), {{"workMs", 600}}).status);
+    ASSERT_TRUE(deployment.waitForState("plan", id, "completed"));
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+}
+
 // Guards against acknowledging, and then ignoring, the end of a run that was taken as lost: its task would be done
 // twice.
 TEST(LostRun, ThatTurnsOutToBeDoneEndsItsTask)
--- a/tests/standins/platformminionstandin.cpp
+++ b/tests/standins/platformminionstandin.cpp
@@ -352,7 +352,13 @@
         co_return noAnswer();
     }
     if (path == "/-/run-start") {
-        co_return startRun(body);
+        HttpResponse response = startRun(body);
+        const std::lock_guard lock(m_mutex);
+        if (m_faults.garbledStarts > 0) {
+            --m_faults.garbledStarts;
+            response.status = 500;
+        }
+        co_return response;
     }
     if (path == "/-/run-stop") {
         co_return stopRun(body);
--- a/tests/standins/platformminionstandin.h
+++ b/tests/standins/platformminionstandin.h
@@ -28,13 +28,14 @@
 
 /** Faults that a test injects into a running minion. */
 struct PlatformMinionFaults {
-    bool unresponsive = false;     ///< no call is answered or carried out; tasks keep running
-    bool silentPolls = false;      ///< no poll is answered or carried out
-    bool failAll = false;          ///< every run fails immediately
-    bool hang = false;             ///< no run makes progress
-    std::int64_t lateStarts = 0;   ///< number of starts that are carried out after lateMs and get no answer
-    std::int64_t lateMs = 0;       ///< delay of a late start, in milliseconds
-    std::int64_t refuseStarts = 0; ///< number of starts that are refused with 409 and reason "room"
+    bool unresponsive = false;      ///< no call is answered or carried out; tasks keep running
+    bool silentPolls = false;       ///< no poll is answered or carried out
+    bool failAll = false;           ///< every run fails immediately
+    bool hang = false;              ///< no run makes progress
+    std::int64_t lateStarts = 0;    ///< number of starts that are carried out after lateMs and get no answer
+    std::int64_t lateMs = 0;        ///< delay of a late start, in milliseconds
+    std::int64_t garbledStarts = 0; ///< number of starts that are carried out and answered with 500
+    std::int64_t refuseStarts = 0;  ///< number of starts that are refused with 409 and reason "room"
 };
 
 /**
