Begin to plan only on a claim that this node has made itself

What callers would see: two planners with one fence, so that tasks run twice and no minion refuses either. Found by reading the paths to TWICE; not seen.

Cause: the epoch of a claim ends in 16 random bits, and all claims name the same producer.

Result: StepPlanner.DoesNotBeginOnAClaimThatAnotherNodeHasMadeWithTheSameEpoch failed before and passes.

--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -460,7 +460,10 @@
         co_return complete &&silent ? std::optional(rest.end) : std::nullopt;
     }
 
-    /** Waits until the job table contains all records up to the claim of @p epoch. @return false if that fails */
+    /**
+     * Waits until the job table contains all records up to the claim of @p epoch.
+     * @return false if that fails, or if the claim is of another node that has drawn the same epoch
+     */
     Asio::awaitable<bool> catchUpTo(Epoch epoch)
     {
         const TimePoint deadline = Clock::now() + CLAIM_TIMEOUT;
@@ -468,7 +471,7 @@
         while (jobTable.planner().epoch < epoch && Clock::now() < deadline) {
             co_await sleepFor(CLAIM_POLL_INTERVAL);
         }
-        co_return jobTable.planner().epoch == epoch;
+        co_return jobTable.planner().epoch == epoch &&jobTable.planner().node == settings.node.value();
     }
 
     /** Starts following the minions topic, which only a planner needs. @return false on time-out */
--- a/tests/integration/stepplanner.cpp
+++ b/tests/integration/stepplanner.cpp
@@ -139,6 +139,25 @@
     }
 }
 
+// Guards against two planners with one epoch: the store answers the second of two equal claims as a repeat of the
+// first.
+TEST(StepPlanner, DoesNotBeginOnAClaimThatAnotherNodeHasMadeWithTheSameEpoch)
+{
+    Deployment deployment({1, 1});
+    StoreFaults faults;
+    faults.stolenClaims = 1;
+    deployment.store.setFaults(faults);
+    deployment.configure();
+    deployment.startNode(0);
+    const auto logged = [&](const std::string &text) { return deployment.log(0).find(text) != std::string::npos; };
+    ASSERT_TRUE(Cluster::eventually([&] { return logged("planner-begun"); }));
+    const std::string log = deployment.log(0);
+    EXPECT_LT(log.find("planner-claim-failed"), log.find("planner-begun"));
+    const std::string id = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", id, Deployment::step(1)).status);
+    EXPECT_TRUE(deployment.waitForState("plan", id, "completed"));
+}
+
 TEST(StepPlanner, ThatCannotReachAMinionWaitsUntilItsPredecessorsLeasesHaveExpired)
 {
     Deployment deployment({2, 3});
--- a/tests/standins/platformstorestandin.cpp
+++ b/tests/standins/platformstorestandin.cpp
@@ -204,7 +204,14 @@
         const std::string_view record = bytes.substr(4, length);
         bytes.remove_prefix(4 + length);
         const auto keyLength = static_cast<unsigned char>(record[0]);
-        add(log, {std::string(record.substr(1, keyLength)), std::string(record.substr(1 + keyLength))});
+        Record added {std::string(record.substr(1, keyLength)), std::string(record.substr(1 + keyLength))};
+        if (!request.query("at").empty() && m_faults.stolenClaims > 0) {
+            --m_faults.stolenClaims;
+            Json claim = *parseCbor(added.value);
+            claim[1] = "rival"; // the name of the node
+            added.value = toCbor(claim);
+        }
+        add(log, added);
     }
     const Json answer = {{"offset", offset}, {"end", log.end()}};
     if (!producer.empty()) {
--- a/tests/standins/platformstorestandin.h
+++ b/tests/standins/platformstorestandin.h
@@ -23,7 +23,9 @@
     std::int64_t delayMs = 0;     ///< delay before each call takes effect, in milliseconds
     std::int64_t appendMs = 0;    ///< duration of an append, in milliseconds; those to one topic wait for each other
     std::int64_t loseAnswers = 0; ///< number of appends that take effect but get no answer
-    bool busyAfterLoss = false;   ///< the store turns busy with the first lost answer
+    /** Number of claims in whose place the store has one of another node with the same epoch; answered as stored. */
+    std::int64_t stolenClaims = 0;
+    bool busyAfterLoss = false; ///< the store turns busy with the first lost answer
     /** Number of appends that get no answer and take effect after lateMs, if still valid then. */
     std::int64_t lateAppends = 0;
     std::int64_t lateMs = 0; ///< delay of a late append, in milliseconds
