Pass on to successors which minions no planner has reached

What callers saw: gangs with a member on a minion that was gone stood still for 30 s and more while the planner was replaced again and again (LOST).

Cause: a successor that cannot reach a minion waits 13.65 s for leases of earlier planners. It did not know that its predecessor had not reached the minion either, so that the wait began anew with every change of the leader.

Fix: a planner records a minion with placed work that it has not reached one second after its take-over, and withdraws the record before it grants a lease there. A successor counts the wait from when it read the record. No lease can be granted in between, so the bound holds.

--- a/packages/dispatch/minionlink.h
+++ b/packages/dispatch/minionlink.h
@@ -31,6 +31,8 @@
     bool listed = true;                 ///< its entry is in the minions topic
     std::int64_t unlistedMs = 0;        ///< when the entry was removed
     bool fenceRaised = false;           ///< it refuses orders of earlier planners
+    bool silenceRecorded = false;       ///< the journal may have a MinionSilence, so that no lease is granted
+    bool silenceEnding = false;         ///< its withdrawal is being stored
     bool polling = false;               ///< a poll loop is running
     std::uint64_t restarts = 0;         ///< restarts of the minion that were noticed
     std::int64_t formerStartTimeMs = 0; ///< MinionEntry::startTimeMs before the last restart
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -19,6 +19,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace Papaya
 {
@@ -172,12 +173,11 @@
                 accepted.emplace(id, *entry.acceptedMs);
             }
         }
-        if (!planner) {
-            jobTable = JobTable();
-        }
+        const JobTable earlier = planner ? JobTable() : std::exchange(jobTable, JobTable());
         loading = true;
         applyRecords(records);
         loading = false;
+        jobTable.restoreSilences(earlier);
         restoreAges(accepted);
         lastPlannerRecordMs = journal.currentAsOfMs(); // what was loaded had been stored by then
         logEvent(LogLevel::Info, "journal-loaded",
@@ -222,7 +222,8 @@
 
     static bool isFromPlanner(const JobRecord &record)
     {
-        return std::holds_alternative<UnitChanged>(record) || std::holds_alternative<PlannerAnnouncement>(record);
+        return std::holds_alternative<UnitChanged>(record) || std::holds_alternative<PlannerAnnouncement>(record)
+               || std::holds_alternative<MinionSilence>(record);
     }
 
     void applyRecord(const JobRecord &record)
@@ -239,6 +240,10 @@
             deployment.acceptConfig(copied->document);
             return;
         }
+        if (const auto *silence = std::get_if<MinionSilence>(&record)) {
+            jobTable.applySilence(*silence, bootMillis());
+            return;
+        }
         if (const auto *change = std::get_if<UnitChanged>(&record)) {
             if (const JobEntry *entry = jobTable.find(change->unit.job); entry != nullptr && journal.isLoaded()) {
                 times.observe(entry->job, *change, bootMillis());
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -108,7 +108,8 @@
             link.entry.id = minion;
             link.listed = false;
             link.unlistedMs = bootMillis();
-            link.priorLeaseUntilMs = m_takeoverMs + PRIOR_LEASE_SPAN_MS;
+            link.priorLeaseUntilMs = priorLeaseEndMs(minion);
+            link.silenceRecorded = m_context.jobTable.silences().contains(minion);
         }
         link.placed.push_back({assignment, assignment->members.size() - 1});
         link.used += assignment->need;
@@ -127,7 +128,8 @@
         return; // written before the restart that a report has shown
     }
     if (added) {
-        link.priorLeaseUntilMs = m_takeoverMs + PRIOR_LEASE_SPAN_MS;
+        link.priorLeaseUntilMs = priorLeaseEndMs(entry.id);
+        link.silenceRecorded = m_context.jobTable.silences().contains(entry.id);
         logEvent(LogLevel::Debug, "minion-listed", {{"minion", entry.id.value()}});
     } else if (isOther) {
         handleMinionRestart(link, entry.startTimeMs);
@@ -156,6 +158,13 @@
     }
 }
 
+std::int64_t StepPlanner::priorLeaseEndMs(const MinionId &minion) const
+{
+    const auto silence = m_context.jobTable.silences().find(minion);
+    const bool known = silence != m_context.jobTable.silences().end();
+    return (known ? std::min(silence->second.readMs, m_takeoverMs) : m_takeoverMs) + PRIOR_LEASE_SPAN_MS;
+}
+
 void StepPlanner::minionUnlisted(const MinionId &id)
 {
     const auto found = m_links.find(id);
@@ -201,6 +210,7 @@
         ensurePolling(link);
     }
     sendQueuedStarts();
+    recordSilences(now);
     journalConfig(now);
     if (now - m_lastForgetMs >= FORGET_INTERVAL_MS) {
         m_lastForgetMs = now;
@@ -260,8 +270,9 @@
 
 bool StepPlanner::isUsable(const MinionLink &link, std::int64_t nowMs) const
 {
-    return link.listed && !link.entryOutdated && !link.entry.draining && link.fenceRaised && link.clock.known()
-           && link.pollFailures == 0 && nowMs >= link.backOffUntilMs && !m_reserved.contains(link.entry.id);
+    return link.listed && !link.entryOutdated && !link.silenceRecorded && !link.entry.draining && link.fenceRaised
+           && link.clock.known() && link.pollFailures == 0 && nowMs >= link.backOffUntilMs
+           && !m_reserved.contains(link.entry.id);
 }
 
 bool StepPlanner::viewIsCurrent(Millis reserve) const
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -35,7 +35,9 @@
 //    Context::maxViewAge. Both are checked when the order is written, as it may have waited for the journal, for its
 //    turn or for a connection. While the view is too old, nothing is placed or started.
 // 5. A planner that has stored nothing for RENEWAL_WINDOW_MS renews no leases. A successor that cannot reach a minion
-//    waits for PRIOR_LEASE_SPAN_MS, which covers that window and one lease, before it restarts the minion's work.
+//    waits for PRIOR_LEASE_SPAN_MS, which covers that window and one lease, before it restarts the minion's work. It
+//    records the minion as silent and withdraws the record before it grants it a lease, so that the wait does not begin
+//    anew with the next successor.
 
 namespace Papaya
 {
@@ -216,6 +218,11 @@
     void record(const UnitKey &unit, UnitStatus status);
     /** Journals the configuration in force if its version has not been journaled yet. */
     void journalConfig(std::int64_t nowMs);
+    /** Records minions with placed members that this planner has not reached, and withdraws what no longer holds. */
+    void recordSilences(std::int64_t nowMs);
+    void withdrawSilence(MinionLink &link);
+    /** @return the latest end of leases that earlier planners may have granted to @p minion. */
+    [[nodiscard]] std::int64_t priorLeaseEndMs(const MinionId &minion) const;
     /** Removes jobs from the job table and the journal once their retention period is over. */
     void forgetEnded(std::int64_t nowMs);
     /** Removes a job whose deletion has been stored. */
@@ -236,6 +243,7 @@
     std::vector<StoredRecord> m_pendingRecords;       ///< to be journaled by the next flush
     std::vector<UnitChanged> m_pendingChanges;        ///< the changes among m_pendingRecords
     std::vector<JobId> m_pendingDeletions;            ///< jobs that m_pendingRecords delete
+    std::vector<MinionId> m_pendingWithdrawals;       ///< minions whose MinionSilence m_pendingRecords withdraw
     /** Ends of one instance of a minion, up to a number, that the next flush stores. */
     struct PendingEnds {
         MinionId minion;
@@ -255,6 +263,7 @@
     std::int64_t m_lastStuckCheckMs = 0;
     std::set<JobId> m_startedJobs;           ///< jobs of which this planner has started a task
     std::map<JobId, std::int64_t> m_endedMs; ///< when each job was first found ended
+    std::set<MinionId> m_withdrawn;          ///< minions without a link whose MinionSilence was withdrawn
     std::set<JobId> m_forgetting;            ///< jobs whose deletion has not been stored
     std::int64_t m_lastForgetMs = 0;
     ConfigVersion m_journaledConfigVersion;
--- a/packages/dispatch/stepplannerjournal.cpp
+++ b/packages/dispatch/stepplannerjournal.cpp
@@ -18,6 +18,7 @@
 {
 
 constexpr std::int64_t CONFIG_JOURNAL_INTERVAL_MS = 1'000;     // minimum between two configuration records
+constexpr std::int64_t SILENCE_DELAY_MS = 1'000;               // after a take-over, for the first polls
 constexpr std::size_t MAX_CONFIG_RECORD_BYTES = 200UL * 1'024; // below the 256 KB limit of the store
 
 } // namespace
@@ -35,6 +36,40 @@
     flushSoon();
 }
 
+void StepPlanner::recordSilences(std::int64_t nowMs)
+{
+    if (nowMs - m_takeoverMs < SILENCE_DELAY_MS) {
+        return;
+    }
+    for (auto &[id, link] : m_links) {
+        const bool unreached = !link.clock.known() && link.restarts == 0 && (link.pollFailures > 0 || !link.listed);
+        if (link.silenceRecorded && link.placed.empty()) {
+            withdrawSilence(link);
+        } else if (unreached && !link.silenceRecorded && !link.placed.empty()) {
+            link.silenceRecorded = true;
+            m_pendingRecords.push_back(encodeRecord(MinionSilence {id, m_epoch}));
+            flushSoon();
+        }
+    }
+    for (const auto &[id, silence] : m_context.jobTable.silences()) {
+        if (!m_links.contains(id) && m_withdrawn.insert(id).second) {
+            m_pendingRecords.push_back(encodeRecord(MinionSilence {id, std::nullopt}));
+            flushSoon();
+        }
+    }
+}
+
+void StepPlanner::withdrawSilence(MinionLink &link)
+{
+    if (link.silenceEnding) {
+        return;
+    }
+    link.silenceEnding = true;
+    m_pendingRecords.push_back(encodeRecord(MinionSilence {link.entry.id, std::nullopt}));
+    m_pendingWithdrawals.push_back(link.entry.id);
+    flushSoon();
+}
+
 void StepPlanner::record(const UnitKey &unit, UnitStatus status)
 {
     UnitChanged change {unit, std::move(status)};
@@ -97,13 +132,19 @@
     }
     const auto stored = [self = shared_from_this(), ends = std::move(m_pendingEnds),
                          starts = std::move(m_pendingStarts), changes = std::move(m_pendingChanges),
-                         deletions = std::move(m_pendingDeletions)] {
+                         deletions = std::move(m_pendingDeletions), heard = std::move(m_pendingWithdrawals)] {
         for (const UnitChanged &change : changes) {
             self->m_context.jobTable.confirmStored(change);
         }
         for (const JobId &job : deletions) {
             self->forget(job);
         }
+        for (const MinionId &minion : heard) {
+            if (const auto found = self->m_links.find(minion); found != self->m_links.end()) {
+                found->second.silenceRecorded = found->second.silenceEnding = false;
+                self->requestPass();
+            }
+        }
         for (const PendingEnds &pending : ends) {
             const auto found = self->m_links.find(pending.minion);
             if (found == self->m_links.end() || found->second.restarts != pending.restarts) {
@@ -122,6 +163,7 @@
     m_pendingStarts.clear();
     m_pendingChanges.clear();
     m_pendingDeletions.clear();
+    m_pendingWithdrawals.clear();
     if (m_pendingRecords.empty() && m_writer->idle()) {
         stored(); // ends of unknown runs need no record
         return;
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -362,7 +362,8 @@
     const std::uint64_t coveredStarts = link->unverifiedStarts;
     const std::uint64_t knownRestarts = link->restarts;
     // Leases of a minion that does not answer are not renewed, so that they expire.
-    if (!link->placed.empty() && link->clock.known() && link->pollFailures <= MAX_UNANSWERED_RENEWALS && mayRenew()) {
+    if (!link->placed.empty() && link->clock.known() && !link->silenceRecorded
+        && link->pollFailures <= MAX_UNANSWERED_RENEWALS && mayRenew()) {
         order.leaseUntilMs = link->clock.grant(sent, LEASE_MS);
     }
     const bool mayWait =
@@ -398,6 +399,9 @@
         requestPass();
     }
     link->pollFailures = 0;
+    if (link->silenceRecorded) {
+        withdrawSilence(*link);
+    }
     const std::int64_t reportedStartTimeMs = answer.report.startTimeMs;
     if (reportedStartTimeMs != 0 && link->entry.startTimeMs != 0 && reportedStartTimeMs != link->entry.startTimeMs) {
         handleMinionRestart(*link, reportedStartTimeMs);
--- a/packages/steps/jobrecord.cpp
+++ b/packages/steps/jobrecord.cpp
@@ -18,6 +18,7 @@
 constexpr std::string_view CANCEL_PREFIX = "x/";
 constexpr std::string_view UNIT_PREFIX = "u/";
 constexpr std::string_view WAVE_PREFIX = "w/";
+constexpr std::string_view SILENCE_PREFIX = "s/";
 constexpr std::string_view PLANNER_KEY = "q";
 constexpr std::string_view CONFIG_KEY = "c";
 constexpr char FIELD_SEPARATOR = ' ';
@@ -242,6 +243,11 @@
     {
         return {std::string(WAVE_PREFIX) + std::to_string(record.number.value()), encodeWave(record)};
     }
+    StoredRecord operator()(const MinionSilence &record) const
+    {
+        return {std::string(SILENCE_PREFIX) + record.minion.value(),
+                record.since ? std::to_string(record.since->value()) : std::string()};
+    }
     StoredRecord operator()(const ConfigCopied &record) const
     {
         return {std::string(CONFIG_KEY), record.document};
@@ -276,6 +282,13 @@
 Result<JobRecord> decodeRecord(std::string_view key, std::string_view value)
 {
     try {
+        if (key.starts_with(SILENCE_PREFIX)) {
+            MinionSilence record {MinionId(std::string(key.substr(SILENCE_PREFIX.size()))), std::nullopt};
+            if (!value.empty()) {
+                record.since = Epoch(std::stoull(std::string(value)));
+            }
+            return JobRecord(std::move(record));
+        }
         if (value.empty() && key.size() > JOB_PREFIX.size() && key != PLANNER_KEY) {
             const std::string_view name = key.substr(JOB_PREFIX.size());
             return JobRecord(StepJobForgotten {JobId(std::string(name.substr(0, name.find('.'))))});
--- a/packages/steps/jobrecord.h
+++ b/packages/steps/jobrecord.h
@@ -5,6 +5,7 @@
 #include "steps/upkeep.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -60,13 +61,22 @@
     std::string peers;            ///< address at which the node takes records of other nodes; empty if it does not
 };
 
+/**
+ * A planner has not reached a minion since it took over, and grants it no lease before it has withdrawn this record. A
+ * successor need not wait anew for the leases of earlier planners.
+ */
+struct MinionSilence {
+    MinionId minion;
+    std::optional<Epoch> since; ///< epoch of the planner; empty if the record is withdrawn
+};
+
 /** Copy of the operator's configuration in force, for nodes that cannot read the original. */
 struct ConfigCopied {
     std::string document;
 };
 
 using JobRecord = std::variant<StepJobSubmitted, StepJobCancelled, StepJobForgotten, UnitChanged, PlannerAnnouncement,
-                               WaveProgress, ConfigCopied>;
+                               WaveProgress, ConfigCopied, MinionSilence>;
 
 /** A record in stored form. An empty value deletes the key. */
 struct StoredRecord {
--- a/packages/steps/jobtable.cpp
+++ b/packages/steps/jobtable.cpp
@@ -247,6 +247,28 @@
     }
 }
 
+void JobTable::applySilence(const MinionSilence &record, std::int64_t steadyMs)
+{
+    if (!record.since) {
+        m_silences.erase(record.minion);
+        return;
+    }
+    SilenceSeen &seen = m_silences.try_emplace(record.minion, SilenceSeen {*record.since, steadyMs}).first->second;
+    if (seen.since != *record.since) {
+        seen = {*record.since, steadyMs};
+    }
+}
+
+void JobTable::restoreSilences(const JobTable &earlier)
+{
+    for (auto &[minion, seen] : m_silences) {
+        const auto known = earlier.m_silences.find(minion);
+        if (known != earlier.m_silences.end() && known->second.since == seen.since) {
+            seen.readMs = known->second.readMs;
+        }
+    }
+}
+
 void JobTable::setAccepted(const JobId &id, std::int64_t steadyMs)
 {
     const auto found = m_jobs.find(id);
--- a/packages/steps/jobtable.h
+++ b/packages/steps/jobtable.h
@@ -70,6 +70,12 @@
     [[nodiscard]] bool dependenciesDone(std::uint32_t occurrence, std::uint32_t step) const;
 };
 
+/** A MinionSilence in force. */
+struct SilenceSeen {
+    Epoch since;             ///< epoch of the planner that has recorded it
+    std::int64_t readMs = 0; ///< when this node has read it, by its steady clock
+};
+
 /** The state of all jobs. */
 class JobTable
 {
@@ -87,6 +93,16 @@
     /** @return the state of @p entry without the changes that have not been stored. */
     [[nodiscard]] StoredJobState stored(const JobEntry &entry) const;
 
+    /** Applies @p record. @param steadyMs when it was read, by the steady clock of this node */
+    void applySilence(const MinionSilence &record, std::int64_t steadyMs);
+    /** Sets the times of records that @p earlier, a former table of this node, has read before. */
+    void restoreSilences(const JobTable &earlier);
+    /** @return since when a planner is known not to have reached each minion of which it is known. */
+    [[nodiscard]] const std::map<MinionId, SilenceSeen> &silences() const
+    {
+        return m_silences;
+    }
+
     /** Sets when job @p id was accepted, by the steady clock of this node, unless that is known. */
     void setAccepted(const JobId &id, std::int64_t steadyMs);
 
@@ -148,6 +164,7 @@
     std::unordered_map<JobId, std::vector<JobRecord>>
         m_pendingRecords; ///< records that arrived before the submission of their job
     std::map<UnitKey, Unstored> m_unstored;
+    std::map<MinionId, SilenceSeen> m_silences;
     PlannerAnnouncement m_planner;
     std::uint32_t m_strongestMilliCores = 0;
     std::map<WaveNumber, WaveProgress> m_waves;
--- a/tests/integration/stepplanner.cpp
+++ b/tests/integration/stepplanner.cpp
@@ -177,6 +177,56 @@
     EXPECT_EQ(2U, deployment.runs.of(id).size());
 }
 
+// Guards against each of several short-lived planners waiting anew for the leases of a minion that none has reached.
+TEST(StepPlanner, ThatIsReplacedSoonPassesOnHowLongAMinionHasBeenSilent)
+{
+    Deployment deployment({3, 3});
+    deployment.start();
+    const std::string id = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", id, {Deployment::step(1)}, {{"workMs", 4'000}}).status);
+    ASSERT_TRUE(deployment.waitForRunCount(id, 1));
+    PlatformMinionFaults unresponsive;
+    unresponsive.unresponsive = true;
+    unresponsive.hang = true;
+    deployment.minion(deployment.runs.of(id).front().minion).setFaults(unresponsive);
+    const std::int64_t begun = Standins::nowMs();
+    std::set<std::size_t> dead;
+    for (int i = 0; i < 2; ++i) {
+        const std::size_t leader = *deployment.leader();
+        deployment.nodes[leader]->kill();
+        dead.insert(leader);
+        ASSERT_TRUE(Cluster::eventually([&] { return !dead.contains(deployment.leader().value_or(leader)); }));
+        std::this_thread::sleep_for(Millis(i == 0 ? 7'000 : 0)); // the second planner lives for that long
+    }
+    const auto second = [&] { return deployment.runs.of(id).size() == 2; };
+    ASSERT_TRUE(Cluster::eventually(second, Millis(20'000)));
+    // The first take-over and the wait that follows it, and 3 s more. A wait that began anew would take 7 s longer.
+    EXPECT_LT(deployment.runs.of(id).back().startedMs - begun, 1'500 + 13'650 + 3'000);
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+}
+
+// Guards against a lease being granted while a successor may count the minion as silent.
+TEST(StepPlanner, RenewsTheLeasesOfAMinionThatItReachesLate)
+{
+    Deployment deployment({2, 2});
+    deployment.start();
+    const std::size_t leader = *deployment.leader();
+    const std::string id = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", id, {Deployment::step(1)}, {{"workMs", 9'000}}).status);
+    ASSERT_TRUE(deployment.waitForRunCount(id, 1));
+    const std::string name = deployment.runs.of(id).front().minion;
+    PlatformMinionFaults unresponsive;
+    unresponsive.unresponsive = true;
+    deployment.minion(name).setFaults(unresponsive);
+    deployment.nodes[leader]->kill();
+    const auto isRecorded = [&] { return !deployment.store.newest("keyed.journal", "s/" + name).empty(); };
+    ASSERT_TRUE(Cluster::eventually(isRecorded));
+    deployment.minion(name).setFaults({});
+    EXPECT_TRUE(Cluster::eventually([&] { return !isRecorded(); }));
+    ASSERT_TRUE(deployment.waitForState("plan", id, "completed", Millis(15'000), 1 - leader));
+    EXPECT_EQ(1U, deployment.runs.of(id).size());
+}
+
 TEST(StepPlanner, ThatIsKilledIsReplacedByTheStrongestNodeAlsoWhileTheJournalIsWrittenToAllTheTime)
 {
     for (int round = 0; round < 5; ++round) {
--- a/tests/unit/jobtable.cpp
+++ b/tests/unit/jobtable.cpp
@@ -144,6 +144,8 @@
     };
     checkRoundTrip(StepJobSubmitted {job});
     checkRoundTrip(StepJobCancelled {job.id});
+    checkRoundTrip(MinionSilence {MinionId("i 1"), Epoch(*rc::gen::inRange<std::uint64_t>(0, 1ULL << 50))});
+    checkRoundTrip(MinionSilence {MinionId("i-2"), std::nullopt});
     const UnitChanged change {{job.id, 3, 1, *rc::gen::inRange(-1, 9)}, *statuses()};
     checkRoundTrip(change);
     const StoredRecord stored = encodeRecord(change);
