Poll a listed minion that was silent until it answers

Cause: a minion that has left a poll unanswered gets no work until it answers one. The poll loop of a minion without work ends once its entry is removed, and nothing started a new loop when the entry came back.

Why it works: the silence of a minion ends with an answered poll, and now a listed minion is polled as long as its last poll has failed.

--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -310,7 +310,9 @@
 
 void StepPlanner::ensurePolling(MinionLink &link)
 {
-    const bool needed = !link.placed.empty() || !link.fenceRaised || link.endsAcked < link.endsHandled;
+    // Only an answered poll lets a minion that was silent get work again, so one that is listed is polled until then.
+    const bool silent = link.listed && link.pollFailures > 0;
+    const bool needed = !link.placed.empty() || !link.fenceRaised || link.endsAcked < link.endsHandled || silent;
     const bool reachable = link.listed || link.clock.known();
     if (!link.polling && needed && reachable && m_leading) {
         link.polling = true;
--- a/tests/integration/rebornminions.cpp
+++ b/tests/integration/rebornminions.cpp
@@ -113,6 +113,29 @@
     EXPECT_TRUE(deployment.waitForState("plan", second, "completed"));
 }
 
+// Guards against a minion that gets no work any more because it was silent when its last poll loop ended: only an
+// answer to a poll shows that it can be reached again.
+TEST(CutOffMinion, GetsWorkAgainOnceItsEntryIsBack)
+{
+    DeploymentOptions options {1, 1};
+    options.minionProxies = true;
+    Deployment deployment(options);
+    deployment.start();
+    const std::string id = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", id, Deployment::step(1), {{"workMs", 1'500}}).status);
+    ASSERT_TRUE(deployment.waitForRunCount(id, 1));
+    deployment.minionProxies[0]->setSilent(true);
+    deployment.store.put("keyed.servers", deployment.minions[0]->id(), "");
+    const auto lapsed = [&] { return deployment.log(0).find("lease-lapsed unit=" + id) != std::string::npos; };
+    ASSERT_TRUE(Cluster::eventually(lapsed, Millis(12'000)));
+    std::this_thread::sleep_for(Millis(2'000)); // longer than a poll, so that the loop has ended
+    deployment.minionProxies[0]->setSilent(false);
+    deployment.minionProxies[0]->cutOpen();
+    deployment.minions[0]->list();
+    EXPECT_TRUE(deployment.waitForState("plan", id, "completed"));
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+}
+
 // Guards against taking an answer that the protocol does not define for a refusal without effect.
 TEST(LostRun, OfAStartWithAnUndefinedAnswerIsNotStartedElsewhere)
 {
