Release machines that are reserved for their upkeep while the machine service is away

What callers would see: work that only fits a reserved machine waits as long as the list of machines cannot be read.

Cause: reservations follow from the list of machines, so that only its next answer ended them.

Evidence: MaintenanceWaves.KeepNoMachineIdleWhileTheMachineServiceIsUnavailable fails on the old program, where the second job does not begin within 10 s of the outage, and passes on the new one.

Why it works: 5 s after the last list was requested, the reservations are dropped with their times, so that a machine that got new work meanwhile is not taken down as one that has been vacated.

--- a/packages/dispatch/upkeepcontroller.cpp
+++ b/packages/dispatch/upkeepcontroller.cpp
@@ -20,6 +20,7 @@
 constexpr Millis IDLE_INTERVAL {1'000};  // while no wave is open
 constexpr Millis TAKEOVER_DELAY {4'000}; // above the 3 s that must pass between orders of two holders
 constexpr Millis LIST_TIMEOUT {2'000};
+constexpr Millis LIST_OUTAGE_LIMIT {5'000}; // without a list for longer, no machine is kept idle for its upkeep
 constexpr Millis ORDER_TIMEOUT {2'000};
 
 } // namespace
@@ -86,8 +87,12 @@
                  m_listFailing ? "machines-lost" : "machines-regained", {{"error", listError}});
     }
     if (m_listFailing) {
+        if (sent - m_lastListedMs > LIST_OUTAGE_LIMIT.count()) {
+            releaseReservations();
+        }
         co_return;
     }
+    m_lastListedMs = sent;
     m_reserved.clear();
     const std::map<WaveNumber, UpkeepWave> waves = m_context.waves(); // copied: may change during a co_await
     for (const auto &[number, wave] : waves) {
@@ -98,6 +103,14 @@
     m_context.fleet->reserve(m_reserved);
 }
 
+void UpkeepController::releaseReservations()
+{
+    m_reserved.clear();
+    m_reservedMs.clear();
+    m_vacatedMs.clear();
+    m_context.fleet->reserve(m_reserved);
+}
+
 WaveProgress UpkeepController::updatedProgress(const UpkeepWave &wave, const std::map<MachineId, MachineEntry> &listed,
                                                std::int64_t listedMs)
 {
--- a/packages/dispatch/upkeepcontroller.h
+++ b/packages/dispatch/upkeepcontroller.h
@@ -86,6 +86,8 @@
     static Asio::awaitable<void> run(std::shared_ptr<UpkeepController> self);
     [[nodiscard]] bool hasWork() const;
     Asio::awaitable<void> runPass();
+    /** Lets the reserved machines get new work, which then has its full time again before it is stopped. */
+    void releaseReservations();
     Asio::awaitable<void> advance(const UpkeepWave &wave, const std::map<MachineId, MachineEntry> &listed,
                                   std::int64_t listedMs);
     /** @return the progress of @p wave, updated from the list of machines. */
@@ -106,6 +108,7 @@
     std::set<MinionId> m_reserved;
     std::map<WaveNumber, WaveStatus> m_published;
     bool m_listFailing = false;
+    std::int64_t m_lastListedMs = 0; ///< when the last list of machines that was answered was requested
 };
 
 } // namespace Papaya
--- a/tests/integration/stepservices.cpp
+++ b/tests/integration/stepservices.cpp
@@ -289,6 +289,25 @@
     EXPECT_TRUE(waveCompletes(deployment, 3, Millis(20'000)));
 }
 
+// Guards against a machine that gets no work during an outage of the machine service because it was reserved before.
+TEST(MaintenanceWaves, KeepNoMachineIdleWhileTheMachineServiceIsUnavailable)
+{
+    Deployment deployment({1, 1});
+    deployment.start();
+    const std::string first = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", first, Deployment::step(1), {{"workMs", 6'000}}).status);
+    requestWave(deployment, 8, 40, 1);
+    const auto begun = [&] { return deployment.log(0).find("wave-status wave=8 state=running") != std::string::npos; };
+    ASSERT_TRUE(Cluster::eventually(begun, Millis(10'000)));
+    deployment.machines.setBusy(true);
+    ASSERT_TRUE(deployment.waitForState("plan", first, "completed", Millis(10'000)));
+    const std::string second = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", second, Deployment::step(1)).status);
+    EXPECT_TRUE(deployment.waitForState("plan", second, "completed", Millis(10'000)));
+    deployment.machines.setBusy(false);
+    EXPECT_TRUE(waveCompletes(deployment, 8, Millis(30'000)));
+}
+
 TEST(MaintenanceWaves, WaitWhileTheMachineServiceIsUnavailable)
 {
     Deployment deployment({1, 2});
