End notices of leaving minions that instances tell each other of

What callers would see: a minion that has announced that it is leaving, and stays or returns under its id, gets no requests again while two instances run.

Cause: each instance counts the 30 s of a notice from when it heard of it, also from a peer, so that instances renewed each other's copies.

Evidence: with the former rule put into the new class, LeavingNotices.EndAlthoughInstancesTellEachOtherOfThem fails for all three instances, and LeavingNotices.AreTakenAgainFromTheMinionItself fails; both pass with the new rule. LeavingMinion.* (3) pass as before.

Why it works: an instance whose copy has ended ignores further copies for 60 s, longer than those of its peers can last.

--- a/packages/process/membership.cpp
+++ b/packages/process/membership.cpp
@@ -162,7 +162,7 @@
 void Membership::recordGossip(const Gossip &gossip)
 {
     for (const MinionId &minion : gossip.leaving) {
-        m_minions.markLeaving(minion);
+        m_minions.markLeaving(minion, NoticeSource::Peer);
     }
     const std::lock_guard lock(m_mutex);
     const auto known = m_peers.find(gossip.instance);
--- a/packages/process/minionpool.cpp
+++ b/packages/process/minionpool.cpp
@@ -8,8 +8,6 @@
 namespace
 {
 
-// The host list lags behind, so a minion's leaving notice counts until the list must show it as well.
-constexpr Millis LEAVING_NOTICE_VALIDITY {30'000};
 constexpr int MIN_SERVER_ERROR_STATUS = 500;
 
 RunVerdict verdictOf(const RunResult &result)
@@ -50,30 +48,25 @@
         }
     }
     m_set.update(minions, entries, m_self);
-    std::erase_if(m_leaving, [&](const auto &entry) { return entry.second <= now; });
-    for (const auto &[id, until] : m_leaving) {
+    m_leaving.expire(now);
+    for (const auto &[id, until] : m_leaving.active()) {
         m_set.markLeaving(id, until);
     }
 }
 
-void MinionPool::markLeaving(const MinionId &id)
+void MinionPool::markLeaving(const MinionId &id, NoticeSource source)
 {
     const std::lock_guard lock(m_mutex);
-    const TimePoint until = Clock::now() + LEAVING_NOTICE_VALIDITY;
-    if (m_leaving.emplace(id, until).second) {
+    if (m_leaving.add(id, source, Clock::now())) {
         logEvent(LogLevel::Info, "minion-leaving", {{"minion", id.value()}});
-        m_set.markLeaving(id, until);
+        m_set.markLeaving(id, m_leaving.active().at(id));
     }
 }
 
 std::set<MinionId> MinionPool::announcedLeaving() const
 {
     const std::lock_guard lock(m_mutex);
-    std::set<MinionId> ids;
-    for (const auto &[id, until] : m_leaving) {
-        ids.insert(id);
-    }
-    return ids;
+    return m_leaving.minions();
 }
 
 std::optional<ChosenMinion> MinionPool::beginRun(const std::set<MinionId> &tried)
@@ -89,7 +82,7 @@
 void MinionPool::finishRun(const MinionId &id, const RunResult &result)
 {
     if (result.leaving) {
-        markLeaving(id);
+        markLeaving(id, NoticeSource::Minion);
     }
     const std::lock_guard lock(m_mutex);
     if (m_set.endRun(id, verdictOf(result), result.slotsBusy, Clock::now())) {
--- a/packages/process/minionpool.h
+++ b/packages/process/minionpool.h
@@ -2,6 +2,7 @@
 
 #include "connection/hostlist.h"
 #include "connection/minionclient.h"
+#include "process/leavingnotices.h"
 #include "process/metrics.h"
 #include "request/minionchoice.h"
 
@@ -31,8 +32,8 @@
     /** Applies the host list; must be called at intervals even without a change, so that leaving notices expire. */
     void update(const HostSnapshot &hosts);
 
-    /** Sends no new runs to a minion that has announced that it is leaving. */
-    void markLeaving(const MinionId &id);
+    /** Sends no new runs to a minion that has announced that it is leaving, for as long as the notice counts. */
+    void markLeaving(const MinionId &id, NoticeSource source);
 
     /** @return minions that announced that they are leaving, for peers, since the host list lags behind. */
     [[nodiscard]] std::set<MinionId> announcedLeaving() const;
@@ -59,7 +60,7 @@
     mutable std::mutex m_mutex;
     MinionSet m_set;
     std::unordered_map<MinionId, Endpoint> m_addresses;
-    std::unordered_map<MinionId, TimePoint> m_leaving; ///< when each leaving notice expires
+    LeavingNotices m_leaving;
 };
 
 } // namespace Papaya
