Refuse late orders to a former instance of a minion

What callers would see: a task runs twice at the same time.

Cause: an order without an answer may be carried out seconds later. The new instance of a minion that has restarted meanwhile knows neither the stop nor the fence nor the clock that the lease was of. It begins a run that had been stopped, or keeps a lease of up to 10 s that the planner takes for 5 s.

Why it works: the planner raises its fence at each restart that it learns of and gives the new instance work only after a poll with that fence, so that every order to the former instance is refused.

--- a/packages/dispatch/minionlink.h
+++ b/packages/dispatch/minionlink.h
@@ -28,13 +28,14 @@
 struct MinionLink {
     MinionEntry entry;
     MinionClock clock;
-    bool listed = true;                 ///< its entry is in the minions topic
-    std::int64_t unlistedMs = 0;        ///< when the entry was removed
-    bool fenceRaised = false;           ///< it refuses orders of earlier planners
-    bool silenceRecorded = false;       ///< the journal may have a MinionSilence, so that no lease is granted
-    bool silenceEnding = false;         ///< its withdrawal is being stored
-    bool polling = false;               ///< a poll loop is running
-    std::uint64_t restarts = 0;         ///< restarts of the minion that were noticed
+    bool listed = true;           ///< its entry is in the minions topic
+    std::int64_t unlistedMs = 0;  ///< when the entry was removed
+    Epoch fence;                  ///< of the orders to its present instance
+    bool fenceRaised = false;     ///< it refuses orders with lower fences, of earlier planners or to former instances
+    bool silenceRecorded = false; ///< the journal may have a MinionSilence, so that no lease is granted
+    bool silenceEnding = false;   ///< its withdrawal is being stored
+    bool polling = false;         ///< a poll loop is running
+    std::uint64_t restarts = 0;   ///< restarts of the minion that were noticed
     std::int64_t formerStartTimeMs = 0; ///< MinionEntry::startTimeMs before the last restart
     bool entryOutdated = false;         ///< the minion has restarted since it wrote its entry
     std::uint64_t unverifiedStarts = 0; ///< starts that another instance of the minion may have accepted
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -10,6 +10,7 @@
 #include "dispatch/topicfollower.h"
 #include "process/logging.h"
 #include "steps/candidacy.h"
+#include "steps/epochs.h"
 #include "steps/jobage.h"
 #include "steps/steadywallclock.h"
 
@@ -36,7 +37,6 @@
 constexpr Millis TICK_INTERVAL {100};
 constexpr std::int64_t MAX_READ_AGE_MS = 2'500; // with an older read, the job table may lack accepted jobs
 constexpr std::uint32_t JITTER_RANGE = 1'000;   // Candidacy and ClaimBackoff take a jitter below this
-constexpr unsigned EPOCH_TAG_BITS = 16;         // random, so that rival candidates claim different epochs
 constexpr Millis DRAIN_NOTICE {2'200};          // the balancer probes once a second and drops a node after two failures
 constexpr Millis EXIT_MARGIN {1'200};           // before the platform kills the process
 
@@ -371,9 +371,7 @@
 
     Asio::awaitable<void> claim()
     {
-        const std::uint64_t term = (jobTable.planner().epoch.value() >> EPOCH_TAG_BITS) + 1;
-        const std::uint64_t tag = random() & ((1U << EPOCH_TAG_BITS) - 1);
-        const Epoch epoch(term << EPOCH_TAG_BITS | tag);
+        const Epoch epoch = epochAfter(jobTable.planner().epoch, random());
         logEvent(LogLevel::Info, "planner-claim",
                  {{"epoch", epoch.value()},
                   {"previous", jobTable.planner().epoch.value()},
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -35,6 +35,7 @@
     : m_context(std::move(context))
     , m_writer(std::move(writer))
     , m_epoch(epoch)
+    , m_fence(epoch)
     , m_passTimer(m_context.io)
     , m_takeoverMs(bootMillis())
 {
@@ -106,6 +107,7 @@
         MinionLink &link = place->second;
         if (added) {
             link.entry.id = minion;
+            link.fence = m_fence;
             link.listed = false;
             link.unlistedMs = bootMillis();
             link.priorLeaseUntilMs = priorLeaseEndMs(minion);
@@ -128,6 +130,7 @@
         return; // written before the restart that a report has shown
     }
     if (added) {
+        link.fence = m_fence;
         link.priorLeaseUntilMs = priorLeaseEndMs(entry.id);
         link.silenceRecorded = m_context.jobTable.silences().contains(entry.id);
         logEvent(LogLevel::Debug, "minion-listed", {{"minion", entry.id.value()}});
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -30,7 +30,8 @@
 // 3. A member counts as running until one of these holds: the minion refuses the first order to start it, the minion
 //    lists its end, a later poll does not list the run, or the lease has expired even on the slowest permitted clock.
 //    Until then its unit is not started elsewhere. This holds also if the minion has restarted, since its new instance
-//    may have accepted the start before the restart was noticed.
+//    may have accepted the start before the restart was noticed. Orders to the new instance have a higher fence, so
+//    that it refuses those that were sent to the former one and are carried out late.
 // 4. A start leaves this node only while its minion may get work and the view of minions and jobs is not older than
 //    Context::maxViewAge. Both are checked when the order is written, as it may have waited for the journal, for its
 //    turn or for a connection. While the view is too old, nothing is placed or started.
@@ -148,6 +149,11 @@
     static Asio::awaitable<void> pollLoop(std::shared_ptr<StepPlanner> self, MinionId id);
     Asio::awaitable<bool> pollOnce(MinionId id);
     void ensurePolling(MinionLink &link);
+    /**
+     * @return true if @p fence is that of orders to the present instance of @p minion. If it is refused, another
+     * planner has raised the fence; a lower one is refused after a restart of the minion.
+     */
+    [[nodiscard]] bool hasFence(const MinionId &minion, Epoch fence) const;
     [[nodiscard]] bool mayRenew() const;
 
     // Admission oracle
@@ -234,6 +240,7 @@
     Context m_context;
     std::shared_ptr<JournalWriter> m_writer;
     Epoch m_epoch;
+    Epoch m_fence; ///< of the orders to minions that are listed next or restart next
     bool m_leading = true;
     std::map<MinionId, MinionLink> m_links;
     std::map<UnitKey, AssignmentPtr> m_assignments;
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -45,6 +45,12 @@
     return bootMillis() + ORDER_TIMEOUT.count() + slowestLeaseMs(m_context.maxLease.count());
 }
 
+bool StepPlanner::hasFence(const MinionId &minion, Epoch fence) const
+{
+    const auto link = m_links.find(minion);
+    return link == m_links.end() || link->second.fence == fence;
+}
+
 void StepPlanner::doubtInstance(MinionLink &link, Member &member)
 {
     ++link.unverifiedStarts;
@@ -157,7 +163,6 @@
     order.run = assignment->run;
     order.payload = self->m_context.jobTable.find(assignment->unit.job)->job.spec.payload;
     order.checkpoint = assignment->checkpoint;
-    order.fence = self->m_epoch;
     order.maySend = [self, assignment, index] { return self->releaseStart(assignment, index); };
     OrderAnswer answer;
     for (int i = 0; i < START_ATTEMPTS && answer.outcome == OrderOutcome::NoAnswer; ++i) {
@@ -166,6 +171,7 @@
             break;
         }
         MinionLink &link = self->m_links.at(member.minion);
+        order.fence = link.fence;
         order.ticket = self->m_tickets.ticket(assignment->unit.stepKey(), member.minion, bootMillis());
         const std::int64_t sent = bootMillis();
         order.leaseUntilMs = link.clock.grant(sent, LEASE_MS);
@@ -177,6 +183,9 @@
                 self->doubtInstance(present, member);
             }
         }
+        if (answer.outcome == OrderOutcome::Fenced && !self->hasFence(member.minion, order.fence)) {
+            answer.outcome = OrderOutcome::OtherIncarnation;
+        }
         if (i > 0 && answer.outcome != OrderOutcome::Done && answer.outcome != OrderOutcome::Fenced) {
             answer.outcome = OrderOutcome::NoAnswer; // the first attempt may still have started the run
         }
@@ -272,12 +281,13 @@
             continue;
         }
         ++self->m_load.counts.orders;
-        const OrderAnswer answer = co_await self->m_context.minionControl.stop(link.entry, task, assignment->run,
-                                                                               self->m_epoch, ORDER_TIMEOUT);
+        const Epoch fence = link.fence;
+        const OrderAnswer answer =
+            co_await self->m_context.minionControl.stop(link.entry, task, assignment->run, fence, ORDER_TIMEOUT);
         if (!self->m_leading) {
             co_return;
         }
-        if (answer.outcome == OrderOutcome::Fenced) {
+        if (answer.outcome == OrderOutcome::Fenced && self->hasFence(member.minion, fence)) {
             self->stepDown("fenced-by-minion");
             co_return;
         }
@@ -298,9 +308,9 @@
 Asio::awaitable<void> StepPlanner::stopUnknownRun(std::shared_ptr<StepPlanner> self, MinionId minion, std::string task,
                                                   std::uint32_t run)
 {
-    const MinionEntry entry = self->m_links.at(minion).entry;
-    const OrderAnswer answer =
-        co_await self->m_context.minionControl.stop(entry, task, run, self->m_epoch, ORDER_TIMEOUT);
+    const MinionLink &link = self->m_links.at(minion);
+    const MinionEntry entry = link.entry;
+    const OrderAnswer answer = co_await self->m_context.minionControl.stop(entry, task, run, link.fence, ORDER_TIMEOUT);
     logEvent(LogLevel::Info, "stray-stopped",
              {{"task", task},
               {"run", std::uint64_t(run)},
@@ -328,7 +338,7 @@
             co_return;
         }
         MinionLink &link = self->m_links.at(id);
-        const bool pending = !link.placed.empty() || link.endsAcked < link.endsHandled;
+        const bool pending = !link.placed.empty() || link.endsAcked < link.endsHandled || !link.fenceRaised;
         if (answered ? !pending : (link.placed.empty() && !link.listed)) {
             break;
         }
@@ -359,7 +369,7 @@
     const std::int64_t sent = bootMillis();
     ++m_load.counts.polls;
     PollOrder order;
-    order.fence = m_epoch;
+    order.fence = link->fence;
     order.ackUpTo = link->mayAcknowledge() ? link->endsStored : 0;
     const std::uint64_t coveredStarts = link->unverifiedStarts;
     const std::uint64_t knownRestarts = link->restarts;
@@ -379,6 +389,9 @@
         co_return false;
     }
     link = &m_links.at(id);
+    if (link->restarts != knownRestarts) {
+        co_return false; // of the former instance
+    }
     if (answer.outcome == OrderOutcome::Fenced) {
         stepDown("fenced-by-minion");
         co_return false;
@@ -392,9 +405,6 @@
         }
         co_return false;
     }
-    if (link->restarts != knownRestarts) {
-        co_return false; // the report may predate the restart
-    }
     if (link->pollFailures > 0) {
         logEvent(LogLevel::Info, "minion-heard",
                  {{"minion", id.value()}, {"failures", std::uint64_t(link->pollFailures)}});
@@ -413,10 +423,11 @@
     link->verifiedStarts = std::max(link->verifiedStarts, coveredStarts);
     link->clock.addReading(answer.report.clockMs, bootMillis());
     if (!link->fenceRaised) {
-        link->fenceRaised = true;
         // A predecessor may have renewed the lease until just before the fence was raised, but no later. A lease that
         // was granted by the clock of a former instance is only limited by the minion.
-        link->clock.grant(bootMillis(), link->restarts > 0 ? m_context.maxLease.count() : LEASE_MS);
+        const bool former = link->restarts > 0;
+        link->clock.grant(bootMillis(), former ? m_context.maxLease.count() : LEASE_MS);
+        link->fenceRaised = order.fence == link->fence; // not if this answer has shown a restart
         requestPass();
     }
     handleReport(*link, answer.report, sent);
--- a/packages/dispatch/stepplannerreports.cpp
+++ b/packages/dispatch/stepplannerreports.cpp
@@ -2,6 +2,7 @@
 
 #include "dispatch/boottime.h"
 #include "process/logging.h"
+#include "steps/epochs.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -176,6 +177,8 @@
     link.entry.startTimeMs = startTimeMs;
     link.entryOutdated = true;
     link.clock = MinionClock();
+    m_fence = raisedFence(m_fence);
+    link.fence = m_fence;
     link.fenceRaised = false;
     link.endsHandled = link.endsStored = link.endsAcked = 0;
     link.runFailures = 0;
--- a/packages/dispatch/stepplannershares.cpp
+++ b/packages/dispatch/stepplannershares.cpp
@@ -56,15 +56,16 @@
                                               std::size_t index, int percent)
 {
     Member &member = assignment->members[index];
+    const MinionLink &link = self->m_links.at(member.minion);
     PaceOrder order {assignment->unit.taskName(static_cast<std::uint32_t>(index)), assignment->run, percent,
-                     self->m_epoch};
-    const MinionEntry entry = self->m_links.at(member.minion).entry;
+                     link.fence};
+    const MinionEntry entry = link.entry;
     const OrderAnswer answer = co_await self->m_context.minionControl.pace(entry, order, PACE_TIMEOUT);
     member.paceInFlight = false;
     if (!self->m_leading) {
         co_return;
     }
-    if (answer.outcome == OrderOutcome::Fenced) {
+    if (answer.outcome == OrderOutcome::Fenced && self->hasFence(member.minion, order.fence)) {
         self->stepDown("fenced-by-minion");
         co_return;
     }
--- a/tests/integration/rebornminions.cpp
+++ b/tests/integration/rebornminions.cpp
@@ -113,6 +113,104 @@
     EXPECT_TRUE(deployment.waitForState("plan", second, "completed"));
 }
 
+/** @return true if the log of node 0 has @p text, at once or within @p limit. */
+bool isLogged(Deployment &deployment, const std::string &text, Millis limit = Millis(8'000), std::size_t node = 0)
+{
+    return Cluster::eventually([&] { return deployment.log(node).find(text) != std::string::npos; }, limit);
+}
+
+/** Makes a minion fit for every task of a test, or for none. */
+void setRoom(Standins::PlatformMinionStandin &minion, bool fits)
+{
+    minion.setCapacity(fits ? 64'000 : 0, fits ? 131'072 : 0, fits ? 8 : 0);
+    minion.list();
+}
+
+/** Submits a job whose start order the minion @p late carries out @p lateMs later, on whichever instance runs then. */
+std::string submitWithLateStart(Deployment &deployment, Standins::PlatformMinionStandin &late, std::int64_t lateMs,
+                                std::int64_t workMs)
+{
+    PlatformMinionFaults faults;
+    faults.lateStarts = 2; // the order is sent twice
+    faults.lateMs = lateMs;
+    late.setFaults(faults);
+    const std::string id = deployment.newId();
+    EXPECT_EQ(200, deployment.submit(0, "plan", id, Deployment::step(1), {{"workMs", workMs}}).status);
+    return id;
+}
+
+// Guards against a second run of a task by a late start order: the minion has confirmed that it will not run, but its
+// new instance has forgotten the stop.
+TEST(RebornMinion, RefusesAStartThatWasSentToItsFormerInstance)
+{
+    Deployment deployment({1, 2});
+    setRoom(*deployment.minions[1], false);
+    deployment.start();
+    runShortJobs(deployment, 1);
+    Standins::PlatformMinionStandin &late = *deployment.minions[0];
+    const std::string id = submitWithLateStart(deployment, late, 7'000, 9'000);
+    ASSERT_TRUE(isLogged(deployment, "reason=start-in-doubt"));
+    late.setFaults({});
+    setRoom(late, false);
+    setRoom(*deployment.minions[1], true);
+    ASSERT_TRUE(deployment.waitForRunCount(id, 1)); // on the other minion
+    late.restart();
+    ASSERT_TRUE(Cluster::eventually([&] { return late.highestFence() > 0; }, Millis(2'000)));
+    ASSERT_TRUE(deployment.waitForState("plan", id, "completed", Millis(14'000)));
+    EXPECT_EQ(1U, deployment.runs.of(id).size());
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+}
+
+// Guards against the same second run if a report shows the restart: the poll that it answers carried the former fence.
+TEST(RebornMinion, RefusesAStartThatWasSentToItsFormerInstanceIfAReportShowsTheRestart)
+{
+    Deployment deployment({1, 2});
+    setRoom(*deployment.minions[1], false);
+    deployment.start();
+    Standins::PlatformMinionStandin &late = *deployment.minions[0];
+    const std::string polled = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", polled, Deployment::step(1), {{"workMs", 9'000}}).status);
+    ASSERT_TRUE(deployment.waitForRunCount(polled, 1));
+    const std::string id = submitWithLateStart(deployment, late, 7'000, 9'000);
+    ASSERT_TRUE(isLogged(deployment, "reason=start-in-doubt"));
+    late.setFaults({});
+    setRoom(late, false);
+    setRoom(*deployment.minions[1], true);
+    ASSERT_TRUE(deployment.waitForRunCount(id, 1)); // on the other minion
+    late.restartUnlisted();
+    ASSERT_TRUE(isLogged(deployment, "minion-reborn"));
+    ASSERT_TRUE(deployment.waitForState("plan", id, "completed", Millis(14'000)));
+    EXPECT_EQ(1U, deployment.runs.of(id).size());
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+}
+
+// Guards against a lease that lasts longer than the planner takes into account: an order to the former instance, whose
+// end of the lease is a time on the former clock, must not extend the lease of the new one.
+TEST(RebornMinion, TakesNoLeaseFromAnOrderToItsFormerInstance)
+{
+    DeploymentOptions options {1, 2};
+    options.minionProxies = true;
+    Deployment deployment(options);
+    setRoom(*deployment.minions[1], false);
+    deployment.start();
+    runShortJobs(deployment, 1);
+    Standins::PlatformMinionStandin &late = *deployment.minions[0];
+    const std::string first = submitWithLateStart(deployment, late, 4'000, 9'000);
+    ASSERT_TRUE(isLogged(deployment, "reason=start-in-doubt"));
+    late.setFaults({});
+    late.restart();
+    ASSERT_TRUE(isLogged(deployment, "minion-reborn"));
+    ASSERT_EQ(200, deployment.call(0, "DELETE", "plan", first).status);
+    const std::string second = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", second, Deployment::step(1), {{"workMs", 30'000}}).status);
+    ASSERT_TRUE(deployment.waitForRunCount(second, 1));
+    std::this_thread::sleep_for(Millis(3'500)); // until both late orders have been carried out
+    deployment.minionProxies[0]->setSilent(true);
+    setRoom(*deployment.minions[1], true);
+    ASSERT_TRUE(Cluster::eventually([&] { return deployment.runs.of(second).size() == 2; }, Millis(16'000)));
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+}
+
 // Guards against a minion that gets no work any more because it was silent when its last poll loop ended: only an
 // answer to a poll shows that it can be reached again.
 TEST(CutOffMinion, GetsWorkAgainOnceItsEntryIsBack)
--- a/tests/standins/platformminionstandin.cpp
+++ b/tests/standins/platformminionstandin.cpp
@@ -18,8 +18,8 @@
 constexpr std::int64_t STOP_DURATION_MS = 50;
 constexpr std::int64_t MAX_LEASE_MS = 10'000;
 constexpr std::int64_t CHECKPOINT_INTERVAL_MS = 200;
-constexpr std::int64_t STARTUP_MS = 100;            // until a long-running task is at work
-constexpr std::int64_t CLOCK_OFFSET_MS = 1'000'000; // the minion's clock differs from the wall clock
+constexpr std::int64_t STARTUP_MS = 100;           // until a long-running task is at work
+constexpr std::int64_t FIRST_CLOCK_MS = 1'000'000; // the first instance has run for a while; later ones start at 0
 
 HttpResponse noAnswer()
 {
@@ -97,6 +97,7 @@
     , m_rack(std::move(rack))
     , m_runs(runs)
     , m_bornMs(nowMs())
+    , m_bornClockMs(FIRST_CLOCK_MS)
 {
 }
 
@@ -142,6 +143,7 @@
     m_endCount = 0;
     m_leaseUntilMs = 0;
     m_bornMs = nowMs();
+    m_bornClockMs = 0;
 }
 
 void PlatformMinionStandin::restart()
@@ -256,7 +258,7 @@
 
 std::int64_t PlatformMinionStandin::clock() const
 {
-    return nowMs() - m_bornMs + CLOCK_OFFSET_MS;
+    return nowMs() - m_bornMs + m_bornClockMs;
 }
 
 Asio::awaitable<void> PlatformMinionStandin::advanceLoop(PlatformMinionStandin &self)
@@ -335,20 +337,14 @@
 {
     const std::string path(request.path());
     const Json body = bodyOf(request);
-    std::int64_t lateMs = 0;
     {
         const std::lock_guard lock(m_mutex);
         if (m_faults.unresponsive || m_poweredOff) {
             co_return noAnswer();
         }
-        if (path == "/-/run-start" && m_faults.lateStarts > 0) {
-            --m_faults.lateStarts;
-            lateMs = m_faults.lateMs;
-        }
     }
-    if (lateMs > 0) {
-        co_await sleepFor(Millis(lateMs));
-        startRun(body);
+    if (const std::int64_t lateMs = takeLateness(path); lateMs > 0) {
+        co_await carryOutLate(path, body, lateMs);
         co_return noAnswer();
     }
     if (path == "/-/run-start") {
@@ -372,6 +368,39 @@
     co_return jsonAnswer(404, Json::object());
 }
 
+std::int64_t PlatformMinionStandin::takeLateness(const std::string &path)
+{
+    const std::lock_guard lock(m_mutex);
+    if (path == "/-/run-start" && m_faults.lateStarts > 0) {
+        --m_faults.lateStarts;
+        return m_faults.lateMs;
+    }
+    if (m_faults.lateOrders > 0) {
+        --m_faults.lateOrders;
+        return m_faults.lateMs;
+    }
+    return 0;
+}
+
+Asio::awaitable<void> PlatformMinionStandin::carryOutLate(std::string path, Json body, std::int64_t lateMs)
+{
+    co_await sleepFor(Millis(lateMs));
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_poweredOff) {
+            co_return;
+        }
+    }
+    if (path == "/-/run-start") {
+        startRun(body);
+    } else if (path == "/-/run-stop") {
+        stopRun(body);
+    } else if (path == "/-/hold") {
+        body["waitMs"] = 0;
+        co_await hold(std::move(body));
+    }
+}
+
 HttpResponse PlatformMinionStandin::startRun(const Json &body)
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/standins/platformminionstandin.h
+++ b/tests/standins/platformminionstandin.h
@@ -33,7 +33,8 @@
     bool failAll = false;           ///< every run fails immediately
     bool hang = false;              ///< no run makes progress
     std::int64_t lateStarts = 0;    ///< number of starts that are carried out after lateMs and get no answer
-    std::int64_t lateMs = 0;        ///< delay of a late start, in milliseconds
+    std::int64_t lateOrders = 0;    ///< the same for orders of any kind: starts, stops and polls
+    std::int64_t lateMs = 0;        ///< delay of a late order, in milliseconds
     std::int64_t garbledStarts = 0; ///< number of starts that are carried out and answered with 500
     std::int64_t refuseStarts = 0;  ///< number of starts that are refused with 409 and reason "room"
 };
@@ -154,6 +155,10 @@
     void advance(std::int64_t byMs);
     [[nodiscard]] bool gangPresent(const std::string &task, const Running &running) const;
     void endRun(const std::string &task, const std::string &how);
+    /** @return the delay after which the order at @p path is to be carried out; 0 if it is not late. */
+    std::int64_t takeLateness(const std::string &path);
+    /** Carries out a late order on the instance that runs by then. */
+    Asio::awaitable<void> carryOutLate(std::string path, Json body, std::int64_t lateMs);
     HttpResponse startRun(const Json &body);
     HttpResponse stopRun(const Json &body);
     HttpResponse pace(const Json &body);
@@ -176,6 +181,7 @@
     mutable std::mutex m_mutex;
     PlatformMinionFaults m_faults;
     std::int64_t m_bornMs;
+    std::int64_t m_bornClockMs; ///< reading of the minion's clock at its start
     std::string m_state = "ready";
     std::int64_t m_remainingMs = 0;
     std::uint64_t m_sequence = 0;
