Count with the longest lease of a minion that restarted shortly before a take-over

Cause: a late order of a former planner to a former instance may reach the new instance before the successor's first poll raises the fence. Its end of the lease, a time on the former clock, gives the new instance the longest lease that it permits (10 s). The successor, which has seen no restart, took 5 s for the longest.

Why it works: the report names the start of the instance. If that was less than 20 s ago, or is not named, the first poll counts as a grant of the longest lease.

--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -196,6 +196,9 @@
     void doubtInstance(MinionLink &link, Member &member);
     /** @return the time after which no lease that is granted now can last, on any clock of a minion. */
     [[nodiscard]] std::int64_t leaseBoundMs() const;
+    /** @return true if the instance that sent @p report began so recently that orders to a former one may still come.
+     */
+    [[nodiscard]] bool mayGetFormerOrders(const MinionReport &report) const;
     /**
      * Counts a failed or stuck run against its minion, which gets no new work for a while after several in a row.
      * @param strikes how many failures the run counts as
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -37,6 +37,8 @@
 constexpr Millis STOP_CONFIRM_DELAY {250};       // a minion takes up to 200 ms to stop a run
 constexpr std::int64_t REFUSED_BACKOFF_MS = 500; // after a refused start
 constexpr std::int64_t UNHEALTHY_BACKOFF_MS = 2'000;
+// After the start of an instance, orders to a former one may still be carried out late. Allows for clocks that differ.
+constexpr std::int64_t YOUNG_INSTANCE_MS = 20'000;
 
 } // namespace
 
@@ -45,6 +47,11 @@
     return bootMillis() + ORDER_TIMEOUT.count() + slowestLeaseMs(m_context.maxLease.count());
 }
 
+bool StepPlanner::mayGetFormerOrders(const MinionReport &report) const
+{
+    return report.startTimeMs == 0 || m_context.wallNow() - report.startTimeMs < YOUNG_INSTANCE_MS;
+}
+
 bool StepPlanner::hasFence(const MinionId &minion, Epoch fence) const
 {
     const auto link = m_links.find(minion);
@@ -425,7 +432,7 @@
     if (!link->fenceRaised) {
         // A predecessor may have renewed the lease until just before the fence was raised, but no later. A lease that
         // was granted by the clock of a former instance is only limited by the minion.
-        const bool former = link->restarts > 0;
+        const bool former = link->restarts > 0 || mayGetFormerOrders(answer.report);
         link->clock.grant(bootMillis(), former ? m_context.maxLease.count() : LEASE_MS);
         link->fenceRaised = order.fence == link->fence; // not if this answer has shown a restart
         requestPass();
--- a/tests/integration/rebornminions.cpp
+++ b/tests/integration/rebornminions.cpp
@@ -211,6 +211,31 @@
     EXPECT_TRUE(deployment.runs.doubled().empty());
 }
 
+// Guards against the same longer lease if the order reaches the new instance before a successor of its sender does.
+TEST(RebornMinion, MayHaveALongLeaseWhenASuccessorReachesIt)
+{
+    DeploymentOptions options {2, 2};
+    options.minionProxies = true;
+    Deployment deployment(options);
+    setRoom(*deployment.minions[1], false);
+    deployment.start();
+    runShortJobs(deployment, 1);
+    const std::size_t former = deployment.leader().value_or(0);
+    const std::size_t successor = 1 - former;
+    Standins::PlatformMinionStandin &late = *deployment.minions[0];
+    const std::string id = submitWithLateStart(deployment, late, 600, 30'000);
+    ASSERT_TRUE(isLogged(deployment, "unit-ordered unit=" + id, Millis(8'000), former));
+    deployment.nodes[former]->kill();
+    late.restart();
+    ASSERT_TRUE(isLogged(deployment, "planner-begun", Millis(8'000), successor));
+    ASSERT_TRUE(deployment.waitForRunCount(id, 1));
+    ASSERT_TRUE(Cluster::eventually([&] { return late.highestFence() > 0; }));
+    deployment.minionProxies[0]->setSilent(true);
+    setRoom(*deployment.minions[1], true);
+    ASSERT_TRUE(Cluster::eventually([&] { return deployment.runs.of(id).size() == 2; }, Millis(20'000)));
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+}
+
 // Guards against a minion that gets no work any more because it was silent when its last poll loop ended: only an
 // answer to a poll shows that it can be reached again.
 TEST(CutOffMinion, GetsWorkAgainOnceItsEntryIsBack)
