Poll minions that may carry out a start late

What callers would see: a task runs twice at the same time, as with the late orders to a former instance.

Cause: the new instance refuses late starts only after a first poll. An idle minion was not polled, so that its restart was noticed when its entry was read, up to two seconds later.

The time between that instance's start and its first poll remains.

--- a/packages/dispatch/minionlink.h
+++ b/packages/dispatch/minionlink.h
@@ -38,6 +38,7 @@
     std::uint64_t restarts = 0;   ///< restarts of the minion that were noticed
     std::int64_t formerStartTimeMs = 0; ///< MinionEntry::startTimeMs before the last restart
     bool entryOutdated = false;         ///< the minion has restarted since it wrote its entry
+    std::int64_t lateStartsUntilMs = 0; ///< until when starts without an answer may be carried out
     std::uint64_t unverifiedStarts = 0; ///< starts that another instance of the minion may have accepted
     std::uint64_t verifiedStarts = 0;   ///< of these, the ones that a later report has covered
     std::uint64_t endsHandled = 0;      ///< ends up to this number have been applied to the job table
@@ -72,6 +73,12 @@
         });
     }
 
+    /** @return true if a report of the minion is needed at @p nowMs. */
+    [[nodiscard]] bool awaitsReport(std::int64_t nowMs) const
+    {
+        return !placed.empty() || !fenceRaised || endsAcked < endsHandled || nowMs < lateStartsUntilMs;
+    }
+
     void remove(const Assignment &assignment, std::size_t index)
     {
         std::erase_if(placed, [&](const PlacedMember &item) {
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -37,6 +37,9 @@
 constexpr Millis STOP_CONFIRM_DELAY {250};       // a minion takes up to 200 ms to stop a run
 constexpr std::int64_t REFUSED_BACKOFF_MS = 500; // after a refused start
 constexpr std::int64_t UNHEALTHY_BACKOFF_MS = 2'000;
+// A start without an answer may be carried out that much later. The minion is polled until then, so that its restart is
+// noticed soon: the new instance may carry out the start until the first poll raises its fence.
+constexpr std::int64_t LATE_START_SPAN_MS = 12'000;
 // After the start of an instance, orders to a former one may still be carried out late. Allows for clocks that differ.
 constexpr std::int64_t YOUNG_INSTANCE_MS = 20'000;
 
@@ -193,6 +196,9 @@
         if (answer.outcome == OrderOutcome::Fenced && !self->hasFence(member.minion, order.fence)) {
             answer.outcome = OrderOutcome::OtherIncarnation;
         }
+        if (answer.outcome == OrderOutcome::NoAnswer) {
+            self->m_links.at(member.minion).lateStartsUntilMs = bootMillis() + LATE_START_SPAN_MS;
+        }
         if (i > 0 && answer.outcome != OrderOutcome::Done && answer.outcome != OrderOutcome::Fenced) {
             answer.outcome = OrderOutcome::NoAnswer; // the first attempt may still have started the run
         }
@@ -329,7 +335,7 @@
 {
     // Only an answered poll lets a minion that was silent get work again, so one that is listed is polled until then.
     const bool silent = link.listed && link.pollFailures > 0;
-    const bool needed = !link.placed.empty() || !link.fenceRaised || link.endsAcked < link.endsHandled || silent;
+    const bool needed = link.awaitsReport(bootMillis()) || silent;
     const bool reachable = link.listed || link.clock.known();
     if (!link.polling && needed && reachable && m_leading) {
         link.polling = true;
@@ -345,8 +351,7 @@
             co_return;
         }
         MinionLink &link = self->m_links.at(id);
-        const bool pending = !link.placed.empty() || link.endsAcked < link.endsHandled || !link.fenceRaised;
-        if (answered ? !pending : (link.placed.empty() && !link.listed)) {
+        if (answered ? !link.awaitsReport(bootMillis()) : (link.placed.empty() && !link.listed)) {
             break;
         }
         if (!answered) {
@@ -385,8 +390,8 @@
         && link->pollFailures <= MAX_UNANSWERED_RENEWALS && mayRenew()) {
         order.leaseUntilMs = link->clock.grant(sent, LEASE_MS);
     }
-    const bool mayWait =
-        link->fenceRaised && link->pollFailures == 0 && link->endsStored == link->endsHandled && !link->placed.empty();
+    const bool upToDate = link->fenceRaised && link->pollFailures == 0 && link->endsStored == link->endsHandled;
+    const bool mayWait = upToDate && (!link->placed.empty() || sent < link->lateStartsUntilMs);
     const Millis steadyWait = link->shared ? SHARED_POLL_WAIT : POLL_WAIT;
     const Millis longWait = hasQuietRun(*link) ? std::min(WATCH_POLL_WAIT, steadyWait) : steadyWait;
     order.wait = mayWait ? longWait : Millis(0);
--- a/tests/integration/rebornminions.cpp
+++ b/tests/integration/rebornminions.cpp
@@ -184,6 +184,27 @@
     EXPECT_TRUE(deployment.runs.doubled().empty());
 }
 
+// Guards against the same second run if nothing else makes the planner poll the minion, and its entry comes later.
+TEST(RebornMinion, RefusesAStartThatWasSentToItsFormerInstanceIfItIsIdle)
+{
+    Deployment deployment({1, 2});
+    setRoom(*deployment.minions[1], false);
+    deployment.start();
+    runShortJobs(deployment, 1);
+    Standins::PlatformMinionStandin &late = *deployment.minions[0];
+    const std::string id = submitWithLateStart(deployment, late, 7'000, 9'000);
+    ASSERT_TRUE(isLogged(deployment, "reason=start-in-doubt"));
+    late.setFaults({});
+    setRoom(late, false);
+    setRoom(*deployment.minions[1], true);
+    ASSERT_TRUE(deployment.waitForRunCount(id, 1)); // on the other minion
+    std::this_thread::sleep_for(Millis(2'000));     // longer than the poll that was in flight when the run was stopped
+    late.restartUnlisted();
+    ASSERT_TRUE(deployment.waitForState("plan", id, "completed", Millis(14'000)));
+    EXPECT_EQ(1U, deployment.runs.of(id).size());
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+}
+
 // Guards against a lease that lasts longer than the planner takes into account: an order to the former instance, whose
 // end of the lease is a time on the former clock, must not extend the lease of the new one.
 TEST(RebornMinion, TakesNoLeaseFromAnOrderToItsFormerInstance)
