Let the soak play late orders of any kind, and decode keys in the stand-in of the store

The new kind carries out starts, stops and polls 2 to 12 s late, on whichever instance of the minion runs by then.

--- a/tests/integration/stepstore.cpp
+++ b/tests/integration/stepstore.cpp
@@ -34,6 +34,20 @@
     EXPECT_TRUE(Cluster::eventually([&] { return deployment.ready(0) && deployment.ready(1); }));
 }
 
+// Guards against a node that reads one page of the newest records again and again.
+TEST(StepStore, WithMoreThanAPageOfRecordsIsReadToItsEnd)
+{
+    constexpr int RECORDS = 1'200; // a page has 500
+    Deployment deployment;
+    for (int i = 0; i < RECORDS; ++i) {
+        deployment.store.put("keyed.journal", "u/other writer/" + std::to_string(i), "-");
+    }
+    deployment.start();
+    const std::string id = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", id, {Deployment::step(1)}).status);
+    EXPECT_TRUE(deployment.waitForState("plan", id, "completed"));
+}
+
 TEST(StepStore, ThatDoesNotAnswerMakesASubmissionTimeOutRatherThanBeRefused)
 {
     Deployment deployment;
--- a/tests/soak/chaos.cpp
+++ b/tests/soak/chaos.cpp
@@ -17,11 +17,11 @@
 constexpr Millis MAX_LENGTH {4'500};
 constexpr Millis EXIT_LIMIT {6'000};
 
-constexpr std::array<std::string_view, 20> NAMES {
-    "node-killed",     "leader-killed", "node-frozen",  "leader-frozen", "node-stopped",
-    "settings-reread", "node-cut",      "leader-cut",   "node-reset",    "store-silent",
-    "store-busy",      "store-slow",    "appends-lost", "appends-late",  "minion-restarted",
-    "minion-down",     "minion-cut",    "minion-reset", "starts-late",   "configuration-changed"};
+constexpr std::array<std::string_view, 21> NAMES {
+    "node-killed",  "leader-killed", "node-frozen",          "leader-frozen", "node-stopped", "settings-reread",
+    "node-cut",     "leader-cut",    "node-reset",           "store-silent",  "store-busy",   "store-slow",
+    "appends-lost", "appends-late",  "minion-restarted",     "minion-down",   "minion-cut",   "minion-reset",
+    "starts-late",  "orders-late",   "configuration-changed"};
 
 } // namespace
 
@@ -156,7 +156,7 @@
         m_deployment.storeProxies[of]->cutOpen();
     };
     const std::unique_lock minionLock(*m_minionLocks[minion], std::try_to_lock);
-    const bool aboutMinion = kind >= FaultKind::MinionRestarted && kind <= FaultKind::StartsLate;
+    const bool aboutMinion = kind >= FaultKind::MinionRestarted && kind <= FaultKind::OrdersLate;
     if (aboutMinion && !minionLock.owns_lock()) {
         return;
     }
@@ -246,6 +246,15 @@
         standin.setFaults({});
         break;
     }
+    case FaultKind::OrdersLate: {
+        Standins::PlatformMinionFaults late;
+        late.lateOrders = 1 + random() % 8;
+        late.lateMs = 2'000 + random() % 10'000;
+        standin.setFaults(late);
+        pause(length);
+        standin.setFaults({});
+        break;
+    }
     case FaultKind::ConfigurationChanged:
         m_deployment.configure();
         break;
--- a/tests/soak/chaos.h
+++ b/tests/soak/chaos.h
@@ -36,6 +36,7 @@
     MinionCut,           ///< its connections go silent; its tasks run on
     MinionReset,         ///< its connections are closed
     StartsLate,          ///< some starts are carried out late and get no answer
+    OrdersLate,          ///< the same for orders of any kind, on whichever instance of the minion runs by then
     ConfigurationChanged ///< the next version of the configuration
 };
 
--- a/tests/standins/platformstorestandin.cpp
+++ b/tests/standins/platformstorestandin.cpp
@@ -46,6 +46,23 @@
     return response;
 }
 
+/** @return @p text with each "%" and two hexadecimal digits replaced by the byte that they stand for. */
+std::string percentDecoded(std::string_view text)
+{
+    constexpr std::size_t DIGITS = 2;
+    constexpr int HEX_BASE = 16;
+    std::string out;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%' && i + DIGITS < text.size()) {
+            out += static_cast<char>(std::stoi(std::string(text.substr(i + 1, DIGITS)), nullptr, HEX_BASE));
+            i += DIGITS;
+        } else {
+            out += text[i];
+        }
+    }
+    return out;
+}
+
 } // namespace
 
 void PlatformStoreStandin::setFaults(const StoreFaults &faults)
@@ -272,7 +289,7 @@
 {
     const std::lock_guard lock(m_mutex);
     const TopicLog &log = m_topics[std::string(request.query("topic"))];
-    const std::string after(request.query("dependsOn"));
+    const std::string after = percentDecoded(request.query("dependsOn"));
     Json items = Json::array();
     auto place = after.empty() ? log.newest.begin() : log.newest.upper_bound(after);
     for (; place != log.newest.end() && items.size() < PAGE_ITEMS; ++place) {
