--- a/tests/integration/rebornminions.cpp
+++ b/tests/integration/rebornminions.cpp
@@ -134,7 +134,7 @@
     faults.lateStarts = 2; // the order is sent twice
     faults.lateMs = lateMs;
     late.setFaults(faults);
-    const std::string id = deployment.newId();
+    std::string id = deployment.newId();
     EXPECT_EQ(200, deployment.submit(0, "plan", id, Deployment::step(1), {{"workMs", workMs}}).status);
     return id;
 }
