--- a/tests/integration/rebornminions.cpp
+++ b/tests/integration/rebornminions.cpp
@@ -139,6 +139,32 @@
     return id;
 }
 
+/**
+ * Submits a job whose only start order @p late will carry out 7 s later. The planner stops that run, and the task runs
+ * on
+ * @p other.
+ * @return the job
+ */
+std::string runElsewhereThanLate(Deployment &deployment, Standins::PlatformMinionStandin &late,
+                                 Standins::PlatformMinionStandin &other)
+{
+    std::string id = submitWithLateStart(deployment, late, 7'000, 9'000);
+    EXPECT_TRUE(isLogged(deployment, "reason=start-in-doubt"));
+    late.setFaults({});
+    setRoom(late, false);
+    setRoom(other, true);
+    EXPECT_TRUE(deployment.waitForRunCount(id, 1));
+    return id;
+}
+
+/** Waits until the late start must have been carried out, and checks that it was refused. */
+void expectOneRun(Deployment &deployment, const std::string &id)
+{
+    EXPECT_TRUE(deployment.waitForState("plan", id, "completed", Millis(14'000)));
+    EXPECT_EQ(1U, deployment.runs.of(id).size());
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+}
+
 // Guards against a second run of a task by a late start order: the minion has confirmed that it will not run, but its
 // new instance has forgotten the stop.
 TEST(RebornMinion, RefusesAStartThatWasSentToItsFormerInstance)
@@ -148,17 +174,10 @@
     deployment.start();
     runShortJobs(deployment, 1);
     Standins::PlatformMinionStandin &late = *deployment.minions[0];
-    const std::string id = submitWithLateStart(deployment, late, 7'000, 9'000);
-    ASSERT_TRUE(isLogged(deployment, "reason=start-in-doubt"));
-    late.setFaults({});
-    setRoom(late, false);
-    setRoom(*deployment.minions[1], true);
-    ASSERT_TRUE(deployment.waitForRunCount(id, 1)); // on the other minion
+    const std::string id = runElsewhereThanLate(deployment, late, *deployment.minions[1]);
     late.restart();
     ASSERT_TRUE(Cluster::eventually([&] { return late.highestFence() > 0; }, Millis(2'000)));
-    ASSERT_TRUE(deployment.waitForState("plan", id, "completed", Millis(14'000)));
-    EXPECT_EQ(1U, deployment.runs.of(id).size());
-    EXPECT_TRUE(deployment.runs.doubled().empty());
+    expectOneRun(deployment, id);
 }
 
 // Guards against the same second run if a report shows the restart: the poll that it answers carried the former fence.
@@ -171,17 +190,10 @@
     const std::string polled = deployment.newId();
     ASSERT_EQ(200, deployment.submit(0, "plan", polled, Deployment::step(1), {{"workMs", 9'000}}).status);
     ASSERT_TRUE(deployment.waitForRunCount(polled, 1));
-    const std::string id = submitWithLateStart(deployment, late, 7'000, 9'000);
-    ASSERT_TRUE(isLogged(deployment, "reason=start-in-doubt"));
-    late.setFaults({});
-    setRoom(late, false);
-    setRoom(*deployment.minions[1], true);
-    ASSERT_TRUE(deployment.waitForRunCount(id, 1)); // on the other minion
+    const std::string id = runElsewhereThanLate(deployment, late, *deployment.minions[1]);
     late.restartUnlisted();
     ASSERT_TRUE(isLogged(deployment, "minion-reborn"));
-    ASSERT_TRUE(deployment.waitForState("plan", id, "completed", Millis(14'000)));
-    EXPECT_EQ(1U, deployment.runs.of(id).size());
-    EXPECT_TRUE(deployment.runs.doubled().empty());
+    expectOneRun(deployment, id);
 }
 
 // Guards against the same second run if nothing else makes the planner poll the minion, and its entry comes later.
@@ -192,17 +204,10 @@
     deployment.start();
     runShortJobs(deployment, 1);
     Standins::PlatformMinionStandin &late = *deployment.minions[0];
-    const std::string id = submitWithLateStart(deployment, late, 7'000, 9'000);
-    ASSERT_TRUE(isLogged(deployment, "reason=start-in-doubt"));
-    late.setFaults({});
-    setRoom(late, false);
-    setRoom(*deployment.minions[1], true);
-    ASSERT_TRUE(deployment.waitForRunCount(id, 1)); // on the other minion
-    std::this_thread::sleep_for(Millis(2'000));     // longer than the poll that was in flight when the run was stopped
+    const std::string id = runElsewhereThanLate(deployment, late, *deployment.minions[1]);
+    std::this_thread::sleep_for(Millis(2'000)); // longer than the poll that was in flight when the run was stopped
     late.restartUnlisted();
-    ASSERT_TRUE(deployment.waitForState("plan", id, "completed", Millis(14'000)));
-    EXPECT_EQ(1U, deployment.runs.of(id).size());
-    EXPECT_TRUE(deployment.runs.doubled().empty());
+    expectOneRun(deployment, id);
 }
 
 // Guards against a lease that lasts longer than the planner takes into account: an order to the former instance, whose
