Wait for conditions in the tests of restarted minions, and share their deployment

Three tests slept for a fixed time. They now wait until the stand-in has carried out the late orders, until a poll has been answered that was not in flight before, and until the planner's load line shows that it polls no more. The tests that check that a late start began no run now also wait until it was carried out, which the run time of the job only implied. Checks and bounds are the same.

--- a/tests/integration/rebornminions.cpp
+++ b/tests/integration/rebornminions.cpp
@@ -126,158 +126,177 @@
     minion.list();
 }
 
-/** Submits a job whose start order the minion @p late carries out @p lateMs later, on whichever instance runs then. */
-std::string submitWithLateStart(Deployment &deployment, Standins::PlatformMinionStandin &late, std::int64_t lateMs,
-                                std::int64_t workMs)
-{
-    PlatformMinionFaults faults;
-    faults.lateStarts = 2; // the order is sent twice
-    faults.lateMs = lateMs;
-    late.setFaults(faults);
-    std::string id = deployment.newId();
-    EXPECT_EQ(200, deployment.submit(0, "plan", id, Deployment::step(1), {{"workMs", workMs}}).status);
-    return id;
-}
+/** Two minions, of which only the first has room for tasks until a test changes that. */
+struct TwoMinions {
+    explicit TwoMinions(const DeploymentOptions &options)
+        : deployment(options)
+        , late(*deployment.minions[0])
+        , other(*deployment.minions[1])
+    {
+        setRoom(other, false);
+        deployment.start();
+    }
 
-/**
- * Submits a job whose only start order @p late will carry out 7 s later. The planner stops that run, and the task runs
- * on
- * @p other.
- * @return the job
- */
-std::string runElsewhereThanLate(Deployment &deployment, Standins::PlatformMinionStandin &late,
-                                 Standins::PlatformMinionStandin &other)
-{
-    std::string id = submitWithLateStart(deployment, late, 7'000, 9'000);
-    EXPECT_TRUE(isLogged(deployment, "reason=start-in-doubt"));
-    late.setFaults({});
-    setRoom(late, false);
-    setRoom(other, true);
-    EXPECT_TRUE(deployment.waitForRunCount(id, 1));
-    return id;
-}
+    /**
+     * Submits a job whose start order the first minion carries out @p lateMs later, on whichever of its instances runs
+     * then.
+     * @return the job
+     */
+    std::string submitWithLateStart(std::int64_t lateMs, std::int64_t workMs)
+    {
+        PlatformMinionFaults faults;
+        faults.lateStarts = LATE_ORDERS;
+        faults.lateMs = lateMs;
+        late.setFaults(faults);
+        std::string id = deployment.newId();
+        EXPECT_EQ(200, deployment.submit(0, "plan", id, Deployment::step(1), {{"workMs", workMs}}).status);
+        return id;
+    }
+
+    /**
+     * Submits a job whose start order the first minion carries out 7 s later. The planner stops that run, and the task
+     * runs on the other minion.
+     * @return the job
+     */
+    std::string runElsewhere()
+    {
+        std::string id = submitWithLateStart(7'000, 9'000);
+        EXPECT_TRUE(isLogged(deployment, "reason=start-in-doubt"));
+        late.setFaults({});
+        setRoom(late, false);
+        setRoom(other, true);
+        EXPECT_TRUE(deployment.waitForRunCount(id, 1));
+        return id;
+    }
+
+    bool waitForLateOrders() const
+    {
+        return Cluster::eventually([&] { return late.lateOrdersCarriedOut() == LATE_ORDERS; }, Millis(12'000));
+    }
+
+    /** Waits until the late orders have been carried out, and checks that they began no run. */
+    void expectOneRun(const std::string &id)
+    {
+        EXPECT_TRUE(waitForLateOrders());
+        EXPECT_TRUE(deployment.waitForState("plan", id, "completed", Millis(14'000)));
+        EXPECT_EQ(1U, deployment.runs.of(id).size());
+        EXPECT_TRUE(deployment.runs.doubled().empty());
+    }
+
+    /** Cuts the first minion off, and checks that its task @p id runs elsewhere only once its lease has expired. */
+    void expectNoOverlapOnceCutOff(const std::string &id, Millis limit)
+    {
+        deployment.minionProxies[0]->setSilent(true);
+        setRoom(other, true);
+        ASSERT_TRUE(Cluster::eventually([&] { return deployment.runs.of(id).size() == 2; }, limit));
+        EXPECT_TRUE(deployment.runs.doubled().empty());
+    }
 
-/** Waits until the late start must have been carried out, and checks that it was refused. */
-void expectOneRun(Deployment &deployment, const std::string &id)
+    static constexpr std::size_t LATE_ORDERS = 2; // a start order without an answer is sent twice
+
+    Deployment deployment;
+    Standins::PlatformMinionStandin &late;
+    Standins::PlatformMinionStandin &other;
+};
+
+DeploymentOptions withMinionProxies(std::size_t nodes, std::size_t minions)
 {
-    EXPECT_TRUE(deployment.waitForState("plan", id, "completed", Millis(14'000)));
-    EXPECT_EQ(1U, deployment.runs.of(id).size());
-    EXPECT_TRUE(deployment.runs.doubled().empty());
+    DeploymentOptions options {nodes, minions};
+    options.minionProxies = true;
+    return options;
 }
 
 // Guards against a second run of a task by a late start order: the minion has confirmed that it will not run, but its
 // new instance has forgotten the stop.
 TEST(RebornMinion, RefusesAStartThatWasSentToItsFormerInstance)
 {
-    Deployment deployment({1, 2});
-    setRoom(*deployment.minions[1], false);
-    deployment.start();
-    runShortJobs(deployment, 1);
-    Standins::PlatformMinionStandin &late = *deployment.minions[0];
-    const std::string id = runElsewhereThanLate(deployment, late, *deployment.minions[1]);
-    late.restart();
-    ASSERT_TRUE(Cluster::eventually([&] { return late.highestFence() > 0; }, Millis(2'000)));
-    expectOneRun(deployment, id);
+    TwoMinions minions({1, 2});
+    runShortJobs(minions.deployment, 1);
+    const std::string id = minions.runElsewhere();
+    minions.late.restart();
+    ASSERT_TRUE(Cluster::eventually([&] { return minions.late.highestFence() > 0; }, Millis(2'000)));
+    minions.expectOneRun(id);
 }
 
 // Guards against the same second run if a report shows the restart: the poll that it answers carried the former fence.
 TEST(RebornMinion, RefusesAStartThatWasSentToItsFormerInstanceIfAReportShowsTheRestart)
 {
-    Deployment deployment({1, 2});
-    setRoom(*deployment.minions[1], false);
-    deployment.start();
-    Standins::PlatformMinionStandin &late = *deployment.minions[0];
-    const std::string polled = deployment.newId();
-    ASSERT_EQ(200, deployment.submit(0, "plan", polled, Deployment::step(1), {{"workMs", 9'000}}).status);
-    ASSERT_TRUE(deployment.waitForRunCount(polled, 1));
-    const std::string id = runElsewhereThanLate(deployment, late, *deployment.minions[1]);
-    late.restartUnlisted();
-    ASSERT_TRUE(isLogged(deployment, "minion-reborn"));
-    expectOneRun(deployment, id);
+    TwoMinions minions({1, 2});
+    const std::string polled = minions.deployment.newId();
+    ASSERT_EQ(200, minions.deployment.submit(0, "plan", polled, Deployment::step(1), {{"workMs", 9'000}}).status);
+    ASSERT_TRUE(minions.deployment.waitForRunCount(polled, 1));
+    const std::string id = minions.runElsewhere();
+    minions.late.restartUnlisted();
+    ASSERT_TRUE(isLogged(minions.deployment, "minion-reborn"));
+    minions.expectOneRun(id);
 }
 
 // Guards against the same second run if nothing else makes the planner poll the minion, and its entry comes later.
 TEST(RebornMinion, RefusesAStartThatWasSentToItsFormerInstanceIfItIsIdle)
 {
-    Deployment deployment({1, 2});
-    setRoom(*deployment.minions[1], false);
-    deployment.start();
-    runShortJobs(deployment, 1);
-    Standins::PlatformMinionStandin &late = *deployment.minions[0];
-    const std::string id = runElsewhereThanLate(deployment, late, *deployment.minions[1]);
-    std::this_thread::sleep_for(Millis(2'000)); // longer than the poll that was in flight when the run was stopped
-    late.restartUnlisted();
-    expectOneRun(deployment, id);
+    TwoMinions minions({1, 2});
+    runShortJobs(minions.deployment, 1);
+    const std::string id = minions.runElsewhere();
+    // The poll that was in flight when the run was stopped must not be the one that shows the restart.
+    const std::size_t polls = minions.late.pollsAnswered();
+    ASSERT_TRUE(Cluster::eventually([&] { return minions.late.pollsAnswered() > polls; }));
+    minions.late.restartUnlisted();
+    minions.expectOneRun(id);
 }
 
 // Guards against a lease that lasts longer than the planner takes into account: an order to the former instance, whose
 // end of the lease is a time on the former clock, must not extend the lease of the new one.
 TEST(RebornMinion, TakesNoLeaseFromAnOrderToItsFormerInstance)
 {
-    DeploymentOptions options {1, 2};
-    options.minionProxies = true;
-    Deployment deployment(options);
-    setRoom(*deployment.minions[1], false);
-    deployment.start();
+    TwoMinions minions(withMinionProxies(1, 2));
+    Deployment &deployment = minions.deployment;
     runShortJobs(deployment, 1);
-    Standins::PlatformMinionStandin &late = *deployment.minions[0];
-    const std::string first = submitWithLateStart(deployment, late, 4'000, 9'000);
+    const std::string first = minions.submitWithLateStart(4'000, 9'000);
     ASSERT_TRUE(isLogged(deployment, "reason=start-in-doubt"));
-    late.setFaults({});
-    late.restart();
+    minions.late.setFaults({});
+    minions.late.restart();
     ASSERT_TRUE(isLogged(deployment, "minion-reborn"));
     ASSERT_EQ(200, deployment.call(0, "DELETE", "plan", first).status);
     const std::string second = deployment.newId();
     ASSERT_EQ(200, deployment.submit(0, "plan", second, Deployment::step(1), {{"workMs", 30'000}}).status);
     ASSERT_TRUE(deployment.waitForRunCount(second, 1));
-    std::this_thread::sleep_for(Millis(3'500)); // until both late orders have been carried out
-    deployment.minionProxies[0]->setSilent(true);
-    setRoom(*deployment.minions[1], true);
-    ASSERT_TRUE(Cluster::eventually([&] { return deployment.runs.of(second).size() == 2; }, Millis(16'000)));
-    EXPECT_TRUE(deployment.runs.doubled().empty());
+    ASSERT_TRUE(minions.waitForLateOrders());
+    minions.expectNoOverlapOnceCutOff(second, Millis(16'000));
 }
 
 // Guards against the same longer lease if the order reaches the new instance before a successor of its sender does.
 TEST(RebornMinion, MayHaveALongLeaseWhenASuccessorReachesIt)
 {
-    DeploymentOptions options {2, 2};
-    options.minionProxies = true;
-    Deployment deployment(options);
-    setRoom(*deployment.minions[1], false);
-    deployment.start();
+    TwoMinions minions(withMinionProxies(2, 2));
+    Deployment &deployment = minions.deployment;
     runShortJobs(deployment, 1);
     const std::size_t former = deployment.leader().value_or(0);
     const std::size_t successor = 1 - former;
-    Standins::PlatformMinionStandin &late = *deployment.minions[0];
-    const std::string id = submitWithLateStart(deployment, late, 600, 30'000);
+    const std::string id = minions.submitWithLateStart(600, 30'000);
     ASSERT_TRUE(isLogged(deployment, "unit-ordered unit=" + id, Millis(8'000), former));
     deployment.nodes[former]->kill();
-    late.restart();
+    minions.late.restart();
     ASSERT_TRUE(isLogged(deployment, "planner-begun", Millis(8'000), successor));
     ASSERT_TRUE(deployment.waitForRunCount(id, 1));
-    ASSERT_TRUE(Cluster::eventually([&] { return late.highestFence() > 0; }));
-    deployment.minionProxies[0]->setSilent(true);
-    setRoom(*deployment.minions[1], true);
-    ASSERT_TRUE(Cluster::eventually([&] { return deployment.runs.of(id).size() == 2; }, Millis(20'000)));
-    EXPECT_TRUE(deployment.runs.doubled().empty());
+    ASSERT_TRUE(Cluster::eventually([&] { return minions.late.highestFence() > 0; }));
+    minions.expectNoOverlapOnceCutOff(id, Millis(20'000));
 }
 
 // Guards against a minion that gets no work any more because it was silent when its last poll loop ended: only an
 // answer to a poll shows that it can be reached again.
 TEST(CutOffMinion, GetsWorkAgainOnceItsEntryIsBack)
 {
-    DeploymentOptions options {1, 1};
-    options.minionProxies = true;
-    Deployment deployment(options);
+    Deployment deployment(withMinionProxies(1, 1));
     deployment.start();
     const std::string id = deployment.newId();
     ASSERT_EQ(200, deployment.submit(0, "plan", id, Deployment::step(1), {{"workMs", 1'500}}).status);
     ASSERT_TRUE(deployment.waitForRunCount(id, 1));
     deployment.minionProxies[0]->setSilent(true);
     deployment.store.put("keyed.servers", deployment.minions[0]->id(), "");
-    const auto lapsed = [&] { return deployment.log(0).find("lease-lapsed unit=" + id) != std::string::npos; };
-    ASSERT_TRUE(Cluster::eventually(lapsed, Millis(12'000)));
-    std::this_thread::sleep_for(Millis(2'000)); // longer than a poll, so that the loop has ended
+    ASSERT_TRUE(isLogged(deployment, "lease-lapsed unit=" + id, Millis(12'000)));
+    const std::size_t lapsedAt = deployment.log(0).find("lease-lapsed unit=" + id);
+    const auto pollsNoMore = [&] { return deployment.log(0).find(" polls=0 ", lapsedAt) != std::string::npos; };
+    ASSERT_TRUE(Cluster::eventually(pollsNoMore)); // in a second
     deployment.minionProxies[0]->setSilent(false);
     deployment.minionProxies[0]->cutOpen();
     deployment.minions[0]->list();
--- a/tests/standins/platformminionstandin.cpp
+++ b/tests/standins/platformminionstandin.cpp
@@ -226,6 +226,18 @@
     return m_fence;
 }
 
+std::size_t PlatformMinionStandin::lateOrdersCarriedOut() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_lateOrdersCarriedOut;
+}
+
+std::size_t PlatformMinionStandin::pollsAnswered() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_pollsAnswered;
+}
+
 std::size_t PlatformMinionStandin::unacknowledgedEnds() const
 {
     const std::lock_guard lock(m_mutex);
@@ -399,6 +411,8 @@
         body["waitMs"] = 0;
         co_await hold(std::move(body));
     }
+    const std::lock_guard lock(m_mutex);
+    ++m_lateOrdersCarriedOut;
 }
 
 HttpResponse PlatformMinionStandin::startRun(const Json &body)
@@ -528,6 +542,7 @@
             }
             std::erase_if(m_ends, [seen](const End &end) { return end.number <= seen; });
             if (!m_ends.empty() || Clock::now() >= deadline) {
+                ++m_pollsAnswered;
                 co_return jsonAnswer(200, report());
             }
         }
--- a/tests/standins/platformminionstandin.h
+++ b/tests/standins/platformminionstandin.h
@@ -115,6 +115,10 @@
     }
     /** @return the highest fencing token seen since the last restart. */
     [[nodiscard]] std::uint64_t highestFence() const;
+    /** @return the number of late orders that have been carried out or refused. */
+    [[nodiscard]] std::size_t lateOrdersCarriedOut() const;
+    /** @return the number of polls that were answered with a report. */
+    [[nodiscard]] std::size_t pollsAnswered() const;
     /** @return the number of reported ends that have not been acknowledged. */
     [[nodiscard]] std::size_t unacknowledgedEnds() const;
     /** Publishes the minion's entry in the store. */
@@ -177,6 +181,8 @@
     class PlatformStoreStandin *m_store = nullptr;
     const class PlatformOracleStandin *m_oracle = nullptr;
     std::size_t m_ticketsRefused = 0;
+    std::size_t m_lateOrdersCarriedOut = 0;
+    std::size_t m_pollsAnswered = 0;
     bool m_poweredOff = false;
     mutable std::mutex m_mutex;
     PlatformMinionFaults m_faults;
