--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -196,8 +196,7 @@
     void doubtInstance(MinionLink &link, Member &member);
     /** @return the time after which no lease that is granted now can last, on any clock of a minion. */
     [[nodiscard]] std::int64_t leaseBoundMs() const;
-    /** @return true if the instance that sent @p report began so recently that orders to a former one may still come.
-     */
+    /** @return true if the instance of @p report is so young that orders to a former one may still reach it. */
     [[nodiscard]] bool mayGetFormerOrders(const MinionReport &report) const;
     /**
      * Counts a failed or stuck run against its minion, which gets no new work for a while after several in a row.
