Count only placed tasks against the limit of a step on one minion

Cause: a step may limit how many of its tasks run on one minion. The scheduler counted the minions that the status of each unit names, and the status of a finished unit still names those of its last run. Once every minion had run as many tasks as the limit allows, no further task of the step was ever placed. A step is affected if it has more tasks than the limit times the minions that it may use. explain said that the unit would be placed by the next pass, and no log line told of it.

Evidence: StepJobs.WithMoreTasksThanMinionsMayRunAtOnceCompleteThemAll (seven tasks, at most one on each of three minions) and StepScheduler.CountsNoFinishedTaskAgainstTheLimitOfAMinion were both red before: the job was still running after 8 s, and the pass started nothing. No test had a step that is wider than its minions.

Fix: only units that are placed count. A unit stays placed until the end of its last member is known, so the limit holds as before, which the property test of the scheduler checks. Both tests are green.

--- a/packages/steps/stepscheduler.cpp
+++ b/packages/steps/stepscheduler.cpp
@@ -205,6 +205,7 @@
                || (candidate.timeliness == Timeliness::InTime && candidate.entry->job.priority == 0);
     }
 
+    /** @return how many tasks of the step each minion holds, if their number is limited. */
     std::map<std::size_t, std::uint32_t> placedPerMinion(const Candidate &candidate, const StepProgress &progress)
     {
         std::map<std::size_t, std::uint32_t> placed;
@@ -212,6 +213,9 @@
             return placed;
         }
         for (const UnitStatus &unit : progress.units) {
+            if (unit.state != UnitState::Placed) {
+                continue; // the status of a finished unit still names its minions
+            }
             for (const MinionId &minion : unit.minions) {
                 if (const std::size_t m = m_fleet.indexOf(minion); m != SIZE_MAX) {
                     ++placed[m];
--- a/tests/integration/stepjobs.cpp
+++ b/tests/integration/stepjobs.cpp
@@ -41,6 +41,16 @@
     }));
 }
 
+TEST(StepJobs, WithMoreTasksThanMinionsMayRunAtOnceCompleteThemAll)
+{
+    Deployment deployment({2, 3});
+    deployment.start();
+    const std::string id = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", id, {Deployment::step(7, {}, {{"antiAffinity", 1}})}).status);
+    EXPECT_TRUE(deployment.waitForState("plan", id, "completed"));
+    EXPECT_EQ(7U, deployment.runs.of(id).size());
+}
+
 TEST(StepJobs, WithAScheduleStartEachOccurrenceInTimeAndNeverEarly)
 {
     Deployment deployment;
--- a/tests/unit/stepscheduling.cpp
+++ b/tests/unit/stepscheduling.cpp
@@ -159,6 +159,23 @@
     EXPECT_EQ((std::vector<std::size_t> {0, 1}), scenario.plan().starts.at(0).minions);
 }
 
+TEST(StepScheduler, CountsNoFinishedTaskAgainstTheLimitOfAMinion)
+{
+    Scenario scenario(1, 2);
+    StepSpec apart = Scenario::step(3, 1);
+    apart.maxPerMinion = 1;
+    const JobId id = scenario.submit("plan", apart);
+    for (int i = 0; i < 2; ++i) {
+        UnitStatus done;
+        done.state = UnitState::Done;
+        done.run = 1;
+        done.minions = {scenario.minions[static_cast<std::size_t>(i)].id};
+        scenario.jobTable.apply(UnitChanged {{id, 0, 0, i}, done});
+    }
+    ASSERT_EQ(1U, scenario.plan().starts.size());
+    EXPECT_EQ((UnitKey {id, 0, 0, 2}), scenario.plan().starts.at(0).unit);
+}
+
 TEST(StepScheduler, SpreadsASameRackGangOverRacksIfNoRackCanHoldIt)
 {
     Scenario scenario(2, 2);
