Count placed tasks of a step once against the guarantee of its team

An urgent step of single tasks lost its guarantee once some of its tasks were placed: its whole width was added to the GPUs that its placed tasks already held. The rest of the step then preempted only cheap work, or none, although the team was within its guarantee. Gangs are placed whole and were not affected.

Evidence: StepScheduler.CountsPlacedTasksOfAStepOnlyOnceAgainstTheTeamsGuarantee was red before (no preemption for the last of eight tasks of a team with eight guaranteed GPUs).

Fix: only the waiting units of a step are added to what the team's active units hold.

--- a/packages/steps/stepscheduler.cpp
+++ b/packages/steps/stepscheduler.cpp
@@ -91,18 +91,20 @@
             }
             Candidate candidate {&entry, occurrence, s};
             candidate.timeliness = timelinessOf(entry, occurrence, m_input.times, {m_input.nowMs, m_input.steadyMs});
-            candidate.guaranteed = entry.job.priority == 0 && withinGuarantee(entry, candidate.spec());
+            candidate.guaranteed = entry.job.priority == 0 && withinGuarantee(entry, candidate.spec(), step);
             all.push_back(candidate);
         }
     }
 
     /**
-     * Counts the demand of @p step against the guarantee of its team. Steps are counted in order of submission, so that
-     * the set of guaranteed steps is stable from pass to pass.
+     * Counts the waiting units of a step against the guarantee of its team, beside the active units of all steps. Steps
+     * are counted in order of submission, so that the set of guaranteed steps is stable from pass to pass.
      */
-    bool withinGuarantee(const JobEntry &entry, const StepSpec &step)
+    bool withinGuarantee(const JobEntry &entry, const StepSpec &step, const StepProgress &progress)
     {
-        const std::int64_t gpus = step.need.gpus * step.count;
+        const auto waiting = std::count_if(progress.units.begin(), progress.units.end(),
+                                           [](const UnitStatus &unit) { return unit.state == UnitState::Waiting; });
+        const std::int64_t gpus = step.need.gpus * (step.gang ? step.count : waiting);
         std::int64_t &demand = m_guaranteedDemand[entry.job.team];
         const std::int64_t limit = m_input.config.guaranteedGpus(entry.job.team);
         if (m_urgentGpus[entry.job.team] + demand + gpus > limit) {
--- a/tests/unit/stepscheduling.cpp
+++ b/tests/unit/stepscheduling.cpp
@@ -242,6 +242,20 @@
     EXPECT_EQ(1U, scenario.plan().stops.size());
 }
 
+TEST(StepScheduler, CountsPlacedTasksOfAStepOnlyOnceAgainstTheTeamsGuarantee)
+{
+    Scenario scenario(1, 1);
+    const JobId urgent = scenario.submit("urgent", Scenario::step(8, 1)); // as many GPUs as team a is guaranteed
+    for (int i = 0; i < 7; ++i) {
+        scenario.run({urgent, 0, 0, i}, {0}, 100);
+    }
+    const JobId batch = scenario.submit("batch", Scenario::step(1, 1));
+    scenario.run({batch, 0, 0, 0}, {0}, 60'000);
+    const PlanDecisions decisions = scenario.plan();
+    ASSERT_EQ(1U, decisions.stops.size());
+    EXPECT_EQ(batch, decisions.stops[0].unit.job);
+}
+
 TEST(StepScheduler, PreemptsABorrowerForUrgentWorkOfAGuaranteedTeam)
 {
     Scenario scenario(1, 1);
