Log and count why jobs stand still

What operators saw: a job had nothing running for seconds, and no line of the planner's log told why, or on what its view rested. `explain` answers only while the job waits.

Now the planner keeps since when each live job has had nothing running although a unit of it is ready (a unit of a long-running step by itself), in steps/idlejobs.h. A gauge counts the jobs by reason.

explainWait() named none of the waits that the scheduler chooses but headroom: a rack-bound unit waited as "next-pass", a unit beyond maxPerMinion too, and a minion on probation or reserved for its upkeep was just not there. It now names rack-wait, spread-limit, probation and upkeep, and counts minions with room that are not usable, by obstacle. The choice of racks moved to steps/rackchoice.h for that, and the back-off after failed runs has a field of its own: a refused start no longer cuts a probation short.

--- a/packages/dispatch/minionlink.h
+++ b/packages/dispatch/minionlink.h
@@ -49,7 +49,8 @@
     Resources stopping;                 ///< the part of used that members being stopped take
     std::uint32_t pollFailures = 0;     ///< consecutive failed polls
     std::uint32_t runFailures = 0;      ///< failed or stuck runs since the last successful one
-    std::int64_t backOffUntilMs = 0;    ///< gets no new work until then
+    std::int64_t backOffUntilMs = 0;    ///< gets no new work until then, as it has refused some
+    std::int64_t probationUntilMs = 0;  ///< gets no new work until then, as runs have failed or got stuck
     std::int64_t leavesAtMs = 0;        ///< earliest departure, while draining
     FillPace fillPace;                  ///< throttling of best-effort tasks
     bool shared = false;                ///< runs best-effort tasks beside services
--- a/packages/dispatch/stepmetrics.cpp
+++ b/packages/dispatch/stepmetrics.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/stepmetrics.h"
 
 #include <sstream>
+#include <utility>
 
 namespace Papaya
 {
@@ -30,6 +31,7 @@
 
 constexpr std::array<const char *, static_cast<std::size_t>(JobStage::Count)> STAGES {"stored", "started", "shown"};
 constexpr std::string_view PREFIX = "papayahall_";
+constexpr const char *WAITING = "papayahall_jobs_waiting";
 constexpr const char *START_AGE = "papayahall_start_view_age_seconds";
 
 } // namespace
@@ -55,6 +57,11 @@
     m_startAge.record(double(milliseconds) / 1000);
 }
 
+void StepMetrics::setWaiting(std::map<std::string_view, std::size_t> byReason)
+{
+    m_waiting = std::move(byReason);
+}
+
 std::uint64_t StepMetrics::value(StepEvent event, std::string_view reason) const
 {
     const auto &counts = m_counts[static_cast<std::size_t>(event)];
@@ -75,6 +82,10 @@
     for (const auto &[name, value] : gauges) {
         out << PREFIX << name << " " << value << "\n";
     }
+    out << "# TYPE " << WAITING << " gauge\n";
+    for (const auto &[reason, count] : m_waiting) {
+        out << WAITING << "{reason=\"" << reason << "\"} " << count << "\n";
+    }
     out << "# TYPE " << PREFIX << "job_seconds histogram\n";
     std::string name(PREFIX);
     name += "job_seconds";
--- a/packages/dispatch/stepmetrics.h
+++ b/packages/dispatch/stepmetrics.h
@@ -45,6 +45,8 @@
     void record(JobStage stage, std::int64_t milliseconds);
     /** Records how old the planner's view was when a start was sent to a minion. */
     void recordStartAge(std::int64_t milliseconds);
+    /** Sets how many jobs, and tasks of long-running steps, stand still at present, by the reason. */
+    void setWaiting(std::map<std::string_view, std::size_t> byReason);
     [[nodiscard]] std::uint64_t value(StepEvent event, std::string_view reason) const;
 
     /** @return all metrics and the @p gauges, by name, in the Prometheus text format. */
@@ -54,6 +56,7 @@
     std::array<std::map<std::string, std::uint64_t, std::less<>>, static_cast<std::size_t>(StepEvent::Count)> m_counts;
     std::array<LatencyHistogram, static_cast<std::size_t>(JobStage::Count)> m_stages;
     LatencyHistogram m_startAge;
+    std::map<std::string_view, std::size_t> m_waiting; ///< by reason, whose text is static
 };
 
 } // namespace Papaya
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -213,6 +213,7 @@
         ensurePolling(link);
     }
     sendQueuedStarts();
+    noteWaits(now);
     recordSilences(now);
     journalConfig(now);
     if (now - m_lastForgetMs >= FORGET_INTERVAL_MS) {
@@ -233,6 +234,7 @@
     logEvent(LogLevel::Info, "planner-resigns", {{"epoch", m_epoch.value()}});
     flush();
     m_leading = false;
+    m_context.metrics.setWaiting({});
     const auto self = shared_from_this();
     m_writer->append(
         {encodeRecord(PlannerAnnouncement {m_epoch, m_context.node, true, m_context.milliCores, m_context.peers})},
@@ -242,6 +244,7 @@
 void StepPlanner::stop()
 {
     m_leading = false;
+    m_context.metrics.setWaiting({});
     m_writer->stop();
 }
 
@@ -273,9 +276,36 @@
 
 bool StepPlanner::isUsable(const MinionLink &link, std::int64_t nowMs) const
 {
-    return link.listed && !link.entryOutdated && !link.silenceRecorded && !link.entry.draining && link.fenceRaised
-           && link.clock.known() && link.pollFailures == 0 && nowMs >= link.backOffUntilMs
-           && !m_reserved.contains(link.entry.id);
+    return obstacleOn(link, nowMs).empty();
+}
+
+std::string_view StepPlanner::obstacleOn(const MinionLink &link, std::int64_t nowMs) const
+{
+    if (!link.listed) {
+        return "unlisted";
+    }
+    if (link.entry.draining) {
+        return "draining";
+    }
+    if (link.silenceRecorded) {
+        return "silence-recorded";
+    }
+    if (link.pollFailures > 0) {
+        return "silent";
+    }
+    if (link.entryOutdated) {
+        return "restarted";
+    }
+    if (!link.fenceRaised || !link.clock.known()) {
+        return "not-polled";
+    }
+    if (m_reserved.contains(link.entry.id)) {
+        return RESERVED_FOR_UPKEEP;
+    }
+    if (nowMs < link.backOffUntilMs) {
+        return "back-off";
+    }
+    return nowMs < link.probationUntilMs ? ON_PROBATION : std::string_view();
 }
 
 bool StepPlanner::viewIsCurrent(Millis reserve) const
@@ -308,7 +338,8 @@
         view.free = link.entry.capacity;
         view.free -= link.used;
         view.releasing = link.stopping;
-        view.usable = isUsable(link, now);
+        view.obstacle = obstacleOn(link, now);
+        view.usable = view.obstacle.empty();
         view.penalty = link.runFailures;
         places[id] = ids.size();
         ids.push_back(id);
@@ -369,6 +400,7 @@
     const PlanDecisions decisions = planSteps(planInput(ids));
     const TimePoint decided = Clock::now();
     m_load.passEnded(decided - begun);
+    m_lastPassMs = bootMillis();
     m_load.counts.preemptions += decisions.stops.size();
     m_load.counts.starts += decisions.starts.size();
     m_nextPass = decided + std::min<Duration>(PASS_BACKOFF_FACTOR * (decided - begun), MAX_PASS_BACKOFF);
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -9,6 +9,7 @@
 #include "dispatch/plannerload.h"
 #include "dispatch/stepmetrics.h"
 #include "dispatch/upkeepcontroller.h"
+#include "steps/idlejobs.h"
 #include "steps/stepscheduler.h"
 #include "steps/waitreason.h"
 
@@ -122,6 +123,8 @@
     void stopAssignment(const AssignmentPtr &assignment, const char *reason);
     /** @return true if the minion may get new work. */
     [[nodiscard]] bool isUsable(const MinionLink &link, std::int64_t nowMs) const;
+    /** @return why the minion may not get new work; empty if it may. */
+    [[nodiscard]] std::string_view obstacleOn(const MinionLink &link, std::int64_t nowMs) const;
     /** @return true if the view of minions and jobs is recent enough to start work, with @p reserve to spare. */
     [[nodiscard]] bool viewIsCurrent(Millis reserve) const;
 
@@ -222,6 +225,15 @@
     /** Stops runs that make no progress, so that they restart on another minion. */
     void moveStuckRuns();
 
+    // Waits
+    /** Takes note of work that stands still; logs why and counts it. */
+    void noteWaits(std::int64_t nowMs);
+    void logWait(const IdleWork &work, const WaitExplanation &why, std::int64_t nowMs);
+    /** @return what the placed units do. */
+    [[nodiscard]] std::map<UnitKey, RunPhase> runPhases(std::int64_t nowMs) const;
+    /** @return why @p unit, which is placed, does not run. */
+    [[nodiscard]] std::string explainPlaced(const UnitKey &unit, std::int64_t nowMs) const;
+
     // Journal
     void record(const UnitKey &unit, UnitStatus status);
     /** Journals the configuration in force if its version has not been journaled yet. */
@@ -282,6 +294,12 @@
     std::map<std::string, std::int64_t> m_unknownRunStopMs; ///< last stop order of each unknown run, by task
     TicketBook m_tickets;
     Headroom m_headroom;
+    IdleJobs m_idleJobs;
+    std::int64_t m_lastPassMs = 0;
+    std::int64_t m_waitLinesFromMs = 0;  ///< since when the lines below are counted
+    std::size_t m_waitLines = 0;         ///< lines logged on waits
+    std::size_t m_capacityWaitLines = 0; ///< of these, lines on waits for capacity
+    std::uint64_t m_waitsUnlogged = 0;   ///< waits that were due for a line since the last one and got none
     bool m_oracleQueryInFlight = false;
     std::int64_t m_nextOracleQueryMs = 0;
     std::set<MinionId> m_reserved;  ///< get no new work until their upkeep
--- a/packages/steps/minionclock.h
+++ b/packages/steps/minionclock.h
@@ -60,6 +60,14 @@
         return until;
     }
 
+    /** @return how long granted leases may last at most from @p localMs on, in ms; 0 if the clock is not known. */
+    [[nodiscard]] std::int64_t remainingMs(std::int64_t localMs) const
+    {
+        const double slowestMs = double(m_minionMs) + double(localMs - m_localMs) * (1 - MAX_SLOWNESS);
+        const double leftMs = (double(m_grantedMs + MARGIN_MS) - slowestMs) / (1 - MAX_SLOWNESS);
+        return m_known ? std::max<std::int64_t>(0, static_cast<std::int64_t>(leftMs)) : 0;
+    }
+
     /** @return true if all granted leases have expired even if the minion's clock is slow. */
     [[nodiscard]] bool lapsed(std::int64_t localMs) const
     {
--- a/packages/steps/minionfleet.cpp
+++ b/packages/steps/minionfleet.cpp
@@ -12,13 +12,18 @@
 
 } // namespace
 
-bool isEligible(const MinionView &minion, const ServiceName &service, const StepSpec &step)
+bool matches(const MinionView &minion, const ServiceName &service, const StepSpec &step)
 {
-    return minion.usable && minion.service == service
+    return minion.service == service
            && (step.requiredLabel.empty()
                || std::find(minion.labels.begin(), minion.labels.end(), step.requiredLabel) != minion.labels.end());
 }
 
+bool isEligible(const MinionView &minion, const ServiceName &service, const StepSpec &step)
+{
+    return minion.usable && matches(minion, service, step);
+}
+
 std::uint32_t membersThatFit(Resources available, const Resources &need, std::uint32_t limit)
 {
     const std::uint32_t maxMembers = limit == 0 ? MAX_MEMBERS_PER_MINION : std::min(limit, MAX_MEMBERS_PER_MINION);
--- a/packages/steps/minionfleet.h
+++ b/packages/steps/minionfleet.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 // The minions of one scheduling pass, indexed by service, label and rack, so that placing a step on a large fleet
@@ -13,6 +14,11 @@
 namespace Papaya
 {
 
+/** MinionView::obstacle of a minion that gets no work for a while because runs on it have failed or got stuck. */
+constexpr std::string_view ON_PROBATION = "probation";
+/** MinionView::obstacle of a minion that takes no new work before its upkeep. */
+constexpr std::string_view RESERVED_FOR_UPKEEP = "upkeep";
+
 /** Snapshot of a minion for one pass. */
 struct MinionView {
     MinionId id;
@@ -23,9 +29,13 @@
     Resources free;            ///< unallocated; may be negative after a change of capacity
     Resources releasing;       ///< allocated to units that are being stopped
     bool usable = true;        ///< accepts new work
+    std::string_view obstacle; ///< why it is not usable, if so
     std::uint32_t penalty = 0; ///< minions with a lower penalty are preferred
 };
 
+/** @return true if @p minion belongs to @p service and has the label that @p step requires, usable or not. */
+bool matches(const MinionView &minion, const ServiceName &service, const StepSpec &step);
+
 /** @return true if @p minion is usable, belongs to @p service and has the label that @p step requires. */
 bool isEligible(const MinionView &minion, const ServiceName &service, const StepSpec &step);
 
--- a/packages/steps/stepscheduler.cpp
+++ b/packages/steps/stepscheduler.cpp
@@ -1,5 +1,7 @@
 #include "steps/stepscheduler.h"
 
+#include "steps/rackchoice.h"
+
 #include <algorithm>
 #include <deque>
 #include <limits>
@@ -147,7 +149,7 @@
         request.members = step.gang ? step.count : 1;
         request.maxPerMinion = step.maxPerMinion;
         request.placed = &placed;
-        const std::vector<std::size_t> feasible = feasibleRacks(candidate, request);
+        const std::vector<std::size_t> feasible = feasibleRacks(m_fleet, *request.group, step, request.need);
         for (std::size_t i = 0; i < progress.units.size(); ++i) {
             const UnitKey unit = candidate.unit(i);
             if (progress.units[i].state != UnitState::Waiting || m_input.heldBack.contains(unit)) {
@@ -171,7 +173,7 @@
         if (!leavesHeadroom(gpus, m_fleet.free().gpus, headroom)) {
             return false;
         }
-        const std::vector<std::size_t> racks = racksToTry(candidate, feasible);
+        const std::vector<std::size_t> racks = racksToTry(m_fleet, candidate.spec(), feasible);
         for (const std::size_t rack : racks) {
             std::vector<std::size_t> chosen = m_search.find(request, rack);
             if (!chosen.empty()) {
@@ -280,49 +282,6 @@
         }
     }
 
-    /**
-     * @return the racks whose total capacity suffices for a unit of a rack-bound step; empty for any other step. A step
-     * is rack-bound by its data, or if it is a gang whose members should share a rack.
-     */
-    std::vector<std::size_t> feasibleRacks(const Candidate &candidate, const PlacementRequest &request)
-    {
-        const StepSpec &step = candidate.spec();
-        const bool byData = !step.dataRack.value().empty();
-        std::vector<std::size_t> racks;
-        if (!byData && !(step.gang && step.sameRack)) {
-            return racks;
-        }
-        for (const auto &[rack, minions] : request.group->byRack) {
-            if (byData && rack != m_fleet.rackNumber(step.dataRack)) {
-                continue;
-            }
-            std::size_t members = 0;
-            for (const std::size_t m : minions) {
-                members += membersThatFit(m_fleet[m].capacity, request.need, 0);
-            }
-            if (members >= request.members) {
-                racks.push_back(rack);
-            }
-        }
-        return racks;
-    }
-
-    /**
-     * @return the racks to try. A rack-bound step that runs away from its data or spread over racks takes several times
-     * as long. It therefore waits for one of its @p feasible racks, unless it has none or the fleet is lightly loaded.
-     */
-    [[nodiscard]] std::vector<std::size_t> racksToTry(const Candidate &candidate,
-                                                      const std::vector<std::size_t> &feasible) const
-    {
-        const StepSpec &step = candidate.spec();
-        const bool isRackBound = !step.dataRack.value().empty() || (step.gang && step.sameRack);
-        std::vector<std::size_t> racks = feasible;
-        if (!isRackBound || racks.empty() || m_fleet.isLightlyLoaded()) {
-            racks.push_back(MinionGroup::ANY_RACK);
-        }
-        return racks;
-    }
-
     void allocate(const std::vector<std::size_t> &chosen, const Resources &need,
                   std::map<std::size_t, std::uint32_t> &placed)
     {
--- a/packages/steps/waitreason.cpp
+++ b/packages/steps/waitreason.cpp
@@ -1,7 +1,10 @@
 #include "steps/waitreason.h"
 
+#include "steps/rackchoice.h"
+
 #include <algorithm>
 #include <array>
+#include <map>
 
 namespace Papaya
 {
@@ -34,23 +37,54 @@
     return {WaitReason::Dependencies, detail};
 }
 
-/** Minions and capacity that the fleet has for a step. */
+/** Minions and capacity that the fleet has for a unit. */
 struct FleetSupply {
-    std::size_t eligible = 0;    ///< usable minions of its service with the required label
-    std::size_t largeEnough = 0; ///< eligible minions whose total capacity holds a task
-    std::size_t ticketed = 0;    ///< of these, minions with a valid ticket if one is needed
-    std::uint32_t members = 0;   ///< tasks that fit into the free capacity of these
+    std::size_t eligible = 0;                    ///< usable minions of its service with the required label
+    std::size_t largeEnough = 0;                 ///< eligible minions whose total capacity holds a task
+    std::size_t ticketed = 0;                    ///< of these, minions with a valid ticket if one is needed
+    std::uint32_t members = 0;                   ///< tasks that fit into the free capacity of these
+    std::uint32_t membersWithoutSpread = 0;      ///< the same without the limit of tasks on one minion
+    std::uint32_t membersOnProbation = 0;        ///< tasks that fit on minions on probation
+    std::uint32_t membersReserved = 0;           ///< tasks that fit on minions that are reserved for their upkeep
+    MinionGroup group;                           ///< the ticketed minions
+    std::map<std::string_view, std::size_t> out; ///< minions that could hold a task, but are not usable, by obstacle
 };
 
-FleetSupply supplyFor(const PlanInput &input, const JobEntry &entry, const UnitKey &unit)
+/** @return how many tasks of the step of @p unit are placed on each minion. */
+std::map<MinionId, std::uint32_t> placedOnMinions(const JobEntry &entry, const UnitKey &unit)
+{
+    std::map<MinionId, std::uint32_t> placed;
+    for (const UnitStatus &status : entry.occurrences[unit.occurrence].steps[unit.step].units) {
+        for (const MinionId &minion : status.minions) {
+            placed[minion] += status.state == UnitState::Placed ? 1 : 0;
+        }
+    }
+    return placed;
+}
+
+FleetSupply supplyFor(const PlanInput &input, const MinionFleet &fleet, const JobEntry &entry, const UnitKey &unit)
 {
     const StepSpec &step = entry.job.spec.steps[unit.step];
     const Resources need = countedNeed(step);
     const QueueConfig *queue = input.config.queue(entry.job.queue);
     const bool requiresAdmission = queue != nullptr && queue->oracle.has_value();
+    const std::map<MinionId, std::uint32_t> placed = placedOnMinions(entry, unit);
     FleetSupply supply;
-    for (const MinionView &minion : input.minions) {
-        if (!isEligible(minion, serviceOf(input.config, entry.job), step)) {
+    for (std::size_t m = 0; m < input.minions.size(); ++m) {
+        const MinionView &minion = input.minions[m];
+        if (!matches(minion, serviceOf(input.config, entry.job), step)) {
+            continue;
+        }
+        const auto here = placed.find(minion.id);
+        const std::uint32_t taken = here == placed.end() ? 0 : here->second;
+        const std::uint32_t anywhere = membersThatFit(minion.free, need, 0);
+        const std::uint32_t within = step.maxPerMinion == 0
+                                         ? anywhere
+                                         : std::min(anywhere, step.maxPerMinion - std::min(step.maxPerMinion, taken));
+        if (!minion.usable) {
+            supply.out[minion.obstacle] += within > 0 ? 1 : 0;
+            supply.membersOnProbation += minion.obstacle == ON_PROBATION ? within : 0;
+            supply.membersReserved += minion.obstacle == RESERVED_FOR_UPKEEP ? within : 0;
             continue;
         }
         ++supply.eligible;
@@ -62,57 +96,130 @@
             continue;
         }
         ++supply.ticketed;
-        supply.members += membersThatFit(minion.free, need, step.maxPerMinion);
+        supply.members += within;
+        supply.membersWithoutSpread += anywhere;
+        supply.group.add(m, fleet.rackOf(m));
     }
     return supply;
 }
 
-WaitExplanation explainCapacity(const PlanInput &input, const JobEntry &entry, const UnitKey &unit)
+/** @return a phrase on minions with room that are not usable; empty if there are none. */
+std::string describeOut(const FleetSupply &supply)
+{
+    std::string text;
+    for (const auto &[obstacle, minions] : supply.out) {
+        if (minions > 0) {
+            text += (text.empty() ? "; not usable with room: " : ", ") + number(static_cast<std::int64_t>(minions))
+                    + " " + std::string(obstacle.empty() ? "unknown" : obstacle);
+        }
+    }
+    return text;
+}
+
+/** @return true if none of the racks that the unit is tried on has room for it. */
+bool waitsForRack(const MinionFleet &fleet, const FleetSupply &supply, const StepSpec &step)
+{
+    const Resources need = countedNeed(step);
+    const auto racks = racksToTry(fleet, step, feasibleRacks(fleet, supply.group, step, need));
+    const std::uint32_t wanted = step.gang ? step.count : 1;
+    return std::all_of(racks.begin(), racks.end(), [&](std::size_t rack) {
+        std::uint32_t members = 0;
+        for (const std::size_t m : supply.group.on(rack)) {
+            members += membersThatFit(fleet[m].free, need, step.maxPerMinion);
+        }
+        return rack != MinionGroup::ANY_RACK && members < wanted;
+    });
+}
+
+/** Explains that a unit of @p members tasks would fit on minions that are kept from new work; WaitReason::None if not.
+ */
+WaitExplanation explainHeldBack(const FleetSupply &supply, std::uint32_t members)
+{
+    const std::string fitting =
+        "there is room for " + number(supply.members) + " of " + number(members) + " tasks, and for ";
+    if (supply.members + supply.membersOnProbation >= members) {
+        return {WaitReason::Probation,
+                fitting + number(supply.membersOnProbation) + " on minions where runs have just failed"};
+    }
+    if (supply.members + supply.membersOnProbation + supply.membersReserved >= members) {
+        return {WaitReason::Upkeep,
+                fitting + number(supply.membersReserved) + " on minions that are reserved for their upkeep"};
+    }
+    return {};
+}
+
+/** Explains why too little capacity is free for @p unit; WaitReason::None if enough is. */
+WaitExplanation explainSupply(const PlanInput &input, const FleetSupply &supply, const StepSpec &step)
 {
-    const StepSpec &step = entry.job.spec.steps[unit.step];
-    const FleetSupply supply = supplyFor(input, entry, unit);
     const std::uint32_t members = step.gang ? step.count : 1;
+    const WaitExplanation heldBack = explainHeldBack(supply, members);
+    if (supply.eligible == 0 && heldBack.reason != WaitReason::None) {
+        return heldBack;
+    }
     if (supply.eligible == 0) {
         return {WaitReason::NoMinion, "none of " + number(static_cast<std::int64_t>(input.minions.size()))
                                           + " minions is usable and serves the queue"
-                                          + (step.requiredLabel.empty() ? "" : " and has label " + step.requiredLabel)};
+                                          + (step.requiredLabel.empty() ? "" : " and has label " + step.requiredLabel)
+                                          + describeOut(supply)};
     }
     if (supply.largeEnough == 0) {
         return {WaitReason::TooLarge, "a task needs " + describe(step.need) + ", more than the capacity of any of "
-                                          + number(static_cast<std::int64_t>(supply.eligible)) + " minions"};
+                                          + number(static_cast<std::int64_t>(supply.eligible)) + " minions"
+                                          + describeOut(supply)};
     }
     if (supply.ticketed == 0) {
         return {WaitReason::NoTicket, "none of " + number(static_cast<std::int64_t>(supply.largeEnough))
                                           + " minions has a valid ticket of the admission oracle"};
     }
-    if (supply.members < members) {
-        return {WaitReason::NoCapacity, "there is room for " + number(supply.members) + " of " + number(members)
-                                            + " tasks of " + describe(step.need) + " on "
-                                            + number(static_cast<std::int64_t>(supply.ticketed)) + " minions"};
+    if (supply.members >= members) {
+        return {};
     }
-    Resources capacity;
-    Resources free;
-    for (const MinionView &minion : input.minions) {
-        capacity += minion.usable ? minion.capacity : Resources {};
-        free += minion.usable ? minion.free : Resources {};
+    if (supply.membersWithoutSpread >= members) {
+        return {WaitReason::SpreadLimit, "there is room for " + number(supply.membersWithoutSpread) + " of "
+                                             + number(members) + " tasks, but with at most " + number(step.maxPerMinion)
+                                             + " on one minion for " + number(supply.members) + describeOut(supply)};
     }
-    const std::int64_t headroom = input.headroom.gpus(entry.job.priority, capacity.gpus, input.steadyMs);
-    if (!leavesHeadroom(step.need.gpus * members, free.gpus, headroom)) {
+    if (heldBack.reason != WaitReason::None) {
+        return heldBack;
+    }
+    return {WaitReason::NoCapacity, "there is room for " + number(supply.members) + " of " + number(members)
+                                        + " tasks of " + describe(step.need) + " on "
+                                        + number(static_cast<std::int64_t>(supply.ticketed)) + " minions"
+                                        + describeOut(supply)};
+}
+
+WaitExplanation explainCapacity(const PlanInput &input, const JobEntry &entry, const UnitKey &unit)
+{
+    const StepSpec &step = entry.job.spec.steps[unit.step];
+    std::vector<MinionView> minions = input.minions;
+    const MinionFleet fleet(minions);
+    const FleetSupply supply = supplyFor(input, fleet, entry, unit);
+    if (WaitExplanation shortage = explainSupply(input, supply, step); shortage.reason != WaitReason::None) {
+        return shortage;
+    }
+    const std::int64_t gpus = step.need.gpus * (step.gang ? step.count : 1);
+    const std::int64_t headroom = input.headroom.gpus(entry.job.priority, fleet.capacity().gpus, input.steadyMs);
+    if (!leavesHeadroom(gpus, fleet.free().gpus, headroom)) {
         return {WaitReason::Headroom,
-                number(headroom) + " of " + number(free.gpus)
+                number(headroom) + " of " + number(fleet.free().gpus)
                     + " free GPUs stay free, as urgent work has just taken as many by preemption"};
     }
+    if (waitsForRack(fleet, supply, step)) {
+        return {WaitReason::RackWait, "there is room for " + number(supply.members)
+                                          + " tasks, but not on a rack that it is bound to, and the fleet is busy"};
+    }
     return {WaitReason::NextPass,
-            "enough capacity is free in total, but not on one rack, or it goes to work that is scheduled first"};
+            "enough capacity is free in total; it goes to work that is scheduled first or is kept for work that waits "
+            "for others to stop, or the next pass decides"};
 }
 
 } // namespace
 
 std::string_view toString(WaitReason reason)
 {
-    constexpr std::array<std::string_view, 11> NAMES {"none",      "job-ended", "not-due",   "dependencies",
-                                                      "held-back", "no-minion", "too-large", "no-ticket",
-                                                      "no-room",   "headroom",  "next-pass"};
+    constexpr std::array<std::string_view, 15> NAMES {
+        "none",    "job-ended",    "not-due",   "dependencies", "held-back", "no-minion", "too-large", "no-ticket",
+        "no-room", "spread-limit", "probation", "upkeep",       "headroom",  "rack-wait", "next-pass"};
     return NAMES[static_cast<std::size_t>(reason)];
 }
 
--- a/packages/steps/waitreason.h
+++ b/packages/steps/waitreason.h
@@ -20,7 +20,11 @@
     TooLarge,     ///< a task needs more than the capacity of any minion
     NoTicket,     ///< no minion has a valid ticket of the admission oracle
     NoCapacity,   ///< too little capacity is free
+    SpreadLimit,  ///< enough is free, but not beyond the limit of tasks of its step on one minion
+    Probation,    ///< enough is free only with minions on which runs have failed
+    Upkeep,       ///< enough is free only with minions that are reserved for their upkeep
     Headroom,     ///< the GPUs that are free stay free for urgent work for a while
+    RackWait,     ///< enough is free, but on none of the racks that it is bound to
     NextPass,     ///< enough is free in total; the next pass decides
 };
 
--- a/tests/unit/stepscheduling.cpp
+++ b/tests/unit/stepscheduling.cpp
@@ -329,6 +329,20 @@
     EXPECT_LE(run.moves, 4U);
 }
 
+TEST(MinionClock, TellsHowLongALeaseMayLastAtMost)
+{
+    MinionClock clock;
+    EXPECT_EQ(0, clock.remainingMs(0));
+    clock.addReading(50'000, 1'000);
+    clock.grant(1'000, 5'000);
+    const std::int64_t remaining = clock.remainingMs(1'000);
+    EXPECT_GE(remaining, 5'000);
+    EXPECT_LE(remaining, 5'300);
+    EXPECT_FALSE(clock.lapsed(1'000 + remaining));
+    EXPECT_TRUE(clock.lapsed(1'000 + remaining + 2));
+    EXPECT_EQ(0, clock.remainingMs(20'000));
+}
+
 /** The minion's clock runs up to 2 % slow or fast, and its readings arrive up to 400 ms late. */
 RC_GTEST_PROP(MinionClock, NeverReportsALeaseAsLapsedBeforeItExpiresOnTheMinion, ())
 {
--- a/tests/unit/waitreason.cpp
+++ b/tests/unit/waitreason.cpp
@@ -95,6 +95,55 @@
     EXPECT_EQ(WaitReason::JobEnded, cancelled.explain().reason);
 }
 
+TEST(WaitReasons, NameARackWaitWhileTheFleetIsBusy)
+{
+    WaitScenario scenario;
+    StepSpec &step = scenario.job.spec.steps[0];
+    step.count = 2;
+    step.sameRack = true;
+    scenario.minions[0].rack = RackName("r0");
+    scenario.minions[1].rack = RackName("r1");
+    scenario.minions[0].free = scenario.minions[1].free = {1'500, 16'000, 4};
+    EXPECT_EQ(WaitReason::RackWait, scenario.explain().reason);
+    scenario.minions[0].free = scenario.minions[0].capacity;
+    EXPECT_EQ(WaitReason::NextPass, scenario.explain().reason);
+}
+
+TEST(WaitReasons, NameTheLimitOfTasksOnOneMinion)
+{
+    WaitScenario scenario;
+    scenario.job.spec.steps[0].maxPerMinion = 1;
+    const WaitExplanation why = scenario.explain();
+    EXPECT_EQ(WaitReason::SpreadLimit, why.reason);
+    EXPECT_EQ("there is room for 4 of 3 tasks, but with at most 1 on one minion for 2", why.detail);
+}
+
+TEST(WaitReasons, NameProbationIfTheUnitWouldFitWithoutIt)
+{
+    WaitScenario scenario;
+    scenario.minions[1].usable = false;
+    scenario.minions[1].obstacle = ON_PROBATION;
+    const WaitExplanation why = scenario.explain();
+    EXPECT_EQ(WaitReason::Probation, why.reason);
+    EXPECT_EQ("there is room for 2 of 3 tasks, and for 2 on minions where runs have just failed", why.detail);
+    scenario.minions[0] = scenario.minions[1];
+    EXPECT_EQ(WaitReason::Probation, scenario.explain().reason);
+    scenario.minions[1].obstacle = RESERVED_FOR_UPKEEP;
+    EXPECT_EQ(WaitReason::Upkeep, scenario.explain().reason);
+}
+
+TEST(WaitReasons, CountMinionsWithRoomThatAreNotUsable)
+{
+    WaitScenario scenario;
+    scenario.minions[1].usable = false;
+    scenario.minions[1].obstacle = "silent";
+    const WaitExplanation why = scenario.explain();
+    EXPECT_EQ(WaitReason::NoCapacity, why.reason);
+    EXPECT_EQ("there is room for 2 of 3 tasks of 1000 millicores, 1000 MB and 2 GPUs on 1 minions; not usable with "
+              "room: 1 silent",
+              why.detail);
+}
+
 TEST(JobRequests, ReportEveryErrorWithItsPath)
 {
     const auto json = parseJson(R"({"id": "xyz", "steps": [{"count": 0, "gpu": 1}, {"after": [1]}], "timetable": {}})");
@@ -115,11 +164,13 @@
     metrics.count(StepEvent::Stop, "preempted");
     metrics.count(StepEvent::Stop, "preempted");
     metrics.record(JobStage::Stored, 250);
+    metrics.setWaiting({{"no-room", 3}});
     EXPECT_EQ(2U, metrics.value(StepEvent::Stop, "preempted"));
     const std::string text = metrics.toPrometheus({{"leading", 1}});
     EXPECT_NE(std::string::npos, text.find("papayahall_stops_total{reason=\"preempted\"} 2\n"));
     EXPECT_NE(std::string::npos, text.find("papayahall_job_seconds_sum{stage=\"stored\"} 0.25\n"));
     EXPECT_NE(std::string::npos, text.find("papayahall_leading 1\n"));
+    EXPECT_NE(std::string::npos, text.find("papayahall_jobs_waiting{reason=\"no-room\"} 3\n"));
 }
 
 } // namespace
