Limit the waits that the scheduler chooses to 1.5 s if nothing of the job runs

Cause, by reading and by unit tests: the scheduler makes units wait on purpose, and nothing limits these waits. Less urgent work leaves GPUs free while preemptions go on (headroom, over all services together). Rack-bound work waits for one of its racks for as long as the fleet is more than half full, also if the racks are full of work that lasts. A minion with two failed runs in a row gets nothing for 8 s, and one that is reserved for its upkeep nothing for up to 15 s; the share of minions on probation is limited over the whole fleet, so that all minions of a small service can be on it at once.

Evidence: each of the six OverdueJob tests sets up one of these waits, with room for the job twice over and after 2 s of standing still, and the property tries random fleets and jobs. With the former stepscheduler.cpp and the same input all seven are red: no start, no query to the oracle, or a job left with room for two.

Now the planner tells the scheduler since when which jobs stand still. After 1.5 s the first unit of such a job (each unit of a long-running step) is placed wherever it fits, on its racks if possible, within the headroom, and on a minion on probation or reserved for upkeep only if it fits nowhere else, as long as the free room holds it twice. Then something of the job runs and its other units wait as before. Work that is more urgent still comes first, and jobs that have just become ready wait as before. A reserved minion is used only while it runs other work and has not been told to stop it, as it is about to go down otherwise.

Room that is kept for urgent work while others stop for it was looked at and left alone: that wait ends with the stops.

--- a/bench/stepscenario.cpp
+++ b/bench/stepscenario.cpp
@@ -118,10 +118,14 @@
 
     void decide()
     {
-        PlanInput input {m_jobs, m_config, m_times, m_tickets, m_minions, {}, {}, {}, m_now, m_now, m_headroom};
+        PlanInput input {m_jobs, m_config, m_times, m_tickets, m_minions,  {},
+                         {},     {},       m_now,   m_now,     m_headroom, &m_idleJobs};
+        std::map<UnitKey, RunPhase> phases;
         for (const auto &[key, run] : m_runs) {
             input.active.push_back(run.unit);
+            phases.emplace(key, RunPhase::Running);
         }
+        m_idleJobs.update(m_jobs, phases, {m_now, m_now});
         const PlanDecisions decisions = planSteps(std::move(input));
         for (const UnitStop &stop : decisions.stops) {
             Run &run = m_runs.at(stop.unit);
@@ -168,6 +172,7 @@
     RunTimes m_times;
     TicketBook m_tickets;
     Headroom m_headroom;
+    IdleJobs m_idleJobs;
     DeploymentConfig m_config;
     std::vector<MinionView> m_minions;
     std::map<UnitKey, Run> m_runs;
--- a/packages/dispatch/assignment.h
+++ b/packages/dispatch/assignment.h
@@ -55,6 +55,7 @@
     std::optional<EndKind> outcome; ///< of the first member that ended, unless a later one succeeded or failed
     bool doneJournaled = false;
     bool stopping = false;
+    bool lastResort = false;       ///< placed on a minion that gets no other work
     std::string checkpoint;        ///< the latest reported
     std::int64_t checkpointMs = 0; ///< when it was reported; the start if none was
     std::int64_t startedMs = 0;
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -308,6 +308,15 @@
     return nowMs < link.probationUntilMs ? ON_PROBATION : std::string_view();
 }
 
+bool StepPlanner::isLastResort(const MinionLink &link, std::int64_t nowMs) const
+{
+    const std::string_view obstacle = obstacleOn(link, nowMs);
+    // A reserved minion that runs nothing is about to go down, and so is one that has been vacated.
+    const bool staysUp =
+        !link.placed.empty() && !m_vacated.contains(link.entry.id) && !m_goingDown.contains(link.entry.id);
+    return obstacle == ON_PROBATION || (obstacle == RESERVED_FOR_UPKEEP && staysUp);
+}
+
 bool StepPlanner::viewIsCurrent(Millis reserve) const
 {
     return bootMillis() - m_context.freshness().asOfMs() <= (m_context.maxViewAge - reserve).count();
@@ -326,7 +335,8 @@
                      m_avoid,
                      m_context.wallNow(),
                      now,
-                     m_headroom};
+                     m_headroom,
+                     &m_idleJobs};
     std::map<MinionId, std::size_t> places;
     for (const auto &[id, link] : m_links) {
         MinionView view;
@@ -340,6 +350,7 @@
         view.releasing = link.stopping;
         view.obstacle = obstacleOn(link, now);
         view.usable = view.obstacle.empty();
+        view.lastResort = isLastResort(link, now);
         view.penalty = link.runFailures;
         places[id] = ids.size();
         ids.push_back(id);
@@ -432,6 +443,11 @@
     m_context.metrics.count(StepEvent::Placement, m_context.jobTable.find(decision.unit.job)->job.queue.value());
     const AssignmentPtr assignment = track(*m_context.jobTable.find(decision.unit.job), decision.unit, status);
     assignment->decidedMs = bootMillis();
+    assignment->lastResort =
+        std::any_of(assignment->members.begin(), assignment->members.end(), [&](const Member &member) {
+            return isLastResort(m_links.at(member.minion), assignment->decidedMs);
+        });
+    m_idleJobs.started(decision.unit);
     m_pendingStarts.push_back(assignment);
     logEvent(LogLevel::Info, "unit-placed",
              {{"unit", decision.unit.toString()},
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -123,6 +123,8 @@
     void stopAssignment(const AssignmentPtr &assignment, const char *reason);
     /** @return true if the minion may get new work. */
     [[nodiscard]] bool isUsable(const MinionLink &link, std::int64_t nowMs) const;
+    /** @return true if the minion may not get new work, but for a unit that has waited too long for another. */
+    [[nodiscard]] bool isLastResort(const MinionLink &link, std::int64_t nowMs) const;
     /** @return why the minion may not get new work; empty if it may. */
     [[nodiscard]] std::string_view obstacleOn(const MinionLink &link, std::int64_t nowMs) const;
     /** @return true if the view of minions and jobs is recent enough to start work, with @p reserve to spare. */
@@ -303,6 +305,7 @@
     bool m_oracleQueryInFlight = false;
     std::int64_t m_nextOracleQueryMs = 0;
     std::set<MinionId> m_reserved;  ///< get no new work until their upkeep
+    std::set<MinionId> m_vacated;   ///< of these, the ones whose work was ordered to stop
     std::set<MinionId> m_goingDown; ///< ordered to go down; their runs may have ended
 };
 
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -85,7 +85,8 @@
     if (link.entry.draining) {
         return "minion-draining";
     }
-    if (!isUsable(link, bootMillis())) {
+    const std::int64_t now = bootMillis();
+    if (!isUsable(link, now) && !(assignment.lastResort && isLastResort(link, now))) {
         return "minion-unusable";
     }
     return viewIsCurrent(Millis(0)) ? nullptr : "stale-view";
--- a/packages/dispatch/stepplannershares.cpp
+++ b/packages/dispatch/stepplannershares.cpp
@@ -125,6 +125,7 @@
 {
     const bool released = !std::includes(minions.begin(), minions.end(), m_reserved.begin(), m_reserved.end());
     m_reserved = std::move(minions);
+    std::erase_if(m_vacated, [this](const MinionId &minion) { return !m_reserved.contains(minion); });
     if (released) {
         requestPass();
     }
@@ -145,6 +146,7 @@
     if (link == m_links.end()) {
         return;
     }
+    m_vacated.insert(minion);
     for (const PlacedMember &placed : link->second.placed) {
         stopAssignment(placed.assignment, "upkeep");
     }
--- a/packages/steps/idlejobs.cpp
+++ b/packages/steps/idlejobs.cpp
@@ -104,6 +104,28 @@
     }
 }
 
+void IdleJobs::started(const UnitKey &unit)
+{
+    if (const auto found = m_longRunning.find(unit); found != m_longRunning.end()) {
+        found->second.starting = true;
+    }
+    if (const auto found = m_jobs.find(unit.job); found != m_jobs.end()) {
+        found->second.starting = true;
+    }
+}
+
+std::int64_t IdleJobs::jobIdleMs(const JobId &job, std::int64_t steadyMs) const
+{
+    const auto found = m_jobs.find(job);
+    return found == m_jobs.end() || found->second.starting ? 0 : steadyMs - found->second.sinceMs;
+}
+
+std::int64_t IdleJobs::unitIdleMs(const UnitKey &unit, std::int64_t steadyMs) const
+{
+    const auto found = m_longRunning.find(unit);
+    return found == m_longRunning.end() || found->second.starting ? 0 : steadyMs - found->second.sinceMs;
+}
+
 std::vector<IdleWork> IdleJobs::takeDue(std::int64_t steadyMs, std::size_t limit)
 {
     // 1. Finds what is due.
--- a/packages/steps/idlejobs.h
+++ b/packages/steps/idlejobs.h
@@ -40,6 +40,13 @@
      */
     void update(const JobTable &jobs, const std::map<UnitKey, RunPhase> &phases, DecisionTime now);
 
+    /** Takes note that @p unit has been placed, until the next update. */
+    void started(const UnitKey &unit);
+    /** @return for how long nothing of @p job has run or been about to start although a unit is ready, in ms. */
+    [[nodiscard]] std::int64_t jobIdleMs(const JobId &job, std::int64_t steadyMs) const;
+    /** @return for how long @p unit of a long-running step has not run, in ms; 0 if it starts. */
+    [[nodiscard]] std::int64_t unitIdleMs(const UnitKey &unit, std::int64_t steadyMs) const;
+
     /** @return work that has stood still and is due for a report, at most @p limit, the longest due first. */
     std::vector<IdleWork> takeDue(std::int64_t steadyMs, std::size_t limit);
     /** Records why @p work waits. */
--- a/packages/steps/minionfleet.cpp
+++ b/packages/steps/minionfleet.cpp
@@ -71,12 +71,13 @@
     }
 }
 
-const MinionGroup &MinionFleet::eligible(const ServiceName &service, const StepSpec &step)
+const MinionGroup &MinionFleet::eligible(const ServiceName &service, const StepSpec &step, bool withLastResort)
 {
-    const auto [place, isNew] = m_groups.try_emplace(std::make_pair(service, step.requiredLabel));
+    const auto [place, isNew] = m_groups.try_emplace(std::make_tuple(service, step.requiredLabel, withLastResort));
     if (isNew) {
         for (std::size_t m = 0; m < m_minions.size(); ++m) {
-            if (isEligible(m_minions[m], service, step)) {
+            const bool accepts = m_minions[m].usable || (withLastResort && m_minions[m].lastResort);
+            if (accepts && matches(m_minions[m], service, step)) {
                 place->second.add(m, m_racks[m]);
             }
         }
--- a/packages/steps/minionfleet.h
+++ b/packages/steps/minionfleet.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 // The minions of one scheduling pass, indexed by service, label and rack, so that placing a step on a large fleet
@@ -30,6 +31,7 @@
     Resources releasing;       ///< allocated to units that are being stopped
     bool usable = true;        ///< accepts new work
     std::string_view obstacle; ///< why it is not usable, if so
+    bool lastResort = false;   ///< accepts new work that has waited too long for a usable minion, though not usable
     std::uint32_t penalty = 0; ///< minions with a lower penalty are preferred
 };
 
@@ -63,8 +65,11 @@
 public:
     explicit MinionFleet(std::vector<MinionView> &minions);
 
-    /** @return the minions eligible for @p step of @p service; the reference stays valid for the pass. */
-    const MinionGroup &eligible(const ServiceName &service, const StepSpec &step);
+    /**
+     * @param withLastResort true to include minions that are not usable, but accept work as a last resort
+     * @return the minions eligible for @p step of @p service; the reference stays valid for the pass
+     */
+    const MinionGroup &eligible(const ServiceName &service, const StepSpec &step, bool withLastResort = false);
     /** @return the index of minion @p id, or SIZE_MAX if it is not in the fleet. */
     [[nodiscard]] std::size_t indexOf(const MinionId &id) const;
     [[nodiscard]] std::size_t rackOf(std::size_t minion) const
@@ -107,8 +112,9 @@
     std::map<RackName, std::size_t> m_rackNumbers;
     std::vector<std::size_t> m_racks; ///< rack number of each minion
     std::map<MinionId, std::size_t> m_indices;
-    std::map<std::pair<ServiceName, std::string>, MinionGroup> m_groups; ///< by service and required label
-    Resources m_capacity;                                                ///< of the usable minions
+    /** By service, required label and whether minions of last resort are included. */
+    std::map<std::tuple<ServiceName, std::string, bool>, MinionGroup> m_groups;
+    Resources m_capacity; ///< of the usable minions
     Resources m_free;
 };
 
--- a/packages/steps/placementsearch.cpp
+++ b/packages/steps/placementsearch.cpp
@@ -8,9 +8,10 @@
 namespace
 {
 
-// Weights of the terms of a placement score. Each term outweighs all that follow: a minion on which the unit has
-// failed or got stuck, the penalty of the minion, the GPUs that stay free, and the fraction of its memory that stays
-// free. The fraction of its cores that stays free has weight 1.
+// Weights of the terms of a placement score. Each term outweighs all that follow: a minion of last resort, a minion on
+// which the unit has failed or got stuck, the penalty of the minion, the GPUs that stay free, and the fraction of its
+// memory that stays free. The fraction of its cores that stays free has weight 1.
+constexpr double LAST_RESORT_SCORE = 1e10;
 constexpr double AVOIDED_SCORE = 1e8;
 constexpr double PENALTY_SCORE = 1e6;
 constexpr double GPU_SCORE = 100;
@@ -38,7 +39,7 @@
     const Resources &need = request.need;
     const bool avoided = request.avoid != nullptr
                          && std::find(request.avoid->begin(), request.avoid->end(), minion.id) != request.avoid->end();
-    double score = avoided ? AVOIDED_SCORE : 0;
+    double score = (minion.usable ? 0 : LAST_RESORT_SCORE) + (avoided ? AVOIDED_SCORE : 0);
     score += PENALTY_SCORE * minion.penalty;
     score += GPU_SCORE * double(minion.free.gpus - need.gpus);
     score += MEMORY_SCORE * shareOf(minion.free.memoryMb - need.memoryMb, minion.capacity.memoryMb);
--- a/packages/steps/stepscheduler.cpp
+++ b/packages/steps/stepscheduler.cpp
@@ -16,7 +16,8 @@
 constexpr std::int64_t CLOCK_SKEW_MARGIN_MS = 20; // clocks of nodes differ; no run may start before it is due
 constexpr double MAX_LOSS_RATIO = 1;              // work that preemption may lose per unit of urgent work
 constexpr double NO_LIMIT = std::numeric_limits<double>::max();
-constexpr std::size_t MIN_QUERIED_MINIONS = 30; // in one oracle call, whose latency grows with their number
+constexpr std::int64_t MAX_CHOSEN_WAIT_MS = 1'500; // of a job of which nothing runs; a start takes time as well
+constexpr std::size_t MIN_QUERIED_MINIONS = 30;    // in one oracle call, whose latency grows with their number
 constexpr std::size_t MAX_QUERIED_MINIONS = 100;
 
 /** A step with waiting units, and its rank in the scheduling order. */
@@ -167,23 +168,27 @@
     bool scheduleUnit(const Candidate &candidate, const UnitKey &unit, const PlacementRequest &request,
                       const std::vector<std::size_t> &feasible, std::map<std::size_t, std::uint32_t> &placed)
     {
+        const bool overdue = isOverdue(candidate, unit);
         const std::int64_t headroom =
             m_input.headroom.gpus(candidate.entry->job.priority, m_fleet.capacity().gpus, m_input.steadyMs);
         const std::int64_t gpus = request.need.gpus * static_cast<std::int64_t>(request.members);
-        if (!leavesHeadroom(gpus, m_fleet.free().gpus, headroom)) {
+        const bool isHeldBack = !leavesHeadroom(gpus, m_fleet.free().gpus, headroom);
+        if (isHeldBack && !overdue) {
             return false;
         }
         const std::vector<std::size_t> racks = racksToTry(m_fleet, candidate.spec(), feasible);
-        for (const std::size_t rack : racks) {
-            std::vector<std::size_t> chosen = m_search.find(request, rack);
-            if (!chosen.empty()) {
-                allocate(chosen, request.need, placed);
-                m_decisions.starts.push_back({unit, std::move(chosen)});
-                return true;
-            }
+        std::vector<std::size_t> chosen = isHeldBack ? std::vector<std::size_t>() : findOn(racks, request);
+        if (chosen.empty() && overdue) {
+            chosen = findAnywhere(candidate, request, feasible);
         }
-        addAdmissionQuery(candidate);
-        if (!mayPreempt(candidate)) {
+        if (!chosen.empty()) {
+            allocate(chosen, request.need, placed);
+            m_decisions.starts.push_back({unit, std::move(chosen)});
+            m_started.insert(unit.job);
+            return true;
+        }
+        addAdmissionQuery(candidate, overdue);
+        if (isHeldBack || !mayPreempt(candidate)) {
             return false;
         }
         const PreemptionRights rights {candidate.entry->job.priority, candidate.entry->job.team, candidate.guaranteed,
@@ -201,6 +206,57 @@
         return true;
     }
 
+    /**
+     * @return true if @p unit must not wait by choice any longer: nothing of its job has run for a while, or of the
+     * unit if it is long-running.
+     */
+    [[nodiscard]] bool isOverdue(const Candidate &candidate, const UnitKey &unit) const
+    {
+        if (m_input.idleJobs == nullptr) {
+            return false;
+        }
+        if (candidate.spec().longRunning) {
+            return m_input.idleJobs->unitIdleMs(unit, m_input.steadyMs) >= MAX_CHOSEN_WAIT_MS;
+        }
+        return m_input.idleJobs->jobIdleMs(unit.job, m_input.steadyMs) >= MAX_CHOSEN_WAIT_MS
+               && !m_started.contains(unit.job);
+    }
+
+    std::vector<std::size_t> findOn(const std::vector<std::size_t> &racks, const PlacementRequest &request)
+    {
+        for (const std::size_t rack : racks) {
+            std::vector<std::size_t> chosen = m_search.find(request, rack);
+            if (!chosen.empty()) {
+                return chosen;
+            }
+        }
+        return {};
+    }
+
+    /**
+     * Finds a place for an overdue unit, on its @p feasible racks if possible, and on minions of last resort only if it
+     * fits nowhere else.
+     * @return the minion of each member; empty if it does not fit, or if the free capacity does not hold it twice
+     */
+    std::vector<std::size_t> findAnywhere(const Candidate &candidate, const PlacementRequest &request,
+                                          const std::vector<std::size_t> &feasible)
+    {
+        PlacementRequest widest = request;
+        widest.group =
+            requiresAdmission(candidate) ? &admittedMinions(candidate, true) : &eligibleMinions(candidate, true);
+        std::size_t members = 0;
+        for (const std::size_t m : widest.group->all) {
+            members += membersThatFit(m_fleet[m].free, request.need, 0);
+        }
+        if (members < 2 * request.members) {
+            return {};
+        }
+        std::vector<std::size_t> racks = feasible;
+        racks.push_back(MinionGroup::ANY_RACK);
+        std::vector<std::size_t> chosen = findOn(racks, request);
+        return chosen.empty() ? m_search.find(widest, MinionGroup::ANY_RACK) : chosen;
+    }
+
     [[nodiscard]] static bool mayPreempt(const Candidate &candidate)
     {
         return candidate.guaranteed
@@ -223,16 +279,16 @@
         return placed;
     }
 
-    const MinionGroup &eligibleMinions(const Candidate &candidate)
+    const MinionGroup &eligibleMinions(const Candidate &candidate, bool withLastResort = false)
     {
-        return m_fleet.eligible(serviceOf(m_input.config, candidate.entry->job), candidate.spec());
+        return m_fleet.eligible(serviceOf(m_input.config, candidate.entry->job), candidate.spec(), withLastResort);
     }
 
     /** @return the eligible minions for which there is a valid ticket, as a new group on each call. */
-    const MinionGroup &admittedMinions(const Candidate &candidate)
+    const MinionGroup &admittedMinions(const Candidate &candidate, bool withLastResort = false)
     {
         MinionGroup &admitted = m_admittedGroups.emplace_back();
-        for (const std::size_t m : eligibleMinions(candidate).all) {
+        for (const std::size_t m : eligibleMinions(candidate, withLastResort).all) {
             if (!m_input.tickets.ticket(candidate.stepKey(), m_fleet[m].id, m_input.steadyMs).empty()) {
                 admitted.add(m, m_fleet.rackOf(m));
             }
@@ -250,8 +306,9 @@
      * Adds a query about eligible minions without a valid ticket: first those with free capacity, and among them first
      * those whose ticket has expired. Left out are minions that are too small for a task, those that the oracle has
      * refused, and those whose ticket has expired while they have no free capacity.
+     * @param withLastResort true to include minions of last resort
      */
-    void addAdmissionQuery(const Candidate &candidate)
+    void addAdmissionQuery(const Candidate &candidate, bool withLastResort)
     {
         if (!requiresAdmission(candidate)) {
             return;
@@ -260,7 +317,7 @@
         const Resources need = countedNeed(step);
         const StepKey key = candidate.stepKey();
         std::vector<std::tuple<bool, bool, std::size_t>> order;
-        for (const std::size_t m : eligibleMinions(candidate).all) {
+        for (const std::size_t m : eligibleMinions(candidate, withLastResort).all) {
             const MinionView &minion = m_fleet[m];
             const bool admittedBefore = m_input.tickets.admitted(key, minion.id);
             const bool fitsNow = minion.free.covers(need);
@@ -313,6 +370,7 @@
     Preemption m_preemption;
     PlanDecisions m_decisions;
     std::map<TeamName, std::int64_t> m_guaranteedDemand;
+    std::set<JobId> m_started; ///< jobs of which this pass starts a unit
 };
 
 } // namespace
--- a/packages/steps/stepscheduler.h
+++ b/packages/steps/stepscheduler.h
@@ -2,6 +2,7 @@
 
 #include "steps/deploymentconfig.h"
 #include "steps/headroom.h"
+#include "steps/idlejobs.h"
 #include "steps/jobtable.h"
 #include "steps/preemption.h"
 #include "steps/runtimes.h"
@@ -21,7 +22,10 @@
 // guarantee, then all other work; within both, work in time before late and late before expired work, then by priority
 // and by submission time. Units that do not fit wait, and units after them may use the free capacity. Urgent work that
 // does not fit preempts other units if it is guaranteed or in time; the capacity that they release is reserved for it.
-// For a while, less urgent work leaves as many GPUs free as were preempted, see Headroom.
+// For a while, less urgent work leaves as many GPUs free as were preempted, see Headroom, and rack-bound work waits for
+// a rack. Such waits by choice are limited: if nothing of a job runs, one unit of it is soon placed wherever it fits,
+// as long as the free capacity holds it twice. For that it may use minions that are otherwise kept from new work, if no
+// other has room.
 //
 // If its queue has an admission oracle, a step starts only on minions that the oracle has admitted. For a unit that
 // finds no capacity on these, the pass returns a query about further minions.
@@ -42,6 +46,7 @@
     std::int64_t nowMs = 0;                         ///< milliseconds since 1970
     std::int64_t steadyMs = 0;                      ///< steady clock by which tickets expire
     Headroom headroom = {};                         ///< GPUs that less urgent work leaves free
+    const IdleJobs *idleJobs = nullptr;             ///< since when jobs stand still; null if unknown
 };
 
 /** A query to the admission oracle: which of these minions may run the step? */
--- a/tests/unit/stepscheduling.cpp
+++ b/tests/unit/stepscheduling.cpp
@@ -19,6 +19,8 @@
 {
 
 constexpr std::int64_t NOW = 1'000'000;
+constexpr std::int64_t SHORT_WAIT_MS = 1'000; // that a policy may make a job wait
+constexpr std::int64_t OVERDUE_MS = 2'000;    // no job may stand still for 3 s, and a start takes time
 
 /** A small fleet with its jobs and running units. */
 class Scenario
@@ -123,12 +125,26 @@
         return planSteps(std::move(input));
     }
 
+    /** Runs a pass when the jobs of which nothing runs have stood still for @p waitedMs. */
+    PlanDecisions planAfterWaiting(std::int64_t waitedMs) const
+    {
+        std::map<UnitKey, RunPhase> phases;
+        for (const ActiveUnit &unit : active) {
+            phases[unit.key] = RunPhase::Running;
+        }
+        IdleJobs idle;
+        idle.update(jobTable, phases, {NOW, NOW - waitedMs});
+        PlanInput input {jobTable, config, times, tickets, minions, active, {}, {}, NOW, NOW, headroom, &idle};
+        return planSteps(std::move(input));
+    }
+
     DeploymentConfig config;
     JobTable jobTable;
     RunTimes times;
     TicketBook tickets;
     std::vector<MinionView> minions;
     std::vector<ActiveUnit> active;
+    Headroom headroom;
     int jobs = 0;
 };
 
@@ -159,6 +175,110 @@
     EXPECT_EQ((std::vector<std::size_t> {0, 1}), scenario.plan().starts.at(0).minions);
 }
 
+// Load pattern: rack-bound jobs on a fleet more than half full of long work, so that none of their racks gets free.
+// Each of the tests below is of a job that stands still although the fleet has room for it twice over.
+TEST(OverdueJob, OfASameRackGangIsSpreadOverRacks)
+{
+    Scenario scenario(2, 4);
+    StepSpec sameRackGang = Scenario::step(2, 8, true);
+    sameRackGang.sameRack = true;
+    const JobId other = scenario.submit("plan", Scenario::step(6, 8, true));
+    scenario.run({other, 0, 0, UnitKey::GANG}, {0, 1, 2, 4, 5, 6}, 0);
+    const JobId gang = scenario.submit("plan", sameRackGang);
+    EXPECT_TRUE(scenario.planAfterWaiting(OVERDUE_MS).starts.empty()); // there is room for it only once
+    MinionView spare = scenario.minions[0];
+    spare.free = spare.capacity;
+    for (const char *rack : {"r2", "r3"}) {
+        spare.id = MinionId(std::string("m-") + rack);
+        spare.rack = RackName(rack);
+        scenario.minions.push_back(spare);
+    }
+    EXPECT_TRUE(scenario.planAfterWaiting(SHORT_WAIT_MS).starts.empty());
+    const PlanDecisions decisions = scenario.planAfterWaiting(OVERDUE_MS);
+    ASSERT_EQ(1U, decisions.starts.size());
+    EXPECT_EQ(gang, decisions.starts[0].unit.job);
+}
+
+TEST(OverdueJob, WithItsDataOnAFullRackRunsOneTaskElsewhere)
+{
+    Scenario scenario(2, 2);
+    scenario.fillWithBatch();
+    StepSpec dataBound = Scenario::step(3, 1);
+    dataBound.dataRack = RackName("r1");
+    const JobId job = scenario.submit("plan", dataBound);
+    scenario.minions[0].free.gpus = 4;
+    EXPECT_TRUE(scenario.planAfterWaiting(SHORT_WAIT_MS).starts.empty());
+    const PlanDecisions decisions = scenario.planAfterWaiting(OVERDUE_MS);
+    ASSERT_EQ(1U, decisions.starts.size()); // the other tasks still wait for their rack
+    EXPECT_EQ(job, decisions.starts[0].unit.job);
+    scenario.run(decisions.starts[0].unit, decisions.starts[0].minions, 0);
+    EXPECT_TRUE(scenario.planAfterWaiting(OVERDUE_MS).starts.empty());
+}
+
+TEST(OverdueJob, OfALongRunningStepRunsEachTaskThatStandsStill)
+{
+    Scenario scenario(2, 2);
+    scenario.fillWithBatch();
+    StepSpec serving = Scenario::step(2, 1);
+    serving.dataRack = RackName("r1");
+    serving.longRunning = true;
+    scenario.submit("plan", serving);
+    scenario.minions[0].free.gpus = 4;
+    EXPECT_TRUE(scenario.planAfterWaiting(SHORT_WAIT_MS).starts.empty());
+    EXPECT_EQ(2U, scenario.planAfterWaiting(OVERDUE_MS).starts.size());
+}
+
+// Load pattern: urgent gangs preempt batch work again and again, so that the headroom never ends.
+TEST(OverdueJob, IsNotHeldBackByTheHeadroom)
+{
+    Scenario scenario(1, 2);
+    const JobId batch = scenario.submit("batch", Scenario::step(3, 1));
+    scenario.headroom.preempted(2, 100, NOW);
+    scenario.minions[0].free.gpus = 2;
+    scenario.minions[1].free.gpus = 2;
+    EXPECT_TRUE(scenario.planAfterWaiting(SHORT_WAIT_MS).starts.empty());
+    const PlanDecisions decisions = scenario.planAfterWaiting(OVERDUE_MS);
+    ASSERT_EQ(1U, decisions.starts.size()); // its other tasks leave the headroom free
+    EXPECT_EQ(batch, decisions.starts[0].unit.job);
+    scenario.minions[0].free.gpus = 1;
+    scenario.minions[1].free.gpus = 0;
+    EXPECT_TRUE(scenario.planAfterWaiting(OVERDUE_MS).starts.empty());
+}
+
+// Load pattern: a job fails by its own fault on minion after minion, so that sound minions are on probation.
+TEST(OverdueJob, RunsOnAMinionThatIsKeptFromNewWorkIfNoOtherHasRoom)
+{
+    Scenario scenario(1, 3);
+    scenario.minions[0].usable = scenario.minions[1].usable = scenario.minions[2].usable = false;
+    scenario.minions[1].lastResort = true;
+    const JobId job = scenario.submit("plan", Scenario::step(2, 1));
+    EXPECT_TRUE(scenario.planAfterWaiting(SHORT_WAIT_MS).starts.empty());
+    const PlanDecisions decisions = scenario.planAfterWaiting(OVERDUE_MS);
+    ASSERT_EQ(1U, decisions.starts.size());
+    EXPECT_EQ(job, decisions.starts[0].unit.job);
+    EXPECT_EQ(1U, decisions.starts[0].minions.at(0));
+    scenario.minions[2].usable = true;
+    for (const UnitStart &start : scenario.planAfterWaiting(OVERDUE_MS).starts) {
+        EXPECT_EQ(2U, start.minions.at(0));
+    }
+}
+
+TEST(OverdueJob, OfAnAdvisedQueueAsksAboutMinionsThatAreKeptFromNewWork)
+{
+    Scenario scenario(1, 1);
+    scenario.config.queues[1].oracle = OracleTerms {};
+    scenario.minions[0].usable = false;
+    scenario.minions[0].lastResort = true;
+    scenario.submit("plan", Scenario::step(1, 1));
+    EXPECT_TRUE(scenario.planAfterWaiting(SHORT_WAIT_MS).admissionQueries.empty());
+    const PlanDecisions decisions = scenario.planAfterWaiting(OVERDUE_MS);
+    EXPECT_TRUE(decisions.starts.empty());
+    ASSERT_EQ(1U, decisions.admissionQueries.size());
+    const AdmissionQuery &query = decisions.admissionQueries[0];
+    scenario.tickets.add(query.step, query.minions, {{query.minions.at(0), "ticket"}}, NOW + 1'000);
+    EXPECT_EQ(1U, scenario.planAfterWaiting(OVERDUE_MS).starts.size());
+}
+
 TEST(StepScheduler, SpreadsASameRackGangOverRacksIfNoRackCanHoldIt)
 {
     Scenario scenario(2, 2);
@@ -365,6 +485,61 @@
     }
 }
 
+/** For random fleets and jobs of which nothing runs, no job keeps waiting while there is room for it twice over. */
+RC_GTEST_PROP(OverdueJob, NeverStandsStillWhileThereIsRoomForItTwiceOver, ())
+{
+    Scenario scenario(3, 2);
+    for (MinionView &minion : scenario.minions) {
+        minion.usable = *rc::gen::weightedElement<bool>({{8, true}, {2, false}});
+        minion.lastResort = !minion.usable && *rc::gen::arbitrary<bool>();
+        minion.free.gpus = *rc::gen::inRange(0, 9);
+        minion.free.cores = *rc::gen::inRange(0, 64'001);
+    }
+    scenario.headroom.preempted(1, *rc::gen::inRange(0, 100), NOW);
+    const int jobs = *rc::gen::inRange(1, 12);
+    for (int i = 0; i < jobs; ++i) {
+        StepSpec step = Scenario::step(static_cast<std::uint32_t>(*rc::gen::inRange(1, 5)), *rc::gen::inRange(0, 9),
+                                       *rc::gen::arbitrary<bool>());
+        step.need.cores = *rc::gen::inRange(1, 30'000);
+        step.sameRack = *rc::gen::arbitrary<bool>();
+        step.maxPerMinion = static_cast<std::uint32_t>(*rc::gen::inRange(0, 3));
+        step.dataRack = RackName(*rc::gen::element<std::string>("", "r0", "r1"));
+        step.longRunning = *rc::gen::weightedElement<bool>({{3, false}, {1, true}});
+        scenario.submit(*rc::gen::element<std::string>("plan", "batch"), step, *rc::gen::inRange(0, 30'000));
+    }
+    const PlanDecisions decisions = scenario.planAfterWaiting(OVERDUE_MS);
+    std::vector<MinionView> minions = scenario.minions;
+    std::map<StepKey, std::map<std::size_t, std::uint32_t>> placed;
+    std::set<UnitKey> startedUnits;
+    std::set<JobId> startedJobs;
+    for (const UnitStart &start : decisions.starts) {
+        startedUnits.insert(start.unit);
+        startedJobs.insert(start.unit.job);
+        for (const std::size_t m : start.minions) {
+            RC_ASSERT(minions[m].usable || minions[m].lastResort);
+            minions[m].free -= countedNeed(scenario.jobTable.stepOf(start.unit));
+            RC_ASSERT(minions[m].free.covers({}));
+            ++placed[start.unit.stepKey()][m];
+        }
+    }
+    for (const auto &[key, entry] : scenario.jobTable.live()) {
+        const StepSpec &step = entry->job.spec.steps[0];
+        for (const UnitKey &unit : JobTable::unitsOf(*entry)) {
+            if (step.longRunning ? startedUnits.contains(unit) : startedJobs.contains(unit.job)) {
+                continue;
+            }
+            std::uint32_t room = 0;
+            for (std::size_t m = 0; m < minions.size(); ++m) {
+                const std::uint32_t limit = step.maxPerMinion == 0 ? 64 : step.maxPerMinion;
+                const std::uint32_t left = limit - std::min(limit, placed[unit.stepKey()][m]);
+                const bool accepts = minions[m].usable || minions[m].lastResort;
+                room += accepts && left > 0 ? membersThatFit(minions[m].free, countedNeed(step), left) : 0;
+            }
+            RC_ASSERT(room < 2 * (step.gang ? step.count : 1));
+        }
+    }
+}
+
 /** For random fleets and jobs, started units fit and meet their constraints, and a second pass decides the same. */
 RC_GTEST_PROP(StepScheduler, StartsOnlyUnitsThatFitTheirMinionsAndIsDeterministic, ())
 {
