--- a/packages/steps/minionfleet.cpp
+++ b/packages/steps/minionfleet.cpp
@@ -12,13 +12,18 @@
 
 } // namespace
 
-bool isEligible(const MinionView &minion, const ServiceName &service, const StepSpec &step)
+bool matches(const MinionView &minion, const ServiceName &service, const StepSpec &step)
 {
-    return minion.usable && minion.service == service
+    return minion.service == service
            && (step.requiredLabel.empty()
                || std::find(minion.labels.begin(), minion.labels.end(), step.requiredLabel) != minion.labels.end());
 }
 
+bool isEligible(const MinionView &minion, const ServiceName &service, const StepSpec &step)
+{
+    return minion.usable && matches(minion, service, step);
+}
+
 std::uint32_t membersThatFit(Resources available, const Resources &need, std::uint32_t limit)
 {
     const std::uint32_t maxMembers = limit == 0 ? MAX_MEMBERS_PER_MINION : std::min(limit, MAX_MEMBERS_PER_MINION);
@@ -66,12 +71,13 @@
     }
 }
 
-const MinionGroup &MinionFleet::eligible(const ServiceName &service, const StepSpec &step)
+const MinionGroup &MinionFleet::eligible(const ServiceName &service, const StepSpec &step, bool withLastResort)
 {
-    const auto [place, isNew] = m_groups.try_emplace(std::make_pair(service, step.requiredLabel));
+    const auto [place, isNew] = m_groups.try_emplace(std::make_tuple(service, step.requiredLabel, withLastResort));
     if (isNew) {
         for (std::size_t m = 0; m < m_minions.size(); ++m) {
-            if (isEligible(m_minions[m], service, step)) {
+            const bool accepts = m_minions[m].usable || (withLastResort && m_minions[m].lastResort);
+            if (accepts && matches(m_minions[m], service, step)) {
                 place->second.add(m, m_racks[m]);
             }
         }
