Let soak rounds see jobs that stand still in calm phases

Callers saw jobs wait for seconds on a calm fleet with room, and the soak could not see it: it asked for completion within 45 s only, its jobs were of one step, tenant and queue, and its faults left no calm phases.

Its jobs now have dependencies, anti-affinity, labels, data racks, shared racks, times, lasting and failing tasks and cancellations, in three queues and of three tenants. A new test plays faults and calm phases in turn. Each round checks, from the runs that minions recorded, that no job stands still for 3 s from 4 s after the last fault while a unit could run and there is room for it twice over. The rounds without calm phases and the limit of 45 s remain.

--- a/tests/soak/chaos.cpp
+++ b/tests/soak/chaos.cpp
@@ -16,6 +16,7 @@
 constexpr Millis MIN_LENGTH {100};
 constexpr Millis MAX_LENGTH {4'500};
 constexpr Millis EXIT_LIMIT {6'000};
+constexpr Millis USUAL_EXIT {4'500}; // a node that is stopped finishes its calls first
 
 constexpr std::array<std::string_view, 21> NAMES {
     "node-killed",  "leader-killed", "node-frozen",          "leader-frozen", "node-stopped", "settings-reread",
@@ -23,6 +24,12 @@
     "appends-lost", "appends-late",  "minion-restarted",     "minion-down",   "minion-cut",   "minion-reset",
     "starts-late",  "orders-late",   "configuration-changed"};
 
+bool isPlannedWork(FaultKind kind)
+{
+    return kind == FaultKind::NodeStopped || kind == FaultKind::SettingsReread
+           || kind == FaultKind::ConfigurationChanged;
+}
+
 } // namespace
 
 std::vector<FaultKind> Chaos::allKinds()
@@ -34,9 +41,11 @@
     return kinds;
 }
 
-Chaos::Chaos(Deployment &deployment, std::uint32_t seed, unsigned lanes, std::vector<FaultKind> kinds)
+Chaos::Chaos(Deployment &deployment, std::uint32_t seed, unsigned lanes, std::vector<FaultKind> kinds,
+             ChaosPhases phases)
     : m_deployment(deployment)
     , m_kinds(std::move(kinds))
+    , m_phases(phases)
 {
     for (std::size_t i = 0; i < deployment.nodes.size(); ++i) {
         m_nodeLocks.push_back(std::make_unique<std::mutex>());
@@ -63,12 +72,38 @@
     m_lanes.clear();
 }
 
-std::vector<std::string> Chaos::history() const
+std::vector<FaultSeen> Chaos::history() const
 {
     const std::lock_guard lock(m_historyLock);
     return m_history;
 }
 
+std::vector<TimeSpan> Chaos::calmSpans(std::int64_t untilMs) const
+{
+    std::vector<TimeSpan> faults;
+    for (const FaultSeen &fault : history()) {
+        if (countsAsFault(fault.kind)) {
+            faults.push_back({fault.fromMs, fault.toMs});
+        }
+    }
+    return without({m_begunMs, untilMs}, faults);
+}
+
+bool Chaos::countsAsFault(FaultKind kind) const
+{
+    return !m_phases.plannedWork || !isPlannedWork(kind);
+}
+
+std::pair<Millis, bool> Chaos::phaseAt(TimePoint now) const
+{
+    if (m_phases.calm.count() == 0) {
+        return {Millis::max(), false};
+    }
+    const Millis into((toMillis(now - m_begun)) % (m_phases.faults + m_phases.calm).count());
+    const bool calm = into >= m_phases.faults;
+    return {(calm ? m_phases.faults + m_phases.calm : m_phases.faults) - into, calm};
+}
+
 void Chaos::pause(Millis length) const
 {
     const TimePoint until = Clock::now() + length;
@@ -90,16 +125,26 @@
         const FaultKind kind = m_kinds[random() % m_kinds.size()];
         const std::size_t node = random() % m_deployment.nodes.size();
         const std::size_t minion = random() % m_deployment.minions.size();
-        const Millis length = MIN_LENGTH + Millis(random() % (MAX_LENGTH - MIN_LENGTH).count());
+        Millis length = MIN_LENGTH + Millis(random() % (MAX_LENGTH - MIN_LENGTH).count());
         if (m_ending) {
             break;
         }
+        if (countsAsFault(kind)) {
+            const auto [left, calm] = phaseAt(Clock::now());
+            const bool outlasts = left < 2 * MIN_LENGTH || (kind == FaultKind::NodeStopped && left < USUAL_EXIT);
+            if (calm || outlasts) {
+                continue;
+            }
+            length = std::min(length, left / 2); // the effects of some faults last twice as long
+        }
         const std::int64_t begun = Standins::nowMs();
-        inject(kind, node, minion, length, random);
+        const Millis aftermath = inject(kind, node, minion, length, random);
+        const std::int64_t ended = Standins::nowMs() + aftermath.count();
         const std::lock_guard lock(m_historyLock);
-        m_history.push_back(std::to_string(begun) + " to " + std::to_string(Standins::nowMs()) + " "
-                            + std::string(NAMES[static_cast<std::size_t>(kind)]) + " node " + std::to_string(node)
-                            + " minion " + std::to_string(minion));
+        m_history.push_back({kind, begun, ended,
+                             std::to_string(begun) + " to " + std::to_string(ended) + " "
+                                 + std::string(NAMES[static_cast<std::size_t>(kind)]) + " node " + std::to_string(node)
+                                 + " minion " + std::to_string(minion)});
     }
 }
 
@@ -144,7 +189,7 @@
     m_deployment.store.setFaults({});
 }
 
-void Chaos::inject(FaultKind kind, std::size_t node, std::size_t minion, Millis length, std::mt19937 &random)
+Millis Chaos::inject(FaultKind kind, std::size_t node, std::size_t minion, Millis length, std::mt19937 &random)
 {
     StoreFaults store;
     auto &standin = *m_deployment.minions[minion];
@@ -158,8 +203,12 @@
     const std::unique_lock minionLock(*m_minionLocks[minion], std::try_to_lock);
     const bool aboutMinion = kind >= FaultKind::MinionRestarted && kind <= FaultKind::OrdersLate;
     if (aboutMinion && !minionLock.owns_lock()) {
-        return;
+        return Millis(0);
     }
+    const auto lateness = [&](std::int64_t low, std::int64_t high) {
+        const std::int64_t drawn = low + static_cast<std::int64_t>(random()) % (high - low);
+        return m_phases.calm.count() == 0 ? drawn : std::min<std::int64_t>(drawn, length.count());
+    };
     switch (kind) {
     case FaultKind::NodeKilled:
         restartNode(node, SIGKILL, length);
@@ -213,9 +262,9 @@
         break;
     case FaultKind::AppendsLate:
         store.lateAppends = 1 + random() % 10;
-        store.lateMs = 1'000 + random() % 4'000;
+        store.lateMs = lateness(1'000, 5'000);
         disturbStore(store, length);
-        break;
+        return Millis(store.lateMs);
     case FaultKind::MinionRestarted:
         standin.restartUnlisted();
         toMinion.cutOpen();
@@ -240,25 +289,26 @@
     case FaultKind::StartsLate: {
         Standins::PlatformMinionFaults late;
         late.lateStarts = 1 + random() % 4;
-        late.lateMs = 1 + random() % 3'000;
+        late.lateMs = lateness(1, 3'000);
         standin.setFaults(late);
         pause(length);
         standin.setFaults({});
-        break;
+        return Millis(late.lateMs);
     }
     case FaultKind::OrdersLate: {
         Standins::PlatformMinionFaults late;
         late.lateOrders = 1 + random() % 8;
-        late.lateMs = 2'000 + random() % 10'000;
+        late.lateMs = lateness(2'000, 12'000);
         standin.setFaults(late);
         pause(length);
         standin.setFaults({});
-        break;
+        return Millis(late.lateMs);
     }
     case FaultKind::ConfigurationChanged:
         m_deployment.configure();
         break;
     }
+    return Millis(0);
 }
 
 } // namespace Papaya::Testing
--- a/tests/soak/chaos.h
+++ b/tests/soak/chaos.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "integration/deployment.h"
+#include "timespan.h"
 
 #include <atomic>
 #include <mutex>
@@ -10,7 +11,7 @@
 #include <vector>
 
 // Injects faults into a running deployment, in series that overlap. The seed decides which faults come, when, where and
-// for how long.
+// for how long. Between phases of faults there may be calm phases, in which all series rest.
 
 namespace Papaya::Testing
 {
@@ -40,6 +41,22 @@
     ConfigurationChanged ///< the next version of the configuration
 };
 
+/** Lengths of the phases that alternate, beginning with faults. */
+struct ChaosPhases {
+    Millis faults {0};
+    Millis calm {0}; ///< 0 for no calm phases
+    /** Planned work (stopped nodes, new settings and configurations) goes on in calm phases and is no fault. */
+    bool plannedWork = false;
+};
+
+/** A fault that was injected. Times are milliseconds since the Unix epoch. */
+struct FaultSeen {
+    FaultKind kind = FaultKind::NodeKilled;
+    std::int64_t fromMs = 0;
+    std::int64_t toMs = 0; ///< when its last effect was over
+    std::string text;      ///< for reports
+};
+
 /** Runs faults on threads of its own from its creation until end(). */
 class Chaos
 {
@@ -49,20 +66,26 @@
      * @param lanes series of faults that run at the same time
      * @param kinds the faults to choose from
      */
-    Chaos(Deployment &deployment, std::uint32_t seed, unsigned lanes, std::vector<FaultKind> kinds);
+    Chaos(Deployment &deployment, std::uint32_t seed, unsigned lanes, std::vector<FaultKind> kinds, ChaosPhases phases);
     ~Chaos();
     Chaos(const Chaos &) = delete;
     Chaos &operator=(const Chaos &) = delete;
 
     /** Ends the last faults, repairs everything and returns once all nodes run. */
     void end();
-    /** @return a line for each fault so far, with the time of its begin and end. */
-    [[nodiscard]] std::vector<std::string> history() const;
+    /** @return the faults that have ended. */
+    [[nodiscard]] std::vector<FaultSeen> history() const;
+    /** @return the spans without faults from the creation until @p untilMs, once all faults have ended. */
+    [[nodiscard]] std::vector<TimeSpan> calmSpans(std::int64_t untilMs) const;
     [[nodiscard]] static std::vector<FaultKind> allKinds();
 
 private:
     void runLane(std::uint32_t seed);
-    void inject(FaultKind kind, std::size_t node, std::size_t minion, Millis length, std::mt19937 &random);
+    /** @return how long the fault has effects after it was ended; at most @p length if there are calm phases. */
+    Millis inject(FaultKind kind, std::size_t node, std::size_t minion, Millis length, std::mt19937 &random);
+    /** @return the time until the end of the phase that @p now is in, and whether this is a calm one. */
+    [[nodiscard]] std::pair<Millis, bool> phaseAt(TimePoint now) const;
+    [[nodiscard]] bool countsAsFault(FaultKind kind) const;
     /** Stops the node with @p signal and starts it again. Does nothing if another lane is doing that. */
     void restartNode(std::size_t node, int signal, Millis down);
     void freezeNode(std::size_t node, Millis length);
@@ -74,12 +97,15 @@
 
     Deployment &m_deployment;
     std::vector<FaultKind> m_kinds;
+    ChaosPhases m_phases;
+    TimePoint m_begun = Clock::now();
+    std::int64_t m_begunMs = Standins::nowMs();
     std::atomic<bool> m_ending {false};
     std::vector<std::unique_ptr<std::mutex>> m_nodeLocks; ///< one lane at a time restarts or freezes a node
     std::vector<std::unique_ptr<std::mutex>> m_minionLocks;
     std::mutex m_storeLock;
     mutable std::mutex m_historyLock;
-    std::vector<std::string> m_history;
+    std::vector<FaultSeen> m_history;
     std::vector<std::thread> m_lanes;
 };
 
--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -1,6 +1,7 @@
 #include "promises.h"
 
 #include <algorithm>
+#include <set>
 
 namespace Papaya::Testing
 {
@@ -18,6 +19,13 @@
            + " to " + std::to_string(run.endedMs) + " " + run.how + " noted " + std::to_string(run.notedMs);
 }
 
+/** @return the unit of @p task, which is its step if that is a gang: one end stands for all members. */
+std::string unitOf(const std::string &task, const JobShape &shape)
+{
+    const std::string step = task.substr(0, task.rfind('.'));
+    return shape.steps.at(std::stoul(step.substr(step.rfind('.') + 1))).gang ? step : task;
+}
+
 /** Checks the runs of one task, in the order of their starts. */
 void checkTask(const std::vector<TaskRun> &runs, std::vector<std::string> &broken)
 {
@@ -39,43 +47,60 @@
     if (job.refused && !runs.empty()) {
         broken.push_back("REFUSED, but started: " + describe(runs.front()));
     }
-    if (job.accepted && !job.completed) {
+    if (job.accepted && !job.ended) {
         broken.push_back("LOST: " + id + " last shown as \"" + job.lastState + "\"");
     }
     if (job.completedMs == 0) {
         return;
     }
-    std::map<std::string, bool> done; // by task, whether it was done when the job was shown as completed
+    std::set<std::string> done; // units that were done when the job was shown as completed
     for (const TaskRun &run : runs) {
-        done[run.task] = done[run.task] || (run.how == "done" && run.endedMs <= job.completedMs);
+        if (run.how == "done" && run.endedMs <= job.completedMs) {
+            done.insert(unitOf(run.task, job.shape));
+        }
         if (run.startedMs > job.completedMs + NOTE_MS) {
             broken.push_back("TWICE, after its job was shown as completed at " + std::to_string(job.completedMs) + ": "
                              + describe(run));
         }
     }
-    const auto ended = std::count_if(done.begin(), done.end(), [](const auto &item) { return item.second; });
-    if (static_cast<std::uint32_t>(ended) < job.tasks) {
-        broken.push_back("MIXED: " + id + " was shown as completed with " + std::to_string(ended) + " of "
-                         + std::to_string(job.tasks) + " tasks done");
+    if (done.size() < job.shape.units()) {
+        broken.push_back("MIXED: " + id + " was shown as completed with " + std::to_string(done.size()) + " of "
+                         + std::to_string(job.shape.units()) + " units done");
     }
 }
 
 } // namespace
 
-void CallersView::add(const std::string &id, std::uint32_t tasks)
+bool JobSeen::mayEndAs(const std::string &state) const
+{
+    const bool asSubmitted = state == (shape.fate == JobFate::Fails ? "failed" : "completed") && !shape.lasts();
+    return asSubmitted || (cancelSentMs != 0 && state == "cancelled");
+}
+
+void CallersView::add(const std::string &id, const JobShape &shape)
 {
     const std::lock_guard lock(m_mutex);
-    m_jobs[id].tasks = tasks;
+    m_jobs[id].shape = shape;
 }
 
 void CallersView::submitted(const std::string &id, int status)
 {
     const std::lock_guard lock(m_mutex);
     JobSeen &job = m_jobs[id];
-    job.accepted = job.accepted || status == 200;
+    if (status == 200 && !job.accepted) {
+        job.accepted = true;
+        job.acceptedMs = Standins::nowMs();
+    }
     job.refused = job.refused && (status == 503 || status == 429);
 }
 
+void CallersView::cancelling(const std::string &id)
+{
+    const std::lock_guard lock(m_mutex);
+    JobSeen &job = m_jobs[id];
+    job.cancelSentMs = job.cancelSentMs == 0 ? Standins::nowMs() : job.cancelSentMs;
+}
+
 void CallersView::shown(const std::string &id, const std::string &state, bool settled)
 {
     const std::lock_guard lock(m_mutex);
@@ -83,8 +108,8 @@
     job.lastState = state;
     if (state == "completed") {
         job.completedMs = job.completedMs == 0 ? Standins::nowMs() : job.completedMs;
-        job.completed = job.completed || settled;
     }
+    job.ended = job.ended || (settled && job.mayEndAs(state));
 }
 
 std::map<std::string, JobSeen> CallersView::jobs() const
@@ -93,6 +118,12 @@
     return m_jobs;
 }
 
+JobShape CallersView::shape(const std::string &id) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_jobs.at(id).shape;
+}
+
 std::vector<std::string> brokenPromises(const std::vector<TaskRun> &runs, const std::map<std::string, JobSeen> &jobs)
 {
     std::map<std::string, std::vector<TaskRun>> byTask;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,20 +1,27 @@
 #include "chaos.h"
 #include "promises.h"
+#include "soakjobs.h"
+#include "standstills.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <cstdlib>
 #include <fstream>
+#include <map>
+#include <mutex>
 #include <random>
 #include <sstream>
 #include <thread>
 
-// Plays seeded rounds of overlapping faults on a deployment of real processes while callers submit and query jobs, and
-// checks the promises to callers. Settings by environment variables: SOAK_SEEDS, "first-last" (default "1-3");
-// SOAK_SECONDS, length of the faults in each round (default 15); SOAK_LANES, series of faults at the same time
+// Plays seeded rounds of overlapping faults on a deployment of real processes while callers submit, query and cancel
+// jobs, and checks the promises to callers. Settings by environment variables: SOAK_SEEDS, "first-last" (default
+// "1-3"); SOAK_SECONDS, length of the faults in each round (default 15); SOAK_LANES, series of faults at the same time
 // (default 2); SOAK_NODES and SOAK_MINIONS, size of the deployment (default 3 and 8); SOAK_KINDS, numbers of FaultKind
 // separated by commas (default all); SOAK_KEEP, a folder in which the logs of a round that broke a promise are kept.
+// For rounds with calm phases: SOAK_CALM_SEEDS, "first-last" (default "1-1"); SOAK_CYCLES, how often each phase comes
+// (default 2); SOAK_FAULT_SECONDS and SOAK_CALM_SECONDS, lengths of the phases (default 8 and 9); SOAK_PLANNED, 1 if
+// planned work goes on in calm phases and does not count as a fault (default 0).
 
 namespace Papaya::Testing
 {
@@ -27,6 +34,8 @@
 constexpr Millis QUERY_INTERVAL {60};
 constexpr Millis SETTLE_LIMIT {45'000}; // a successor waits for up to 13.65 s before it restarts a silent minion's work
 constexpr int SUBMIT_ATTEMPTS = 4;
+constexpr std::uint32_t MINIONS_PER_RACK = 4;
+constexpr std::uint32_t JOB_SEED = 7'919; // the seed of the jobs is a multiple of it
 
 std::string variable(const char *name, const std::string &fallback)
 {
@@ -44,22 +53,41 @@
     return kinds.empty() ? Chaos::allKinds() : kinds;
 }
 
-/** Submits jobs and queries them at random nodes, as callers do, until it is told to settle. */
+int numberOf(const char *name, int fallback)
+{
+    return std::stoi(variable(name, std::to_string(fallback)));
+}
+
+/** @return the first and the last of the seeds in the variable @p name. */
+std::pair<std::uint32_t, std::uint32_t> seedsOf(const char *name, const std::string &fallback)
+{
+    const std::string seeds = variable(name, fallback);
+    return {static_cast<std::uint32_t>(std::stoul(seeds)),
+            static_cast<std::uint32_t>(std::stoul(seeds.substr(seeds.find('-') + 1)))};
+}
+
+/** Submits jobs, queries and cancels them at random nodes, as callers do, until it is told to settle. */
 class Callers
 {
 public:
-    Callers(Deployment &deployment, std::uint32_t seed)
+    Callers(Deployment &deployment, std::uint32_t racks, std::uint32_t seed)
         : m_deployment(deployment)
+        , m_racks(racks)
         , m_submitter([this, seed] { submitLoop(seed); })
         , m_querier([this, seed] { queryLoop(seed + 1); })
     {
     }
 
-    /** Ends the submissions and waits until every accepted job is shown as completed. */
+    /** Ends the submissions, cancels what lasts and waits until every accepted job is shown in its final state. */
     void settle()
     {
         m_settling = true;
         m_submitter.join();
+        for (const auto &[id, job] : m_view.jobs()) {
+            if (job.shape.lasts() && job.cancelSentMs == 0) {
+                cancelAt(id, Clock::now());
+            }
+        }
         m_settled = true;
         Cluster::eventually([&] { return openJobs().empty(); }, SETTLE_LIMIT);
         m_ended = true;
@@ -75,32 +103,27 @@
     void submitLoop(std::uint32_t seed)
     {
         std::mt19937 random(seed);
+        JobMaker jobs(seed * JOB_SEED, static_cast<std::uint32_t>(m_deployment.minions.size()), m_racks);
         while (!m_settling) {
             const std::string id = m_deployment.newId();
-            const std::uint32_t count = 1 + random() % 6;
-            const bool gang = random() % 5 == 0;
-            const int workMs = 20 + static_cast<int>(random() % 1'500);
-            const TaskShape shape {1'000, 1'000, static_cast<std::int64_t>(random() % 3 == 0 ? 8 : 1)};
-            Json taskSpec = {{"workMs", workMs}};
-            if (gang) {
-                taskSpec["gang"] = count;
+            const SoakJob job = jobs.next(Standins::nowMs());
+            m_view.add(id, job.shape);
+            submit(random() % m_deployment.nodes.size(), id, job);
+            if (job.cancelAfter) {
+                cancelAt(id, Clock::now() + *job.cancelAfter);
             }
-            const Json step = Deployment::step(count, shape, {{"gang", gang}, {"checkpointing", random() % 2 == 0}});
-            const Json body = {{"taskSpec", taskSpec.dump()}, {"steps", Json::array({step})}};
-            m_view.add(id, gang ? 1 : count);
-            submit(random() % m_deployment.nodes.size(), id, body.dump());
             std::this_thread::sleep_for(SUBMIT_INTERVAL);
         }
     }
 
     /** Tries again at the next node unless a node has answered that the job is stored. */
-    void submit(std::size_t node, const std::string &id, const std::string &body)
+    void submit(std::size_t node, const std::string &id, const SoakJob &job)
     {
         for (int attempt = 0; attempt < SUBMIT_ATTEMPTS; ++attempt) {
             const Millis left = CALL_TIMEOUT * (SUBMIT_ATTEMPTS - attempt);
             const int status = m_deployment
                                    .call((node + static_cast<std::size_t>(attempt)) % m_deployment.nodes.size(), "POST",
-                                         "plan", id, body, "key-a", CALL_TIMEOUT, left)
+                                         job.shape.queue, id, job.body, "key-" + job.shape.tenant, CALL_TIMEOUT, left)
                                    .status;
             m_view.submitted(id, status);
             if (status == 200) {
@@ -113,23 +136,53 @@
     {
         std::vector<std::string> open;
         for (const auto &[id, job] : m_view.jobs()) {
-            if (job.accepted && !job.completed) {
+            if (job.accepted && !job.ended) {
                 open.push_back(id);
             }
         }
         return open;
     }
 
+    void cancelAt(const std::string &id, TimePoint when)
+    {
+        const std::lock_guard lock(m_cancelLock);
+        m_cancels.emplace(when, id);
+    }
+
+    /** Cancels the job whose turn has come, and tries again later unless a node has answered that it is cancelled. */
+    void cancelNext(std::size_t node)
+    {
+        std::string id;
+        {
+            const std::lock_guard lock(m_cancelLock);
+            if (m_cancels.empty() || m_cancels.begin()->first > Clock::now()) {
+                return;
+            }
+            id = m_cancels.begin()->second;
+            m_cancels.erase(m_cancels.begin());
+        }
+        m_view.cancelling(id);
+        const JobShape shape = m_view.shape(id);
+        const int status =
+            m_deployment.call(node, "DELETE", shape.queue, id, "", "key-" + shape.tenant, CALL_TIMEOUT, CALL_TIMEOUT)
+                .status;
+        if (status != 200 && status != 410) {
+            cancelAt(id, Clock::now() + CALL_TIMEOUT);
+        }
+    }
+
     void queryLoop(std::uint32_t seed)
     {
         std::mt19937 random(seed);
         while (!m_ended) {
+            cancelNext(random() % m_deployment.nodes.size());
             const std::vector<std::string> open = openJobs();
             if (!open.empty()) {
                 const std::string &id = open[random() % std::min<std::size_t>(open.size(), 40)];
                 const bool settled = m_settled;
-                const Answer answer = m_deployment.call(random() % m_deployment.nodes.size(), "GET", "plan", id, "",
-                                                        "key-a", CALL_TIMEOUT, CALL_TIMEOUT);
+                const JobShape shape = m_view.shape(id);
+                const Answer answer = m_deployment.call(random() % m_deployment.nodes.size(), "GET", shape.queue, id,
+                                                        "", "key-" + shape.tenant, CALL_TIMEOUT, CALL_TIMEOUT);
                 if (answer.status == 200) {
                     m_view.shown(id, answer.json().value("state", ""), settled);
                 }
@@ -141,7 +194,10 @@
     }
 
     Deployment &m_deployment;
+    std::uint32_t m_racks;
     CallersView m_view;
+    std::mutex m_cancelLock;
+    std::multimap<TimePoint, std::string> m_cancels; ///< jobs to cancel, by time
     std::atomic<bool> m_settling {false};
     std::atomic<bool> m_settled {false};
     std::atomic<bool> m_ended {false};
@@ -156,39 +212,57 @@
     if (folder.empty()) {
         return;
     }
-    const std::string base = folder + "/seed-" + std::to_string(seed);
+    const std::string base = folder + "/" + ::testing::UnitTest::GetInstance()->current_test_info()->name() + "-seed-"
+                             + std::to_string(seed);
     std::ofstream summary(base + ".txt");
     for (const std::string &line : broken) {
         summary << line << '\n';
     }
-    for (const std::string &line : chaos.history()) {
-        summary << line << '\n';
+    for (const FaultSeen &fault : chaos.history()) {
+        summary << fault.text << '\n';
     }
     for (std::size_t i = 0; i < deployment.nodes.size(); ++i) {
         std::ofstream(base + "-node-" + std::to_string(i) + ".log") << deployment.log(i);
     }
 }
 
-void playRound(std::uint32_t seed)
+/** Adds a guarantee and a tenant without one to the configuration. */
+void addTenants(Json &config)
+{
+    config["tenants"][1]["guaranteed"] = {{"gpu", 16}};
+    config["tenants"].push_back({{"name", "c"}, {"apiKeys", {"key-c"}}});
+}
+
+/** Plays a round of @p length. */
+void playRound(std::uint32_t seed, Millis length, const ChaosPhases &phases)
 {
     DeploymentOptions options {std::stoul(variable("SOAK_NODES", "3")), std::stoul(variable("SOAK_MINIONS", "8"))};
+    options.minionsPerRack = MINIONS_PER_RACK;
     options.storeProxies = true;
     options.minionProxies = true;
     options.printLogs = false;
     Deployment deployment(options);
     deployment.start();
-    const auto length = Millis(1'000 * std::stoi(variable("SOAK_SECONDS", "15")));
-    const auto lanes = static_cast<unsigned>(std::stoi(variable("SOAK_LANES", "2")));
-    Callers callers(deployment, seed);
-    Chaos chaos(deployment, seed, lanes, chosenKinds());
+    deployment.configure(addTenants);
+    const auto racks = static_cast<std::uint32_t>((options.minions + MINIONS_PER_RACK - 1) / MINIONS_PER_RACK);
+    Callers callers(deployment, racks, seed);
+    Chaos chaos(deployment, seed, static_cast<unsigned>(numberOf("SOAK_LANES", 2)), chosenKinds(), phases);
     std::this_thread::sleep_for(length);
     chaos.end();
     callers.settle();
-    const auto runs = deployment.runs.all();
-    const auto jobs = callers.view().jobs();
-    const std::vector<std::string> broken = brokenPromises(runs, jobs);
-    std::printf("soak seed %u: %zu jobs, %zu runs, %zu faults, %zu promises broken\n", seed, jobs.size(), runs.size(),
-                chaos.history().size(), broken.size());
+    DeploymentSeen seen;
+    seen.runs = deployment.runs.all();
+    seen.jobs = callers.view().jobs();
+    for (const auto &minion : deployment.minions) {
+        seen.minions[minion->id()] = {minion->capacity(), minion->labels()};
+    }
+    seen.untilMs = Standins::nowMs();
+    seen.calm = chaos.calmSpans(seen.untilMs);
+    std::vector<std::string> broken = brokenPromises(seen.runs, seen.jobs);
+    const std::vector<std::string> still = standstills(seen);
+    broken.insert(broken.end(), still.begin(), still.end());
+    std::printf("soak seed %u: %zu jobs, %zu runs, %zu faults, %zu promises broken\n", seed, seen.jobs.size(),
+                seen.runs.size(), chaos.history().size(), broken.size());
     std::fflush(stdout);
     if (!broken.empty()) {
         keepLogs(deployment, chaos, broken, seed);
@@ -200,11 +274,21 @@
 
 TEST(Soak, KeepsThePromisesThroughOverlappingFaults)
 {
-    const std::string seeds = variable("SOAK_SEEDS", "1-3");
-    const auto first = static_cast<std::uint32_t>(std::stoul(seeds));
-    const auto last = static_cast<std::uint32_t>(std::stoul(seeds.substr(seeds.find('-') + 1)));
+    const auto [first, last] = seedsOf("SOAK_SEEDS", "1-3");
+    for (std::uint32_t seed = first; seed <= last; ++seed) {
+        playRound(seed, Millis(1'000 * numberOf("SOAK_SECONDS", 15)), {});
+    }
+}
+
+TEST(Soak, LetsNoJobStandStillInCalmPhasesBetweenFaults)
+{
+    ChaosPhases phases;
+    phases.faults = Millis(1'000 * numberOf("SOAK_FAULT_SECONDS", 8));
+    phases.calm = Millis(1'000 * numberOf("SOAK_CALM_SECONDS", 9));
+    phases.plannedWork = numberOf("SOAK_PLANNED", 0) != 0;
+    const auto [first, last] = seedsOf("SOAK_CALM_SEEDS", "1-1");
     for (std::uint32_t seed = first; seed <= last; ++seed) {
-        playRound(seed);
+        playRound(seed, numberOf("SOAK_CYCLES", 2) * (phases.faults + phases.calm), phases);
     }
 }
 
--- a/tests/standins/platformminionstandin.cpp
+++ b/tests/standins/platformminionstandin.cpp
@@ -220,6 +220,12 @@
     m_gpus = gpus;
 }
 
+Resources PlatformMinionStandin::capacity() const
+{
+    const std::lock_guard lock(m_mutex);
+    return {m_cpu, m_memoryMb, m_gpus};
+}
+
 std::uint64_t PlatformMinionStandin::highestFence() const
 {
     const std::lock_guard lock(m_mutex);
@@ -249,18 +255,12 @@
     Json entry;
     {
         const std::lock_guard lock(m_mutex);
-        entry = {{"service", m_service},
-                 {"address", m_advertised.value_or(address()).toString()},
-                 {"zone", "here"},
-                 {"version", "v1"},
-                 {"slots", 8},
-                 {"state", m_state},
-                 {"coldRemainingMs", 0},
-                 {"capacity", {{"cpu", m_cpu}, {"memMb", m_memoryMb}, {"gpu", m_gpus}}},
-                 {"labels", {"a", m_rack}},
-                 {"born", m_bornMs},
-                 {"clockMs", clock()},
-                 {"sequence", ++m_sequence}};
+        entry = {{"service", m_service}, {"address", m_advertised.value_or(address()).toString()},
+                 {"zone", "here"},       {"version", "v1"},
+                 {"slots", 8},           {"state", m_state},
+                 {"coldRemainingMs", 0}, {"capacity", {{"cpu", m_cpu}, {"memMb", m_memoryMb}, {"gpu", m_gpus}}},
+                 {"labels", labels()},   {"born", m_bornMs},
+                 {"clockMs", clock()},   {"sequence", ++m_sequence}};
         if (m_state == "draining") {
             entry["remainingMs"] = m_remainingMs;
         }
--- a/tests/standins/platformminionstandin.h
+++ b/tests/standins/platformminionstandin.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/units.h"
 #include "standins/standinserver.h"
 
 #include <atomic>
@@ -113,6 +114,12 @@
     {
         return m_id;
     }
+    /** @return the capacity that it publishes with the next list(). */
+    [[nodiscard]] Resources capacity() const;
+    [[nodiscard]] std::vector<std::string> labels() const
+    {
+        return {KIND, m_rack};
+    }
     /** @return the highest fencing token seen since the last restart. */
     [[nodiscard]] std::uint64_t highestFence() const;
     /** @return the number of late orders that have been carried out or refused. */
@@ -129,6 +136,8 @@
     HttpResponse control(const HttpRequest &request) override;
 
 private:
+    static constexpr const char *KIND = "a";
+
     struct Running {
         std::uint32_t run = 0;
         std::int64_t workMs = 0;
