--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -205,8 +205,8 @@
     std::thread m_querier;
 };
 
-void keepLogs(const Deployment &deployment, const Chaos &chaos, const std::vector<std::string> &broken,
-              std::uint32_t seed)
+void keepLogs(const Deployment &deployment, const Chaos &chaos, const DeploymentSeen &seen,
+              const std::vector<std::string> &broken, std::uint32_t seed)
 {
     const std::string folder = variable("SOAK_KEEP", "");
     if (folder.empty()) {
@@ -221,6 +221,20 @@
     for (const FaultSeen &fault : chaos.history()) {
         summary << fault.text << '\n';
     }
+    std::ofstream runs(base + "-runs.txt");
+    for (const Standins::TaskRun &run : seen.runs) {
+        runs << run.startedMs << ' ' << run.endedMs << ' ' << run.notedMs << ' ' << run.task << ' ' << run.run << ' '
+             << run.minion << ' ' << run.how << '\n';
+    }
+    std::ofstream jobs(base + "-jobs.txt");
+    for (const auto &[id, job] : seen.jobs) {
+        jobs << job.acceptedMs << ' ' << job.cancelSentMs << ' ' << id << ' ' << job.shape.kind << ", "
+             << job.shape.queue << ", tenant " << job.shape.tenant << ": " << job.lastState;
+        for (const StepShape &step : job.shape.steps) {
+            jobs << ", " << step.count << (step.gang ? " in a gang" : "") << " x " << step.need.gpus << " GPUs";
+        }
+        jobs << '\n';
+    }
     for (std::size_t i = 0; i < deployment.nodes.size(); ++i) {
         std::ofstream(base + "-node-" + std::to_string(i) + ".log") << deployment.log(i);
     }
@@ -265,7 +279,7 @@
                 seen.runs.size(), chaos.history().size(), broken.size());
     std::fflush(stdout);
     if (!broken.empty()) {
-        keepLogs(deployment, chaos, broken, seed);
+        keepLogs(deployment, chaos, seen, broken, seed);
     }
     for (const std::string &line : broken) {
         ADD_FAILURE() << "seed " << seed << ": " << line;
