Send nothing on a connection that the peer has closed

Callers saw jobs with nothing running for 11 s after minions had crashed.

The pool now looks whether the peer has closed an idle connection before it sends a request that must not be repeated, and opens a new one in that case. A refused connection shows that nothing was sent.

HttpClient.SendsNothingOnAConnectionThatThePeerHasClosed was red before (stage Exchange instead of Connect). Repeatable requests still find out by their failure, which saves a system call.

--- a/packages/connection/httpclient.cpp
+++ b/packages/connection/httpclient.cpp
@@ -10,6 +10,9 @@
 #include <boost/beast/http.hpp>
 
 #include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
 
 namespace Papaya
 {
@@ -102,6 +105,12 @@
     {
         return m_reusable;
     }
+    [[nodiscard]] bool closedByPeer() const override
+    {
+        char byte = 0;
+        const ssize_t read = ::recv(m_stream->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return read == 0 || (read < 0 && errno == ECONNRESET);
+    }
     [[nodiscard]] bool reused() const override
     {
         return m_reused;
@@ -186,7 +195,7 @@
 {
 }
 
-HttpConnectionPtr HttpPool::takeIdle(const Endpoint &endpoint, Duration maxIdleTime)
+HttpConnectionPtr HttpPool::takeIdle(const Endpoint &endpoint, Duration maxIdleTime, bool openOnly)
 {
     const std::lock_guard lock(m_mutex);
     auto &idle = m_idle[endpoint.toString()];
@@ -194,7 +203,7 @@
     while (!idle.empty()) {
         HttpConnectionPtr connection = std::move(idle.back());
         idle.pop_back();
-        if (connection->lastActivity() >= oldest) {
+        if (connection->lastActivity() >= oldest && !(openOnly && connection->closedByPeer())) {
             return connection;
         }
     }
@@ -203,7 +212,7 @@
 
 Asio::awaitable<HttpConnectionPtr> HttpPool::acquire(Endpoint endpoint, Duration maxIdleTime, TimePoint deadline)
 {
-    if (HttpConnectionPtr idle = takeIdle(endpoint, maxIdleTime)) {
+    if (HttpConnectionPtr idle = takeIdle(endpoint, maxIdleTime, true)) {
         co_return idle;
     }
     co_return co_await connectHttp(m_io, endpoint, deadline);
@@ -246,7 +255,7 @@
 
 Asio::awaitable<HttpResponse> HttpPool::exchange(Endpoint endpoint, HttpRequest request, TimePoint deadline)
 {
-    if (HttpConnectionPtr pooled = takeIdle(endpoint, MAX_IDLE_TIME)) {
+    if (HttpConnectionPtr pooled = takeIdle(endpoint, MAX_IDLE_TIME, false)) {
         try {
             HttpResponse response = co_await pooled->exchange(request, deadline);
             release(endpoint, std::move(pooled));
--- a/packages/connection/httpclient.h
+++ b/packages/connection/httpclient.h
@@ -76,6 +76,8 @@
 
     /** @return true if the connection can carry another exchange. */
     [[nodiscard]] virtual bool reusable() const = 0;
+    /** @return true if the connection is idle and the peer is known to have closed it. */
+    [[nodiscard]] virtual bool closedByPeer() const = 0;
     /** @return true if the connection has already carried an exchange. */
     [[nodiscard]] virtual bool reused() const = 0;
     /** @return when the last answer was received, or when the connection was created if there was none. */
@@ -101,7 +103,7 @@
 
     /**
      * Takes an idle connection whose last activity is at most @p maxIdleTime ago, or opens a new one. Connections found
-     * to be idle for longer are closed.
+     * to be idle for longer or closed by the peer are closed, as whatever is sent on them may have been processed.
      * @throws HttpError with stage Connect
      */
     Asio::awaitable<HttpConnectionPtr> acquire(Endpoint endpoint, Duration maxIdleTime, TimePoint deadline);
@@ -128,7 +130,8 @@
     Asio::awaitable<HttpResponse> exchange(Endpoint endpoint, HttpRequest request, TimePoint deadline);
 
 private:
-    HttpConnectionPtr takeIdle(const Endpoint &endpoint, Duration maxIdleTime);
+    /** @param openOnly true to pass over connections that the peer has closed, at the cost of a system call */
+    HttpConnectionPtr takeIdle(const Endpoint &endpoint, Duration maxIdleTime, bool openOnly);
 
     Asio::io_context &m_io;
     std::mutex m_mutex;
--- a/tests/unit/httpclient.cpp
+++ b/tests/unit/httpclient.cpp
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <memory>
 #include <thread>
 #include <vector>
 
@@ -114,6 +115,33 @@
     EXPECT_EQ(1, answers.requests);
 }
 
+// Guards against an order being in doubt because it was written into a connection that the peer had closed before.
+TEST(HttpClient, SendsNothingOnAConnectionThatThePeerHasClosed)
+{
+    LargeAnswers answers;
+    auto server = std::make_unique<ServerThread>(answers);
+    const Endpoint address = server->address();
+    Asio::io_context io(1);
+    HttpPool pool(io);
+    std::vector<FailureStage> failures;
+    const auto fetch = [](HttpPool &from, Endpoint to, std::vector<FailureStage> &into) -> Asio::awaitable<void> {
+        HttpRequest request {"POST", "/", {}, {}};
+        try {
+            co_await from.exchangeOnce(to, std::move(request), Clock::now() + Millis(10'000));
+        } catch (const HttpError &error) {
+            into.push_back(error.stage());
+        }
+    };
+    Asio::co_spawn(io, fetch(pool, address, failures), Asio::detached);
+    io.run();
+    ASSERT_TRUE(failures.empty());
+    server.reset();
+    Asio::co_spawn(io, fetch(pool, address, failures), Asio::detached);
+    io.restart();
+    io.run();
+    EXPECT_EQ(std::vector<FailureStage> {FailureStage::Connect}, failures);
+}
+
 } // namespace
 
 } // namespace Papaya
