End the runs of a crashed minion whose address another one has

Callers saw jobs with nothing running for 5 to 15 s after a minion had crashed, longest if the planner was replaced as well.

Cause: the polls of a crashed minion whose address another one has got are refused at once by that one (421). The planner took this for silence and waited for the leases: 5.2 s, 10.4 s for a minion younger than 20 s, 13.65 s after a take-over.

The refusal shows that the instance that had the address has ended, so that nothing runs there. It counts only for the minion's newest entry, once every entry has been read that a predecessor may have used (1.5 s after a take-over, and a read): the minion may have come back under its id at another address, and a predecessor that has not noticed the take-over may still start there what it had placed. Starts that are carried out late are refused by the other minion as well; the minion is polled for as long as they may come, as after any unanswered start, so that an instance that comes back is fenced. This rests on two things that the protocol doesn't say but the code assumed before: an instance keeps its address, and a new instance of an id means that the former has ended.

Tests: ReplacedMinion.LosesItsRunsAtOnce and .LosesItsRunsSoonAfterATakeOver are red on the code before (10,384 ms against 3,000 ms, 15,112 ms against 4,500 ms) and green now. ReplacedMinion.KeepsARunThatAPredecessorHasStartedAtItsNewAddress guards the dangerous side: it holds before and now, and is red with the condition on the entries taken out (two runs of the task, overlapping).

--- a/packages/dispatch/minionlink.h
+++ b/packages/dispatch/minionlink.h
@@ -38,6 +38,8 @@
     std::uint64_t restarts = 0;   ///< restarts of the minion that were noticed
     std::int64_t formerStartTimeMs = 0; ///< MinionEntry::startTimeMs before the last restart
     bool entryOutdated = false;         ///< the minion has restarted since it wrote its entry
+    std::int64_t newestStartTimeMs = 0; ///< latest MinionEntry::startTimeMs that an entry or report has shown
+    bool addressCovered = false;        ///< every address has been read to which earlier planners may have sent starts
     std::int64_t lateStartsUntilMs = 0; ///< until when starts without an answer may be carried out
     std::uint64_t unverifiedStarts = 0; ///< starts that another instance of the minion may have accepted
     std::uint64_t verifiedStarts = 0;   ///< of these, the ones that a later report has covered
@@ -73,6 +75,12 @@
         });
     }
 
+    /** @return true if every start was sent to the address of the entry, or to an earlier instance's address. */
+    [[nodiscard]] bool hasLatestAddress() const
+    {
+        return addressCovered && entry.startTimeMs != 0 && entry.startTimeMs == newestStartTimeMs;
+    }
+
     /** @return true if a report of the minion is needed at @p nowMs. */
     [[nodiscard]] bool awaitsReport(std::int64_t nowMs) const
     {
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -153,6 +153,7 @@
                   {"members", std::uint64_t(link.placed.size())}});
     }
     link.entry = entry;
+    link.newestStartTimeMs = std::max(link.newestStartTimeMs, entry.startTimeMs);
     link.entryOutdated = false;
     link.listed = true;
     ensurePolling(link);
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -28,10 +28,11 @@
 // 1. A start is journaled before it is ordered, so that a successor knows of every run that may exist.
 // 2. An end is journaled before it is acknowledged to the minion, which then forgets it.
 // 3. A member counts as running until one of these holds: the minion refuses the first order to start it, the minion
-//    lists its end, a later poll does not list the run, or the lease has expired even on the slowest permitted clock.
-//    Until then its unit is not started elsewhere. This holds also if the minion has restarted, since its new instance
-//    may have accepted the start before the restart was noticed. Orders to the new instance have a higher fence, so
-//    that it refuses those that were sent to the former one and are carried out late.
+//    lists its end, a later poll does not list the run, another minion answers at its address, or the lease has expired
+//    even on the slowest permitted clock. Until then its unit is not started elsewhere. This holds also if the minion
+//    has restarted, since its new instance may have accepted the start before the restart was noticed. Orders to the
+//    new instance have a higher fence, so that it refuses those that were sent to the former one and are carried out
+//    late.
 // 4. A start leaves this node only while its minion may get work and the view of minions and jobs is not older than
 //    Context::maxViewAge. Both are checked when the order is written, as it may have waited for the journal, for its
 //    turn or for a connection. While the view is too old, nothing is placed or started.
@@ -39,6 +40,9 @@
 //    waits for PRIOR_LEASE_SPAN_MS, which covers that window and one lease, before it restarts the minion's work. It
 //    records the minion as silent and withdraws the record before it grants it a lease, so that the wait does not begin
 //    anew with the next successor.
+// 6. If another minion refuses a poll, the instance that had its address has ended. The minion may have come back at
+//    another address, so this counts only for its newest entry, and once every entry has been read that a predecessor
+//    may have used. One that has not noticed the take-over sends starts for up to Context::maxViewAge.
 
 namespace Papaya
 {
@@ -215,6 +219,13 @@
     static void countFailure(const Assignment &assignment, UnitStatus &status);
     void countFailure(const AssignmentPtr &assignment);
     void expireLeases();
+    /**
+     * Ends the members on a minion that has ended, since another one refused a poll at its address.
+     * @param sentMs when the poll was sent
+     */
+    void endReplaced(MinionLink &link, std::int64_t sentMs);
+    /** Takes note of whether the entry of @p link shows where its minion may have got starts of earlier planners. */
+    void checkAddress(MinionLink &link) const;
     /** Stops runs on draining minions that would otherwise be lost, so that they restart elsewhere. */
     void evacuate();
     /** Counts the members of @p assignment, all of which have started, as without progress from @p nowMs. */
--- a/packages/dispatch/stepplannerhealth.cpp
+++ b/packages/dispatch/stepplannerhealth.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/stepplanner.h"
 
 #include "dispatch/boottime.h"
+#include "dispatch/leaseterms.h"
 #include "process/logging.h"
 #include "steps/evacuation.h"
 #include "steps/progresswatch.h"
@@ -79,6 +80,39 @@
     }
 }
 
+void StepPlanner::checkAddress(MinionLink &link) const
+{
+    // A predecessor that has not noticed the take-over starts what it had placed, at addresses that it reads meanwhile.
+    const std::int64_t lastStartMs = m_takeoverMs + m_context.maxViewAge.count();
+    link.addressCovered = link.addressCovered || (link.listed && m_context.freshness().minionsAsOfMs >= lastStartMs);
+}
+
+void StepPlanner::endReplaced(MinionLink &link, std::int64_t sentMs)
+{
+    std::vector<PlacedMember> ended;
+    for (const PlacedMember &placed : link.placed) {
+        const Member &member = placed.member();
+        if (member.state == MemberState::Running && member.confirmedMs < sentMs) {
+            ended.push_back(placed);
+        }
+    }
+    if (ended.empty()) {
+        return;
+    }
+    // Starts that are carried out late are refused by the other minion. They could only take effect if this one came
+    // back to the address, so it is polled, which raises its fence.
+    const std::int64_t lastStartMs = m_takeoverMs + m_context.maxViewAge.count();
+    link.lateStartsUntilMs = std::max(link.lateStartsUntilMs, lastStartMs + LATE_START_SPAN_MS);
+    for (const auto &[assignment, index] : ended) {
+        m_context.metrics.count(StepEvent::RunLost, "minion-replaced");
+        logEvent(LogLevel::Warning, "minion-replaced",
+                 {{"unit", assignment->unit.toString()},
+                  {"run", std::uint64_t(assignment->run)},
+                  {"minion", assignment->members[index].minion.value()}});
+        memberEnded(assignment, index, EndKind::Unknown);
+    }
+}
+
 void StepPlanner::evacuate()
 {
     const std::int64_t now = bootMillis();
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -37,9 +37,6 @@
 constexpr Millis STOP_CONFIRM_DELAY {250};       // a minion takes up to 200 ms to stop a run
 constexpr std::int64_t REFUSED_BACKOFF_MS = 500; // after a refused start
 constexpr std::int64_t UNHEALTHY_BACKOFF_MS = 2'000;
-// A start without an answer may be carried out that much later. The minion is polled until then, so that its restart is
-// noticed soon: the new instance may carry out the start until the first poll raises its fence.
-constexpr std::int64_t LATE_START_SPAN_MS = 12'000;
 // After the start of an instance, orders to a former one may still be carried out late. Allows for clocks that differ.
 constexpr std::int64_t YOUNG_INSTANCE_MS = 20'000;
 
@@ -336,7 +333,8 @@
     // Only an answered poll lets a minion that was silent get work again, so one that is listed is polled until then.
     const bool silent = link.listed && link.pollFailures > 0;
     const bool needed = link.awaitsReport(bootMillis()) || silent;
-    const bool reachable = link.listed || link.clock.known();
+    const bool mayReturn = link.addressCovered && bootMillis() < link.lateStartsUntilMs;
+    const bool reachable = link.listed || link.clock.known() || mayReturn;
     if (!link.polling && needed && reachable && m_leading) {
         link.polling = true;
         Asio::co_spawn(m_context.io, pollLoop(shared_from_this(), link.entry.id), Asio::detached);
@@ -385,6 +383,7 @@
     order.ackUpTo = link->mayAcknowledge() ? link->endsStored : 0;
     const std::uint64_t coveredStarts = link->unverifiedStarts;
     const std::uint64_t knownRestarts = link->restarts;
+    const Endpoint address = link->entry.address;
     // Leases of a minion that does not answer are not renewed, so that they expire.
     if (!link->placed.empty() && link->clock.known() && !link->silenceRecorded
         && link->pollFailures <= MAX_UNANSWERED_RENEWALS && mayRenew()) {
@@ -415,6 +414,11 @@
                       {"outcome", toString(answer.outcome)},
                       {"members", std::uint64_t(link->placed.size())}});
         }
+        checkAddress(*link);
+        if (answer.outcome == OrderOutcome::OtherIncarnation && link->hasLatestAddress()
+            && link->entry.address == address) {
+            endReplaced(*link, sent);
+        }
         co_return false;
     }
     if (link->pollFailures > 0) {
--- a/packages/dispatch/stepplannerreports.cpp
+++ b/packages/dispatch/stepplannerreports.cpp
@@ -175,6 +175,7 @@
     ++link.restarts;
     link.formerStartTimeMs = link.entry.startTimeMs;
     link.entry.startTimeMs = startTimeMs;
+    link.newestStartTimeMs = std::max(link.newestStartTimeMs, startTimeMs);
     link.entryOutdated = true;
     link.clock = MinionClock();
     m_fence = raisedFence(m_fence);
--- a/tests/standins/platformminionstandin.cpp
+++ b/tests/standins/platformminionstandin.cpp
@@ -158,6 +158,13 @@
     resetState();
 }
 
+void PlatformMinionStandin::replaceByOther()
+{
+    const std::lock_guard lock(m_mutex);
+    resetState();
+    m_replaced = true;
+}
+
 void PlatformMinionStandin::powerOff()
 {
     {
@@ -345,6 +352,12 @@
     return jsonAnswer(409, {{"clockMs", clock()}, {"reason", reason}});
 }
 
+bool PlatformMinionStandin::isMeantForThis(const HttpRequest &request) const
+{
+    const std::string &target = request.fields.get("Papayahall-Target-Instance");
+    return target.empty() || target == m_id;
+}
+
 Asio::awaitable<HttpResponse> PlatformMinionStandin::serve(HttpRequest request)
 {
     const std::string path(request.path());
@@ -354,6 +367,9 @@
         if (m_faults.unresponsive || m_poweredOff) {
             co_return noAnswer();
         }
+        if (m_replaced || !isMeantForThis(request)) {
+            co_return jsonAnswer(421, Json::object());
+        }
     }
     if (const std::int64_t lateMs = takeLateness(path); lateMs > 0) {
         co_await carryOutLate(path, body, lateMs);
@@ -399,7 +415,7 @@
     co_await sleepFor(Millis(lateMs));
     {
         const std::lock_guard lock(m_mutex);
-        if (m_poweredOff) {
+        if (m_poweredOff || m_replaced) {
             co_return;
         }
     }
@@ -525,7 +541,7 @@
         {
             const std::lock_guard lock(m_mutex);
             bornMs = first ? m_bornMs : bornMs;
-            if (m_faults.unresponsive || m_faults.silentPolls || m_poweredOff || bornMs != m_bornMs) {
+            if (m_faults.unresponsive || m_faults.silentPolls || m_poweredOff || m_replaced || bornMs != m_bornMs) {
                 co_return noAnswer();
             }
             if (first && fenced(body)) {
--- a/tests/standins/platformminionstandin.h
+++ b/tests/standins/platformminionstandin.h
@@ -95,6 +95,11 @@
     void restart();
     /** Restarts like restart(), but does not publish its new entry; list() does. */
     void restartUnlisted();
+    /**
+     * Crashes, and another minion takes over its address: that one refuses what is meant for this one. Its entry stays
+     * in the store.
+     */
+    void replaceByOther();
     /** Simulates loss of power: all runs end, no call is answered and the minion's entry is removed. */
     void powerOff();
     /** Restarts without state after powerOff(). */
@@ -172,6 +177,7 @@
     Json report() const;
     HttpResponse refusal(const std::string &reason) const;
     bool fenced(const Json &body);
+    [[nodiscard]] bool isMeantForThis(const HttpRequest &request) const;
 
     std::string m_id;
     std::string m_service;
@@ -184,6 +190,7 @@
     std::size_t m_lateOrdersCarriedOut = 0;
     std::size_t m_pollsAnswered = 0;
     bool m_poweredOff = false;
+    bool m_replaced = false; ///< another minion has its address
     mutable std::mutex m_mutex;
     PlatformMinionFaults m_faults;
     std::int64_t m_bornMs;
