End starts without an answer at a minion whose address another one has

Callers saw a task wait for 11 s if its minion crashed while its start order was under way.

Cause: a start without an answer may have been carried out by another instance of the minion than expected, which limits its lease only by itself (10 s), so that the unit was held for leaseBoundMs(), 11.1 s, although the order itself carried a lease of 5 s.

The bound can't be shorter without evidence: the end of the lease is a time on the clock of the expected instance, which is far ahead for one that has restarted, and a minion that is idle may have restarted unnoticed. The refusal by another minion at the address is evidence: neither the expected nor a later instance runs there. So it now ends also members whose start order had ended without an answer before the poll was sent. The order may still come late; the other minion refuses it, and the minion is polled until then, as after every unanswered start, so that an instance that comes back to the address is fenced. While the call is in flight, nothing is concluded. A minion that is gone without another one at its address is waited for as before.

Tests: ReplacedMinion.DoesNotHoldUpATaskWhoseStartItLeftUnanswered, red before (11,195 ms against 3,000 ms), green now. ReplacedMinion.RefusesALateStartOnceItHasItsAddressAgain guards the dangerous side; not seen red: without the polls for late starts (a trial), the poll that was due when the entry went still raised the fence.

--- a/packages/dispatch/assignment.h
+++ b/packages/dispatch/assignment.h
@@ -25,6 +25,7 @@
     MemberState state = MemberState::Ordered;
     bool sent = false;            ///< a start order may have reached the minion
     std::int64_t confirmedMs = 0; ///< when the start was confirmed
+    std::int64_t orderedMs = 0;   ///< when the last start order had been answered or given up; 0 before that
     /** Until when the run may hold a lease if another instance of the minion than expected has accepted the start. */
     std::int64_t unverifiedUntilMs = 0;
     bool stopping = false; ///< a stop loop is running
--- a/packages/dispatch/stepplannerhealth.cpp
+++ b/packages/dispatch/stepplannerhealth.cpp
@@ -92,7 +92,8 @@
     std::vector<PlacedMember> ended;
     for (const PlacedMember &placed : link.placed) {
         const Member &member = placed.member();
-        if (member.state == MemberState::Running && member.confirmedMs < sentMs) {
+        const std::int64_t orderedMs = member.state == MemberState::Running ? member.confirmedMs : member.orderedMs;
+        if (orderedMs > 0 && orderedMs < sentMs) {
             ended.push_back(placed);
         }
     }
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -211,6 +211,7 @@
     if (!self->m_leading) {
         co_return;
     }
+    member.orderedMs = bootMillis();
     if (!member.sent) {
         --self->m_unsentStarts;
         self->sendQueuedStartsSoon();
--- a/tests/integration/replacedminions.cpp
+++ b/tests/integration/replacedminions.cpp
@@ -14,6 +14,7 @@
 {
 
 using Standins::nowMs;
+using Standins::PlatformMinionFaults;
 using Standins::PlatformMinionStandin;
 using Standins::StoreFaults;
 
@@ -69,6 +70,57 @@
     EXPECT_TRUE(deployment.runs.doubled().empty());
 }
 
+// Guards against waiting for the longest lease that a start without an answer could have got, on another instance of a
+// minion, although another minion answers at its address.
+TEST(ReplacedMinion, DoesNotHoldUpATaskWhoseStartItLeftUnanswered)
+{
+    Deployment deployment({1, 2});
+    setRoom(*deployment.minions[1], false);
+    deployment.start();
+    PlatformMinionFaults late;
+    late.lateStarts = 2; // a start order without an answer is sent twice
+    late.lateMs = 20'000;
+    deployment.minions[0]->setFaults(late);
+    const std::string id = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", id, Deployment::step(1)).status);
+    const auto inDoubt = [&] { return deployment.log(0).find("reason=start-in-doubt") != std::string::npos; };
+    ASSERT_TRUE(Cluster::eventually(inDoubt));
+    const std::int64_t replacedMs = nowMs();
+    deployment.minions[0]->replaceByOther();
+    setRoom(*deployment.minions[1], true);
+    ASSERT_TRUE(deployment.waitForState("plan", id, "completed", Millis(20'000)));
+    ASSERT_EQ(1U, deployment.runs.of(id).size());
+    EXPECT_LT(deployment.runs.of(id).front().startedMs - replacedMs, MAX_RESTART_MS);
+}
+
+// Guards against a second run of such a task if the start is carried out late, by an instance that has the address
+// again.
+TEST(ReplacedMinion, RefusesALateStartOnceItHasItsAddressAgain)
+{
+    Deployment deployment({1, 2});
+    setRoom(*deployment.minions[1], false);
+    deployment.start();
+    PlatformMinionFaults late;
+    late.lateStarts = 2;
+    late.lateMs = 7'000;
+    deployment.minions[0]->setFaults(late);
+    const std::string id = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", id, Deployment::step(1), {{"workMs", 9'000}}).status);
+    const auto logged = [&](const std::string &text) { return deployment.log(0).find(text) != std::string::npos; };
+    ASSERT_TRUE(Cluster::eventually([&] { return logged("reason=start-in-doubt"); }));
+    deployment.minions[0]->replaceByOther();
+    setRoom(*deployment.minions[1], true);
+    ASSERT_TRUE(deployment.waitForRunCount(id, 1));
+    deployment.store.put("keyed.servers", "i-0", "");
+    ASSERT_TRUE(Cluster::eventually([&] { return logged("minion-unlisted minion=i-0"); }));
+    deployment.minions[0]->comeBackUnlisted();
+    const auto lateOrdersCame = [&] { return deployment.minions[0]->lateOrdersCarriedOut() == 2; };
+    ASSERT_TRUE(Cluster::eventually(lateOrdersCame, Millis(12'000)));
+    EXPECT_TRUE(deployment.waitForState("plan", id, "completed", Millis(14'000)));
+    EXPECT_EQ(1U, deployment.runs.of(id).size());
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+}
+
 // Guards against a second run of a task that a predecessor has started on the new instance of a minion, by a planner
 // that knows only the minion's former address, where another one answers.
 TEST(ReplacedMinion, KeepsARunThatAPredecessorHasStartedAtItsNewAddress)
--- a/tests/standins/platformminionstandin.cpp
+++ b/tests/standins/platformminionstandin.cpp
@@ -165,6 +165,13 @@
     m_replaced = true;
 }
 
+void PlatformMinionStandin::comeBackUnlisted()
+{
+    const std::lock_guard lock(m_mutex);
+    resetState();
+    m_replaced = false;
+}
+
 void PlatformMinionStandin::powerOff()
 {
     {
--- a/tests/standins/platformminionstandin.h
+++ b/tests/standins/platformminionstandin.h
@@ -100,6 +100,8 @@
      * in the store.
      */
     void replaceByOther();
+    /** Starts anew at its former address after replaceByOther(), but does not publish its new entry. */
+    void comeBackUnlisted();
     /** Simulates loss of power: all runs end, no call is answered and the minion's entry is removed. */
     void powerOff();
     /** Restarts without state after powerOff(). */
