Pass on to a successor that a minion's leases are no longer renewed

Callers saw jobs with nothing running for 15 s if the planner was replaced while a minion was dark that its predecessor had long given up.

Cause: a successor that can't reach a minion waits for 13.65 s, the predecessor's time of renewals and one lease, unless a planner has recorded the minion as silent. Only minions that a planner had never reached were recorded.

A planner now records also a minion with placed work that it no longer reaches: two polls in a row have failed, so that it renews nothing, every lease that it granted ends within 5 s, and no start may be carried out late (by an instance whose lease is limited only by itself). It grants no lease before the withdrawal of the record is stored, as with the records that there were. It has raised the fence of the minion, so that no earlier planner grants one. A successor thus waits for one lease (5.65 s) from when it read the record. The record carries a number that the planner uses once: a node that loads its table anew must not take a later silence for the earlier one, since leases may have been granted between them. Records without a number are read as before; an earlier version reads a new record as one of a minion that was not reached, and waits longer. Nothing is recorded while the store does not answer: the minion would get no lease until the withdrawal is stored.

A job whose minion falls silent with the planner still waits 15 s: the time in which a planner renews without the store is 8 s.

--- a/packages/dispatch/leaseterms.h
+++ b/packages/dispatch/leaseterms.h
@@ -14,10 +14,14 @@
 }
 /** Duration of a lease. It outlasts a failed poll and its repetition, which take 3 s. */
 constexpr std::int64_t LEASE_MS = 5'000;
+/** Failed polls in a row after which leases are not renewed. One that was lost on a dead connection is repeated. */
+constexpr std::uint32_t MAX_UNANSWERED_RENEWALS = 1;
 /** How long a planner renews leases after its last successful append. */
 constexpr std::int64_t RENEWAL_WINDOW_MS = 8'000;
+/** Longest time from the grant of a lease until it has expired, even on the slowest permitted clock. */
+constexpr std::int64_t LAST_LEASE_SPAN_MS = LEASE_MS * 103 / 100 + 500;
 /** Time after a take-over until every lease of earlier planners has expired, even on the slowest permitted clock. */
-constexpr std::int64_t PRIOR_LEASE_SPAN_MS = RENEWAL_WINDOW_MS + LEASE_MS * 103 / 100 + 500;
+constexpr std::int64_t PRIOR_LEASE_SPAN_MS = RENEWAL_WINDOW_MS + LAST_LEASE_SPAN_MS;
 /**
  * How much later a start without an answer may be carried out. The minion is polled until then, so that its restart is
  * noticed soon: the new instance may carry out the start until the first poll raises its fence.
--- a/packages/dispatch/minionlink.h
+++ b/packages/dispatch/minionlink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/assignment.h"
+#include "dispatch/leaseterms.h"
 #include "dispatch/minioncontrol.h"
 #include "steps/fillpace.h"
 #include "steps/minionclock.h"
@@ -81,6 +82,16 @@
         return addressCovered && entry.startTimeMs != 0 && entry.startTimeMs == newestStartTimeMs;
     }
 
+    /** @return true if no lease ends later than LEASE_MS from @p nowMs, as long as none is granted. */
+    [[nodiscard]] bool leaseIsLimited(std::int64_t nowMs) const
+    {
+        const bool doubted = std::any_of(placed.begin(), placed.end(), [nowMs](const PlacedMember &item) {
+            return nowMs <= item.member().unverifiedUntilMs;
+        });
+        return fenceRaised && clock.endsWithin(nowMs, LEASE_MS) && !doubted && !hasStartInFlight()
+               && nowMs >= lateStartsUntilMs;
+    }
+
     /** @return true if a report of the minion is needed at @p nowMs. */
     [[nodiscard]] bool awaitsReport(std::int64_t nowMs) const
     {
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -165,8 +165,12 @@
 std::int64_t StepPlanner::priorLeaseEndMs(const MinionId &minion) const
 {
     const auto silence = m_context.jobTable.silences().find(minion);
-    const bool known = silence != m_context.jobTable.silences().end();
-    return (known ? std::min(silence->second.readMs, m_takeoverMs) : m_takeoverMs) + PRIOR_LEASE_SPAN_MS;
+    const std::int64_t unknownEndMs = m_takeoverMs + PRIOR_LEASE_SPAN_MS;
+    if (silence == m_context.jobTable.silences().end()) {
+        return unknownEndMs;
+    }
+    const std::int64_t span = silence->second.spell > 0 ? LAST_LEASE_SPAN_MS : PRIOR_LEASE_SPAN_MS;
+    return std::min(unknownEndMs, silence->second.readMs + span);
 }
 
 void StepPlanner::minionUnlisted(const MinionId &id)
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -43,6 +43,10 @@
 // 6. If another minion refuses a poll, the instance that had its address has ended. The minion may have come back at
 //    another address, so this counts only for its newest entry, and once every entry has been read that a predecessor
 //    may have used. One that has not noticed the take-over sends starts for up to Context::maxViewAge.
+// 7. A planner also records a minion as silent that has stopped to answer and whose lease ends within LEASE_MS. It has
+//    raised the minion's fence, so that no earlier planner grants a lease either, and grants none itself before the
+//    withdrawal is stored. So a successor that finds the record waits only for LAST_LEASE_SPAN_MS from when it read it.
+//    No record is made while another instance may carry out a start late, as its lease has only the minion's limit.
 
 namespace Papaya
 {
@@ -237,8 +241,9 @@
     void record(const UnitKey &unit, UnitStatus status);
     /** Journals the configuration in force if its version has not been journaled yet. */
     void journalConfig(std::int64_t nowMs);
-    /** Records minions with placed members that this planner has not reached, and withdraws what no longer holds. */
+    /** Records minions with placed members that this planner does not reach, and withdraws what no longer holds. */
     void recordSilences(std::int64_t nowMs);
+    void recordSilence(MinionLink &link, std::uint32_t spell);
     void withdrawSilence(MinionLink &link);
     /** @return the latest end of leases that earlier planners may have granted to @p minion. */
     [[nodiscard]] std::int64_t priorLeaseEndMs(const MinionId &minion) const;
@@ -290,6 +295,7 @@
     std::int64_t m_lastConfigJournalMs = 0;
     std::int64_t m_lastHeartbeatMs = 0;
     std::int64_t m_takeoverMs = 0;
+    std::uint32_t m_silenceSpells = 0;                      ///< MinionSilence::spell of the last record
     std::map<std::string, std::int64_t> m_unknownRunStopMs; ///< last stop order of each unknown run, by task
     TicketBook m_tickets;
     Headroom m_headroom;
--- a/packages/dispatch/stepplannerjournal.cpp
+++ b/packages/dispatch/stepplannerjournal.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/stepplanner.h"
 
 #include "dispatch/boottime.h"
+#include "dispatch/leaseterms.h"
 #include "process/logging.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -19,6 +20,7 @@
 
 constexpr std::int64_t CONFIG_JOURNAL_INTERVAL_MS = 1'000;     // minimum between two configuration records
 constexpr std::int64_t SILENCE_DELAY_MS = 1'000;               // after a take-over, for the first polls
+constexpr std::int64_t MAX_SILENCE_RECORD_DELAY_MS = 1'000;    // since an append was stored; there are several a second
 constexpr std::size_t MAX_CONFIG_RECORD_BYTES = 200UL * 1'024; // below the 256 KB limit of the store
 
 } // namespace
@@ -41,14 +43,19 @@
     if (nowMs - m_takeoverMs < SILENCE_DELAY_MS) {
         return;
     }
+    // Without the store, a minion that answers again would get no lease until the withdrawal is stored.
+    const bool isStoreThere = nowMs - m_writer->lastStoredMs() < MAX_SILENCE_RECORD_DELAY_MS;
     for (auto &[id, link] : m_links) {
         const bool unreached = !link.clock.known() && link.restarts == 0 && (link.pollFailures > 0 || !link.listed);
-        if (link.silenceRecorded && link.placed.empty()) {
-            withdrawSilence(link);
-        } else if (unreached && !link.silenceRecorded && !link.placed.empty()) {
-            link.silenceRecorded = true;
-            m_pendingRecords.push_back(encodeRecord(MinionSilence {id, m_epoch}));
-            flushSoon();
+        if (link.silenceRecorded) {
+            if (link.placed.empty()) {
+                withdrawSilence(link);
+            }
+        } else if (unreached && !link.placed.empty()) {
+            recordSilence(link, 0);
+        } else if (isStoreThere && link.pollFailures > MAX_UNANSWERED_RENEWALS && link.leaseIsLimited(nowMs)
+                   && !link.placed.empty()) {
+            recordSilence(link, ++m_silenceSpells);
         }
     }
     for (const auto &[id, silence] : m_context.jobTable.silences()) {
@@ -59,6 +66,13 @@
     }
 }
 
+void StepPlanner::recordSilence(MinionLink &link, std::uint32_t spell)
+{
+    link.silenceRecorded = true;
+    m_pendingRecords.push_back(encodeRecord(MinionSilence {link.entry.id, m_epoch, spell}));
+    flushSoon();
+}
+
 void StepPlanner::withdrawSilence(MinionLink &link)
 {
     if (link.silenceEnding) {
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -29,8 +29,6 @@
 // Start orders that wait for a connection or for their turn of the event loop. More would only age in its queue.
 constexpr std::size_t MAX_UNSENT_STARTS = 96;
 constexpr Millis POLL_RETRY_INTERVAL {150};
-// A poll that was lost on a dead connection is repeated once with a renewal.
-constexpr std::uint32_t MAX_UNANSWERED_RENEWALS = 1;
 constexpr Millis JOURNAL_WAIT_LIMIT {400}; // so that the journal does not delay a renewal
 constexpr Millis JOURNAL_POLL_INTERVAL {10};
 constexpr Millis STOP_RETRY_INTERVAL {300};
--- a/packages/steps/jobrecord.cpp
+++ b/packages/steps/jobrecord.cpp
@@ -245,8 +245,11 @@
     }
     StoredRecord operator()(const MinionSilence &record) const
     {
-        return {std::string(SILENCE_PREFIX) + record.minion.value(),
-                record.since ? std::to_string(record.since->value()) : std::string()};
+        std::string value = record.since ? std::to_string(record.since->value()) : std::string();
+        if (record.since && record.spell > 0) {
+            value += FIELD_SEPARATOR + std::to_string(record.spell);
+        }
+        return {std::string(SILENCE_PREFIX) + record.minion.value(), std::move(value)};
     }
     StoredRecord operator()(const ConfigCopied &record) const
     {
@@ -285,7 +288,10 @@
         if (key.starts_with(SILENCE_PREFIX)) {
             MinionSilence record {MinionId(std::string(key.substr(SILENCE_PREFIX.size()))), std::nullopt};
             if (!value.empty()) {
-                record.since = Epoch(std::stoull(std::string(value)));
+                const std::size_t end = std::min(value.find(FIELD_SEPARATOR), value.size());
+                record.since = Epoch(std::stoull(std::string(value.substr(0, end))));
+                record.spell =
+                    end < value.size() ? static_cast<std::uint32_t>(std::stoul(std::string(value.substr(end + 1)))) : 0;
             }
             return JobRecord(std::move(record));
         }
--- a/packages/steps/jobrecord.h
+++ b/packages/steps/jobrecord.h
@@ -62,12 +62,17 @@
 };
 
 /**
- * A planner has not reached a minion since it took over, and grants it no lease before it has withdrawn this record. A
- * successor need not wait anew for the leases of earlier planners.
+ * A planner does not reach a minion, and grants it no lease before it has withdrawn this record. A successor need not
+ * wait anew for the leases of earlier planners.
  */
 struct MinionSilence {
     MinionId minion;
     std::optional<Epoch> since; ///< epoch of the planner; empty if the record is withdrawn
+    /**
+     * 0 if the planner has not reached the minion since it took over. Otherwise a number that the planner uses once,
+     * and no lease of the minion lasts longer from then on than one that is granted then.
+     */
+    std::uint32_t spell = 0;
 };
 
 /** Copy of the operator's configuration in force, for nodes that cannot read the original. */
--- a/packages/steps/jobtable.cpp
+++ b/packages/steps/jobtable.cpp
@@ -253,9 +253,10 @@
         m_silences.erase(record.minion);
         return;
     }
-    SilenceSeen &seen = m_silences.try_emplace(record.minion, SilenceSeen {*record.since, steadyMs}).first->second;
-    if (seen.since != *record.since) {
-        seen = {*record.since, steadyMs};
+    const SilenceSeen read {*record.since, record.spell, steadyMs};
+    SilenceSeen &seen = m_silences.try_emplace(record.minion, read).first->second;
+    if (!seen.isSameRecord(read)) {
+        seen = read;
     }
 }
 
@@ -263,7 +264,7 @@
 {
     for (auto &[minion, seen] : m_silences) {
         const auto known = earlier.m_silences.find(minion);
-        if (known != earlier.m_silences.end() && known->second.since == seen.since) {
+        if (known != earlier.m_silences.end() && known->second.isSameRecord(seen)) {
             seen.readMs = known->second.readMs;
         }
     }
--- a/packages/steps/jobtable.h
+++ b/packages/steps/jobtable.h
@@ -73,7 +73,13 @@
 /** A MinionSilence in force. */
 struct SilenceSeen {
     Epoch since;             ///< epoch of the planner that has recorded it
+    std::uint32_t spell = 0; ///< MinionSilence::spell
     std::int64_t readMs = 0; ///< when this node has read it, by its steady clock
+
+    [[nodiscard]] bool isSameRecord(const SilenceSeen &other) const
+    {
+        return since == other.since && spell == other.spell;
+    }
 };
 
 /** The state of all jobs. */
@@ -97,7 +103,7 @@
     void applySilence(const MinionSilence &record, std::int64_t steadyMs);
     /** Sets the times of records that @p earlier, a former table of this node, has read before. */
     void restoreSilences(const JobTable &earlier);
-    /** @return since when a planner is known not to have reached each minion of which it is known. */
+    /** @return since when a planner is known not to reach each minion of which it is known. */
     [[nodiscard]] const std::map<MinionId, SilenceSeen> &silences() const
     {
         return m_silences;
--- a/packages/steps/minionclock.h
+++ b/packages/steps/minionclock.h
@@ -60,6 +60,12 @@
         return until;
     }
 
+    /** @return true if no granted lease ends more than @p leaseMs after @p localMs, by the minion's clock. */
+    [[nodiscard]] bool endsWithin(std::int64_t localMs, std::int64_t leaseMs) const
+    {
+        return m_known && m_grantedMs <= at(localMs) + leaseMs;
+    }
+
     /** @return true if all granted leases have expired even if the minion's clock is slow. */
     [[nodiscard]] bool lapsed(std::int64_t localMs) const
     {
--- /dev/null
+++ b/tests/integration/silentminions.cpp
@@ -0,0 +1,98 @@
+#include "deployment.h"
+
+#include <gtest/gtest.h>
+
+// Tests how long a planner that takes over waits for a minion that its predecessor has no longer reached, and that it
+// waits long enough if the minion got leases again.
+
+namespace Papaya::Testing
+{
+
+namespace
+{
+
+using Standins::nowMs;
+using Standins::PlatformMinionFaults;
+
+/** Two nodes and two minions; one of the minions runs the only task of a job. */
+struct SilentMinion {
+    void start()
+    {
+        for (auto &minion : deployment.minions) {
+            minion->age(60'000); // a young instance may have a longer lease
+            minion->list();
+        }
+        deployment.start();
+        job = deployment.newId();
+        ASSERT_EQ(200, deployment.submit(0, "plan", job, Deployment::step(1), {{"workMs", 30'000}}).status);
+        ASSERT_TRUE(deployment.waitForRunCount(job, 1));
+        name = deployment.runs.of(job).front().minion;
+        leader = *deployment.leader();
+    }
+
+    /** Makes the minion answer no call, or answer again; its task goes on. */
+    void setSilent(bool silent)
+    {
+        PlatformMinionFaults faults;
+        faults.unresponsive = silent;
+        deployment.minion(name).setFaults(faults);
+    }
+
+    bool isRecorded() const
+    {
+        return !deployment.store.newest("keyed.journal", "s/" + name).empty();
+    }
+
+    /** Waits for the second run. @return when it started; 0 on a time-out */
+    std::int64_t secondStartMs()
+    {
+        const auto again = [&] { return deployment.runs.of(job).size() == 2; };
+        return Cluster::eventually(again, Millis(25'000)) ? deployment.runs.of(job).back().startedMs : 0;
+    }
+
+    Deployment deployment {{2, 2}};
+    std::string job;
+    std::string name; ///< of the minion with the task
+    std::size_t leader = 0;
+};
+
+// Guards against waiting, after a take-over, for leases that the predecessor had long ceased to grant.
+TEST(SilentMinion, IsWaitedForFromWhenItsLeasesWereNoLongerRenewed)
+{
+    SilentMinion minion;
+    minion.start();
+    minion.setSilent(true);
+    const bool recorded = Cluster::eventually([&] { return minion.isRecorded(); }, Millis(5'000));
+    const std::int64_t killedMs = nowMs();
+    minion.deployment.nodes[minion.leader]->kill();
+    const std::int64_t startedMs = minion.secondStartMs();
+    ASSERT_GT(startedMs, 0);
+    EXPECT_LT(startedMs - killedMs, 5'650 + 1'500); // one lease on the slowest clock, and some time to begin the run
+    EXPECT_TRUE(recorded);
+    EXPECT_TRUE(minion.deployment.runs.doubled().empty());
+}
+
+// Guards against a second run of a task whose minion was silent for a while, got leases again, and cannot be reached by
+// the planner that takes over.
+TEST(SilentMinion, ThatGotLeasesAgainIsWaitedForFromTheTakeOver)
+{
+    SilentMinion minion;
+    minion.start();
+    Standins::PlatformMinionStandin &standin = minion.deployment.minion(minion.name);
+    minion.setSilent(true);
+    ASSERT_TRUE(Cluster::eventually([&] { return minion.isRecorded(); }, Millis(5'000)));
+    minion.setSilent(false);
+    ASSERT_TRUE(Cluster::eventually([&] { return !minion.isRecorded(); }));
+    const std::size_t polls = standin.pollsAnswered();
+    ASSERT_TRUE(
+        Cluster::eventually([&] { return standin.pollsAnswered() > polls + 1; })); // the second renews the lease
+    minion.setSilent(true);
+    minion.deployment.nodes[minion.leader]->kill();
+    ASSERT_GT(minion.secondStartMs(), 0);
+    EXPECT_TRUE(minion.deployment.runs.doubled().empty());
+    EXPECT_EQ("lapsed", minion.deployment.runs.of(minion.job).front().how);
+}
+
+} // namespace
+
+} // namespace Papaya::Testing
--- a/tests/standins/platformminionstandin.cpp
+++ b/tests/standins/platformminionstandin.cpp
@@ -158,6 +158,12 @@
     resetState();
 }
 
+void PlatformMinionStandin::age(std::int64_t ms)
+{
+    const std::lock_guard lock(m_mutex);
+    m_bornMs -= ms;
+}
+
 void PlatformMinionStandin::replaceByOther()
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/standins/platformminionstandin.h
+++ b/tests/standins/platformminionstandin.h
@@ -95,6 +95,8 @@
     void restart();
     /** Restarts like restart(), but does not publish its new entry; list() does. */
     void restartUnlisted();
+    /** Makes this instance seem to have started @p ms earlier. To be called before the next list(). */
+    void age(std::int64_t ms);
     /**
      * Crashes, and another minion takes over its address: that one refuses what is meant for this one. Its entry stays
      * in the store.
--- a/tests/unit/jobtable.cpp
+++ b/tests/unit/jobtable.cpp
@@ -146,6 +146,7 @@
     checkRoundTrip(StepJobCancelled {job.id});
     checkRoundTrip(MinionSilence {MinionId("i 1"), Epoch(*rc::gen::inRange<std::uint64_t>(0, 1ULL << 50))});
     checkRoundTrip(MinionSilence {MinionId("i-2"), std::nullopt});
+    checkRoundTrip(MinionSilence {MinionId("i-3"), Epoch(7), *rc::gen::inRange(1U, 1U << 31)});
     const UnitChanged change {{job.id, 3, 1, *rc::gen::inRange(-1, 9)}, *statuses()};
     checkRoundTrip(change);
     const StoredRecord stored = encodeRecord(change);
@@ -154,6 +155,44 @@
                                         *rc::gen::arbitrary<bool>(), 500, "10.0.0.1:7000"});
 }
 
+/** @return when @p table says that the silence of a minion was read, or nothing if it says nothing of a silence. */
+std::optional<std::int64_t> silenceReadMs(const JobTable &table, const MinionId &minion)
+{
+    const auto found = table.silences().find(minion);
+    return found == table.silences().end() ? std::nullopt : std::optional(found->second.readMs);
+}
+
+// Guards against counting the wait for a minion from an earlier silence, after which it has got leases: the table may
+// be loaded anew without the records in between.
+TEST(JobTable, CountsEachSilenceOfAMinionFromItsOwnRecord)
+{
+    const MinionId minion("i-0");
+    JobTable earlier;
+    earlier.applySilence({minion, Epoch(7), 1}, 1'000);
+    earlier.applySilence({minion, Epoch(7), 1}, 2'000);
+    EXPECT_EQ(1'000, silenceReadMs(earlier, minion));
+    JobTable same;
+    same.applySilence({minion, Epoch(7), 1}, 3'000);
+    same.restoreSilences(earlier);
+    EXPECT_EQ(1'000, silenceReadMs(same, minion));
+    JobTable later;
+    later.applySilence({minion, Epoch(7), 2}, 3'000);
+    later.restoreSilences(earlier);
+    EXPECT_EQ(3'000, silenceReadMs(later, minion));
+    later.applySilence({minion, std::nullopt, 0}, 4'000);
+    EXPECT_FALSE(silenceReadMs(later, minion));
+}
+
+// Guards against reading a record of an earlier version as one that promises more.
+TEST(JobRecord, OfASilenceWithoutASpellIsReadAsOfAMinionThatWasNotReached)
+{
+    const auto decoded = decodeRecord("s/i-0", "4711");
+    ASSERT_TRUE(decoded.ok());
+    const auto &silence = std::get<MinionSilence>(*decoded);
+    EXPECT_EQ(Epoch(4711), silence.since);
+    EXPECT_EQ(0U, silence.spell);
+}
+
 // Guards against a checkpoint with spaces being cut when another node reads its record.
 TEST(JobRecord, OfAUnitKeepsACheckpointWithSpaces)
 {
