Count the limit of tasks on one minion when choosing the racks to wait for

What callers saw: a gang whose members should share a rack waits while the fleet is more than half full, although no rack can ever hold it.

Cause: a rack counts as feasible if its total capacity holds the members, without the step's limit of tasks on one minion. A gang of three with at most one on a minion so waits for a rack of two minions.

Evidence: StepScheduler.SpreadsASameRackGangOverRacksIfNoRackHasAsManyMinionsAsItsLimitNeeds, red before (no start). Such a gang has no feasible rack now and is spread at once, like one that is too wide for every rack.

--- a/packages/steps/rackchoice.cpp
+++ b/packages/steps/rackchoice.cpp
@@ -23,7 +23,7 @@
         }
         std::size_t members = 0;
         for (const std::size_t m : minions) {
-            members += membersThatFit(fleet[m].capacity, need, 0);
+            members += membersThatFit(fleet[m].capacity, need, step.maxPerMinion);
         }
         if (members >= wanted) {
             racks.push_back(rack);
--- a/packages/steps/rackchoice.h
+++ b/packages/steps/rackchoice.h
@@ -17,7 +17,8 @@
 /**
  * @param group minions that the step may use
  * @param need counted resources of one task
- * @return the racks whose total capacity holds a unit of @p step; empty if it is not rack-bound
+ * @return the racks whose total capacity holds a unit of @p step within its limit of tasks on one minion; empty if the
+ * step is not rack-bound
  */
 std::vector<std::size_t> feasibleRacks(const MinionFleet &fleet, const MinionGroup &group, const StepSpec &step,
                                        const Resources &need);
--- a/tests/unit/stepscheduling.cpp
+++ b/tests/unit/stepscheduling.cpp
@@ -288,6 +288,19 @@
     EXPECT_EQ(3U, scenario.plan().starts.at(0).minions.size());
 }
 
+TEST(StepScheduler, SpreadsASameRackGangOverRacksIfNoRackHasAsManyMinionsAsItsLimitNeeds)
+{
+    Scenario scenario(2, 2);
+    const JobId other = scenario.submit("plan", Scenario::step(4, 5, true));
+    scenario.run({other, 0, 0, UnitKey::GANG}, {0, 1, 2, 3}, 0); // more than half of the fleet is in use
+    StepSpec gang = Scenario::step(3, 1, true);
+    gang.sameRack = true;
+    gang.maxPerMinion = 1;
+    scenario.submit("plan", gang);
+    ASSERT_EQ(1U, scenario.plan().starts.size());
+    EXPECT_EQ(3U, scenario.plan().starts[0].minions.size());
+}
+
 TEST(StepScheduler, KeepsATaskWaitingForItsDataRackWhileAnotherRackHasCapacity)
 {
     Scenario scenario(2, 2);
