--- a/packages/steps/waitreason.cpp
+++ b/packages/steps/waitreason.cpp
@@ -152,7 +152,7 @@
 WaitExplanation explainSupply(const PlanInput &input, const FleetSupply &supply, const StepSpec &step)
 {
     const std::uint32_t members = step.gang ? step.count : 1;
-    const WaitExplanation heldBack = explainHeldBack(supply, members);
+    WaitExplanation heldBack = explainHeldBack(supply, members);
     if (supply.eligible == 0 && heldBack.reason != WaitReason::None) {
         return heldBack;
     }
