Look at fewer waits at a time, and share the fleet between their explanations

Cause: each explanation copied all minions and indexed them anew.

A WaitExplainer does that once for all of them, and at most 16 are explained every 500 ms.

No decision changes.

--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -389,9 +389,10 @@
     }
     std::vector<MinionId> ids;
     const PlanInput input = planInput(ids);
+    const WaitExplainer explainer(input);
     for (const UnitKey &unit : JobTable::unitsOf(*entry)) {
         if (m_context.jobTable.find(unit)->state != UnitState::Done) {
-            reasons.emplace(unit, explainWait(input, unit));
+            reasons.emplace(unit, explainer.explain(unit));
         }
     }
     return reasons;
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -298,6 +298,7 @@
     Headroom m_headroom;
     IdleJobs m_idleJobs;
     std::int64_t m_lastPassMs = 0;
+    std::int64_t m_lastExplainedMs = 0;
     std::int64_t m_waitLinesFromMs = 0;  ///< since when the lines below are counted
     std::size_t m_waitLines = 0;         ///< lines logged on waits
     std::size_t m_capacityWaitLines = 0; ///< of these, lines on waits for capacity
--- a/packages/dispatch/stepplannerwaits.cpp
+++ b/packages/dispatch/stepplannerwaits.cpp
@@ -13,8 +13,9 @@
 namespace
 {
 
-constexpr std::int64_t START_TIME_MS = 1'000;          // from the placement of a unit; most run much sooner
-constexpr std::size_t MAX_EXPLAINED = 32;              // at a time
+constexpr std::int64_t START_TIME_MS = 1'000; // from the placement of a unit; most run much sooner
+constexpr std::int64_t EXPLAIN_INTERVAL_MS = 500;
+constexpr std::size_t MAX_EXPLAINED = 16;              // at a time
 constexpr std::int64_t WAIT_LINES_INTERVAL_MS = 1'000; // in which at most as many lines are logged:
 constexpr std::size_t MAX_WAIT_LINES = 8;
 constexpr std::size_t MAX_CAPACITY_WAIT_LINES = 4; // on an overloaded fleet, most waits are for capacity
@@ -83,14 +84,19 @@
         return;
     }
     m_idleJobs.update(m_context.jobTable, runPhases(nowMs), {m_context.wallNow(), nowMs});
+    if (nowMs - m_lastExplainedMs < EXPLAIN_INTERVAL_MS) {
+        return;
+    }
+    m_lastExplainedMs = nowMs;
     const std::vector<IdleWork> due = m_idleJobs.takeDue(nowMs, MAX_EXPLAINED);
     if (!due.empty()) {
         std::vector<MinionId> ids;
         const PlanInput input = planInput(ids);
+        const WaitExplainer explainer(input);
         std::vector<std::pair<const IdleWork *, WaitExplanation>> explained;
         for (const IdleWork &work : due) {
             const bool placed = work.placed && m_assignments.contains(work.unit);
-            WaitExplanation why = explainWait(input, work.unit);
+            WaitExplanation why = explainer.explain(work.unit);
             if (placed) {
                 why.detail = explainPlaced(work.unit, nowMs);
             }
--- a/packages/steps/waitreason.cpp
+++ b/packages/steps/waitreason.cpp
@@ -188,23 +188,38 @@
                                         + describeOut(supply)};
 }
 
-WaitExplanation explainCapacity(const PlanInput &input, const JobEntry &entry, const UnitKey &unit)
+} // namespace
+
+std::string_view toString(WaitReason reason)
+{
+    constexpr std::array<std::string_view, 15> NAMES {
+        "none",    "job-ended",    "not-due",   "dependencies", "held-back", "no-minion", "too-large", "no-ticket",
+        "no-room", "spread-limit", "probation", "upkeep",       "headroom",  "rack-wait", "next-pass"};
+    return NAMES[static_cast<std::size_t>(reason)];
+}
+
+WaitExplainer::WaitExplainer(const PlanInput &input)
+    : m_input(input)
+    , m_minions(input.minions)
+    , m_fleet(m_minions)
+{
+}
+
+WaitExplanation WaitExplainer::explainCapacity(const JobEntry &entry, const UnitKey &unit) const
 {
     const StepSpec &step = entry.job.spec.steps[unit.step];
-    std::vector<MinionView> minions = input.minions;
-    const MinionFleet fleet(minions);
-    const FleetSupply supply = supplyFor(input, fleet, entry, unit);
-    if (WaitExplanation shortage = explainSupply(input, supply, step); shortage.reason != WaitReason::None) {
+    const FleetSupply supply = supplyFor(m_input, m_fleet, entry, unit);
+    if (WaitExplanation shortage = explainSupply(m_input, supply, step); shortage.reason != WaitReason::None) {
         return shortage;
     }
     const std::int64_t gpus = step.need.gpus * (step.gang ? step.count : 1);
-    const std::int64_t headroom = input.headroom.gpus(entry.job.priority, fleet.capacity().gpus, input.steadyMs);
-    if (!leavesHeadroom(gpus, fleet.free().gpus, headroom)) {
+    const std::int64_t headroom = m_input.headroom.gpus(entry.job.priority, m_fleet.capacity().gpus, m_input.steadyMs);
+    if (!leavesHeadroom(gpus, m_fleet.free().gpus, headroom)) {
         return {WaitReason::Headroom,
-                number(headroom) + " of " + number(fleet.free().gpus)
+                number(headroom) + " of " + number(m_fleet.free().gpus)
                     + " free GPUs stay free, as urgent work has just taken as many by preemption"};
     }
-    if (waitsForRack(fleet, supply, step)) {
+    if (waitsForRack(m_fleet, supply, step)) {
         return {WaitReason::RackWait, "there is room for " + number(supply.members)
                                           + " tasks, but not on a rack that it is bound to, and the fleet is busy"};
     }
@@ -213,20 +228,10 @@
             "for others to stop, or the next pass decides"};
 }
 
-} // namespace
-
-std::string_view toString(WaitReason reason)
-{
-    constexpr std::array<std::string_view, 15> NAMES {
-        "none",    "job-ended",    "not-due",   "dependencies", "held-back", "no-minion", "too-large", "no-ticket",
-        "no-room", "spread-limit", "probation", "upkeep",       "headroom",  "rack-wait", "next-pass"};
-    return NAMES[static_cast<std::size_t>(reason)];
-}
-
-WaitExplanation explainWait(const PlanInput &input, const UnitKey &unit)
+WaitExplanation WaitExplainer::explain(const UnitKey &unit) const
 {
-    const JobEntry &entry = *input.jobs.find(unit.job);
-    const UnitStatus &status = *input.jobs.find(unit);
+    const JobEntry &entry = *m_input.jobs.find(unit.job);
+    const UnitStatus &status = *m_input.jobs.find(unit);
     switch (status.state) {
     case UnitState::Placed:
         return {WaitReason::None, "run " + number(status.run) + " is placed on " + status.minions.front().value()};
@@ -240,16 +245,21 @@
     if (!entry.live()) {
         return {WaitReason::JobEnded, "the job is " + std::string(toString(entry.state()))};
     }
-    if (const std::int64_t due = entry.dueMs(unit.occurrence); due > input.nowMs) {
-        return {WaitReason::NotDue, "due in " + number(due - input.nowMs) + " ms"};
+    if (const std::int64_t due = entry.dueMs(unit.occurrence); due > m_input.nowMs) {
+        return {WaitReason::NotDue, "due in " + number(due - m_input.nowMs) + " ms"};
     }
     if (!entry.dependenciesDone(unit.occurrence, unit.step)) {
         return explainDependencies(entry, unit);
     }
-    if (input.heldBack.contains(unit)) {
+    if (m_input.heldBack.contains(unit)) {
         return {WaitReason::HeldBack, "in back-off after a failed start"};
     }
-    return explainCapacity(input, entry, unit);
+    return explainCapacity(entry, unit);
+}
+
+WaitExplanation explainWait(const PlanInput &input, const UnitKey &unit)
+{
+    return WaitExplainer(input).explain(unit);
 }
 
 } // namespace Papaya
--- a/packages/steps/waitreason.h
+++ b/packages/steps/waitreason.h
@@ -37,7 +37,26 @@
     std::string detail; ///< one phrase with the figures
 };
 
-/** @return why @p unit, which must exist, does not run; WaitReason::None if it does or has ended. */
+/** Explains several waits from one input, which must outlive it. */
+class WaitExplainer
+{
+public:
+    explicit WaitExplainer(const PlanInput &input);
+    WaitExplainer(const WaitExplainer &) = delete;
+    WaitExplainer &operator=(const WaitExplainer &) = delete;
+
+    /** @return why @p unit, which must exist, does not run; WaitReason::None if it does or has ended. */
+    [[nodiscard]] WaitExplanation explain(const UnitKey &unit) const;
+
+private:
+    [[nodiscard]] WaitExplanation explainCapacity(const JobEntry &entry, const UnitKey &unit) const;
+
+    const PlanInput &m_input;
+    std::vector<MinionView> m_minions; ///< copy that m_fleet refers to
+    MinionFleet m_fleet;
+};
+
+/** @return what a WaitExplainer says of @p unit. */
 WaitExplanation explainWait(const PlanInput &input, const UnitKey &unit);
 
 } // namespace Papaya
--- a/tests/unit/largefleet.cpp
+++ b/tests/unit/largefleet.cpp
@@ -1,4 +1,5 @@
 #include "steps/stepscheduler.h"
+#include "steps/waitreason.h"
 
 #include <gtest/gtest.h>
 
@@ -134,6 +135,42 @@
     EXPECT_GT(scenario.decisions.starts.size(), 500U);
 }
 
+TEST(LargeFleet, IsSearchedForJobsThatStandStillWithinThePassTimeLimit)
+{
+    LargeFleetScenario scenario;
+    scenario.fill();
+    for (int i = 0; i < 150; ++i) {
+        scenario.submit(1, 13, 8, true);
+        scenario.submit(2, 39, 1, false);
+    }
+    std::map<UnitKey, RunPhase> phases;
+    for (const ActiveUnit &unit : scenario.active) {
+        phases[unit.key] = RunPhase::Running;
+    }
+    const PlanInput input {scenario.jobTable,
+                           scenario.config,
+                           scenario.times,
+                           scenario.tickets,
+                           scenario.minions,
+                           scenario.active,
+                           {},
+                           {},
+                           NOW,
+                           NOW};
+    IdleJobs idle;
+    idle.update(scenario.jobTable, phases, {NOW, 0});
+    const TimePoint start = Clock::now();
+    idle.update(scenario.jobTable, phases, {NOW, 2'000});
+    const std::vector<IdleWork> due = idle.takeDue(2'000, 32);
+    const WaitExplainer explainer(input);
+    for (const IdleWork &work : due) {
+        idle.explained(work, toString(explainer.explain(work.unit).reason));
+    }
+    EXPECT_LT(std::chrono::duration_cast<Millis>(Clock::now() - start), PASS_TIME_LIMIT);
+    EXPECT_EQ(32U, due.size());
+    EXPECT_EQ(32U, idle.reasons(2'000)["no-room"]);
+}
+
 } // namespace
 
 } // namespace Papaya
