--- a/packages/dispatch/stepplannerhealth.cpp
+++ b/packages/dispatch/stepplannerhealth.cpp
@@ -25,9 +25,9 @@
 
 void StepPlanner::countRunFailure(MinionLink &link, std::int64_t nowMs, std::uint32_t strikes)
 {
-    const auto backedOff = std::count_if(m_links.begin(), m_links.end(), [nowMs](const auto &item) {
-        return item.second.runFailures >= MAX_RUN_FAILURES && item.second.probationUntilMs > nowMs;
-    });
+    // A minion on probation still finishes what it runs, which resets its failures but not its probation.
+    const auto backedOff = std::count_if(m_links.begin(), m_links.end(),
+                                         [nowMs](const auto &item) { return item.second.probationUntilMs > nowMs; });
     // A job that fails on every minion must not make the whole fleet unusable.
     link.runFailures += strikes;
     if (link.runFailures >= MAX_RUN_FAILURES && double(backedOff) < MAX_BACKED_OFF_SHARE * double(m_links.size())) {
