Let minions stay away through a calm phase of a soak

Each minion that crashed in a soak was back before the calm phase, so no check saw what its successor's planner does with the work of a minion that is gone. Now a minion may crash and stay away until the next phase of faults; its room doesn't count meanwhile.

--- a/tests/soak/chaos.cpp
+++ b/tests/soak/chaos.cpp
@@ -1,5 +1,6 @@
 #include "chaos.h"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 
@@ -16,13 +17,17 @@
 constexpr Millis MIN_LENGTH {100};
 constexpr Millis MAX_LENGTH {4'500};
 constexpr Millis EXIT_LIMIT {6'000};
-constexpr Millis USUAL_EXIT {4'500}; // a node that is stopped finishes its calls first
+constexpr std::size_t MIN_FLEET_PER_ABSENCE = 4; // at most one minion in so many is away in calm phases
+constexpr Millis USUAL_EXIT {4'500};             // a node that is stopped finishes its calls first
 
-constexpr std::array<std::string_view, 21> NAMES {
-    "node-killed",  "leader-killed", "node-frozen",          "leader-frozen", "node-stopped", "settings-reread",
-    "node-cut",     "leader-cut",    "node-reset",           "store-silent",  "store-busy",   "store-slow",
-    "appends-lost", "appends-late",  "minion-restarted",     "minion-down",   "minion-cut",   "minion-reset",
-    "starts-late",  "orders-late",   "configuration-changed"};
+constexpr std::array<std::string_view, 22> NAMES {"node-killed",   "leader-killed", "node-frozen",
+                                                  "leader-frozen", "node-stopped",  "settings-reread",
+                                                  "node-cut",      "leader-cut",    "node-reset",
+                                                  "store-silent",  "store-busy",    "store-slow",
+                                                  "appends-lost",  "appends-late",  "minion-restarted",
+                                                  "minion-down",   "minion-cut",    "minion-reset",
+                                                  "starts-late",   "orders-late",   "configuration-changed",
+                                                  "minion-gone"};
 
 bool isPlannedWork(FaultKind kind)
 {
@@ -32,12 +37,15 @@
 
 } // namespace
 
-std::vector<FaultKind> Chaos::allKinds()
+std::vector<FaultKind> Chaos::allKinds(bool withCalm)
 {
     std::vector<FaultKind> kinds;
     for (std::size_t i = 0; i < NAMES.size(); ++i) {
         kinds.push_back(static_cast<FaultKind>(i));
     }
+    if (!withCalm) {
+        kinds.pop_back(); // MinionGone
+    }
     return kinds;
 }
 
@@ -70,6 +78,7 @@
         lane.join();
     }
     m_lanes.clear();
+    returnMinions(phaseNumber() + 1);
 }
 
 std::vector<FaultSeen> Chaos::history() const
@@ -94,6 +103,61 @@
     return !m_phases.plannedWork || !isPlannedWork(kind);
 }
 
+std::int64_t Chaos::phaseNumber() const
+{
+    const Millis length = m_phases.faults + m_phases.calm;
+    return length.count() == 0 ? 0 : toMillis(Clock::now() - m_begun) / length.count();
+}
+
+std::vector<TimeSpan> Chaos::absences(std::size_t minion) const
+{
+    const std::lock_guard lock(m_historyLock);
+    std::vector<TimeSpan> spans;
+    for (const MinionAbsence &absence : m_absences) {
+        if (absence.minion == minion) {
+            spans.push_back({absence.fromMs, absence.toMs});
+        }
+    }
+    return spans;
+}
+
+bool Chaos::isAway(std::size_t minion) const
+{
+    const std::lock_guard lock(m_historyLock);
+    return std::any_of(m_absences.begin(), m_absences.end(), [minion](const MinionAbsence &absence) {
+        return absence.minion == minion && absence.toMs == 0;
+    });
+}
+
+void Chaos::removeMinion(std::size_t minion)
+{
+    {
+        const std::lock_guard lock(m_historyLock);
+        const auto away = std::count_if(m_absences.begin(), m_absences.end(),
+                                        [](const MinionAbsence &absence) { return absence.toMs == 0; });
+        if (static_cast<std::size_t>(away) * MIN_FLEET_PER_ABSENCE >= m_deployment.minions.size()) {
+            return;
+        }
+        m_absences.push_back({minion, phaseNumber(), Standins::nowMs(), 0});
+    }
+    m_deployment.minions[minion]->powerOff();
+    m_deployment.minionProxies[minion]->cutOpen();
+}
+
+void Chaos::returnMinions(std::int64_t phase)
+{
+    for (std::size_t minion = 0; minion < m_minionLocks.size(); ++minion) {
+        const std::unique_lock minionLock(*m_minionLocks[minion], std::try_to_lock);
+        const std::lock_guard lock(m_historyLock);
+        for (MinionAbsence &absence : m_absences) {
+            if (minionLock.owns_lock() && absence.minion == minion && absence.toMs == 0 && absence.phase < phase) {
+                m_deployment.minions[minion]->powerOn();
+                absence.toMs = Standins::nowMs();
+            }
+        }
+    }
+}
+
 std::pair<Millis, bool> Chaos::phaseAt(TimePoint now) const
 {
     if (m_phases.calm.count() == 0) {
@@ -135,6 +199,7 @@
             if (calm || outlasts) {
                 continue;
             }
+            returnMinions(phaseNumber());
             length = std::min(length, left / 2); // the effects of some faults last twice as long
         }
         const std::int64_t begun = Standins::nowMs();
@@ -201,8 +266,9 @@
         m_deployment.storeProxies[of]->cutOpen();
     };
     const std::unique_lock minionLock(*m_minionLocks[minion], std::try_to_lock);
-    const bool aboutMinion = kind >= FaultKind::MinionRestarted && kind <= FaultKind::OrdersLate;
-    if (aboutMinion && !minionLock.owns_lock()) {
+    const bool aboutMinion =
+        (kind >= FaultKind::MinionRestarted && kind <= FaultKind::OrdersLate) || kind == FaultKind::MinionGone;
+    if (aboutMinion && (!minionLock.owns_lock() || isAway(minion))) {
         return Millis(0);
     }
     const auto lateness = [&](std::int64_t low, std::int64_t high) {
@@ -307,6 +373,9 @@
     case FaultKind::ConfigurationChanged:
         m_deployment.configure();
         break;
+    case FaultKind::MinionGone:
+        removeMinion(minion);
+        break;
     }
     return Millis(0);
 }
--- a/tests/soak/chaos.h
+++ b/tests/soak/chaos.h
@@ -18,27 +18,28 @@
 
 /** Kinds of faults. */
 enum class FaultKind {
-    NodeKilled,          ///< SIGKILL, restarted later
-    LeaderKilled,        ///< the same for the node that leads
-    NodeFrozen,          ///< SIGSTOP, resumed later
-    LeaderFrozen,        ///< the same for the node that leads
-    NodeStopped,         ///< SIGTERM, restarted after it has exited
-    SettingsReread,      ///< SIGHUP
-    NodeCutFromStore,    ///< its connections to the store go silent
-    LeaderCutFromStore,  ///< the same for the node that leads
-    NodeResetFromStore,  ///< its connections to the store are closed, and new ones for a while
-    StoreSilent,         ///< no call to the store is answered
-    StoreBusy,           ///< every call to the store is answered with 503
-    StoreSlow,           ///< calls to the store are delayed
-    AppendsLost,         ///< some appends take effect and get no answer
-    AppendsLate,         ///< some appends take effect late and get no answer
-    MinionRestarted,     ///< crashes and starts again at once; its new entry follows later
-    MinionDown,          ///< crashes and starts again later
-    MinionCut,           ///< its connections go silent; its tasks run on
-    MinionReset,         ///< its connections are closed
-    StartsLate,          ///< some starts are carried out late and get no answer
-    OrdersLate,          ///< the same for orders of any kind, on whichever instance of the minion runs by then
-    ConfigurationChanged ///< the next version of the configuration
+    NodeKilled,           ///< SIGKILL, restarted later
+    LeaderKilled,         ///< the same for the node that leads
+    NodeFrozen,           ///< SIGSTOP, resumed later
+    LeaderFrozen,         ///< the same for the node that leads
+    NodeStopped,          ///< SIGTERM, restarted after it has exited
+    SettingsReread,       ///< SIGHUP
+    NodeCutFromStore,     ///< its connections to the store go silent
+    LeaderCutFromStore,   ///< the same for the node that leads
+    NodeResetFromStore,   ///< its connections to the store are closed, and new ones for a while
+    StoreSilent,          ///< no call to the store is answered
+    StoreBusy,            ///< every call to the store is answered with 503
+    StoreSlow,            ///< calls to the store are delayed
+    AppendsLost,          ///< some appends take effect and get no answer
+    AppendsLate,          ///< some appends take effect late and get no answer
+    MinionRestarted,      ///< crashes and starts again at once; its new entry follows later
+    MinionDown,           ///< crashes and starts again later
+    MinionCut,            ///< its connections go silent; its tasks run on
+    MinionReset,          ///< its connections are closed
+    StartsLate,           ///< some starts are carried out late and get no answer
+    OrdersLate,           ///< the same for orders of any kind, on whichever instance of the minion runs by then
+    ConfigurationChanged, ///< the next version of the configuration
+    MinionGone            ///< crashes and is away through the calm phase that follows; only where there are such phases
 };
 
 /** Lengths of the phases that alternate, beginning with faults. */
@@ -49,6 +50,14 @@
     bool plannedWork = false;
 };
 
+/** A minion that is away, also in calm phases. */
+struct MinionAbsence {
+    std::size_t minion = 0;
+    std::int64_t phase = 0; ///< number of the phase of faults in which it crashed
+    std::int64_t fromMs = 0;
+    std::int64_t toMs = 0; ///< when it was back; 0 before that
+};
+
 /** A fault that was injected. Times are milliseconds since the Unix epoch. */
 struct FaultSeen {
     FaultKind kind = FaultKind::NodeKilled;
@@ -77,7 +86,10 @@
     [[nodiscard]] std::vector<FaultSeen> history() const;
     /** @return the spans without faults from the creation until @p untilMs, once all faults have ended. */
     [[nodiscard]] std::vector<TimeSpan> calmSpans(std::int64_t untilMs) const;
-    [[nodiscard]] static std::vector<FaultKind> allKinds();
+    /** @return the times at which @p minion was away. */
+    [[nodiscard]] std::vector<TimeSpan> absences(std::size_t minion) const;
+    /** @param withCalm the kinds for deployments with calm phases too */
+    [[nodiscard]] static std::vector<FaultKind> allKinds(bool withCalm);
 
 private:
     void runLane(std::uint32_t seed);
@@ -86,6 +98,12 @@
     /** @return the time until the end of the phase that @p now is in, and whether this is a calm one. */
     [[nodiscard]] std::pair<Millis, bool> phaseAt(TimePoint now) const;
     [[nodiscard]] bool countsAsFault(FaultKind kind) const;
+    /** @return the number of the phase of faults, and of the calm phase that follows it. */
+    [[nodiscard]] std::int64_t phaseNumber() const;
+    void removeMinion(std::size_t minion);
+    /** Brings back the minions that crashed before @p phase, except those that another lane is using. */
+    void returnMinions(std::int64_t phase);
+    [[nodiscard]] bool isAway(std::size_t minion) const;
     /** Stops the node with @p signal and starts it again. Does nothing if another lane is doing that. */
     void restartNode(std::size_t node, int signal, Millis down);
     void freezeNode(std::size_t node, Millis length);
@@ -106,6 +124,7 @@
     std::mutex m_storeLock;
     mutable std::mutex m_historyLock;
     std::vector<FaultSeen> m_history;
+    std::vector<MinionAbsence> m_absences; ///< guarded by m_historyLock
     std::vector<std::thread> m_lanes;
 };
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -43,14 +43,14 @@
     return value == nullptr ? fallback : value;
 }
 
-std::vector<FaultKind> chosenKinds()
+std::vector<FaultKind> chosenKinds(bool withCalm)
 {
     std::istringstream text(variable("SOAK_KINDS", ""));
     std::vector<FaultKind> kinds;
     for (std::string number; std::getline(text, number, ',');) {
         kinds.push_back(static_cast<FaultKind>(std::stoi(number)));
     }
-    return kinds.empty() ? Chaos::allKinds() : kinds;
+    return kinds.empty() ? Chaos::allKinds(withCalm) : kinds;
 }
 
 int numberOf(const char *name, int fallback)
@@ -260,15 +260,17 @@
     deployment.configure(addTenants);
     const auto racks = static_cast<std::uint32_t>((options.minions + MINIONS_PER_RACK - 1) / MINIONS_PER_RACK);
     Callers callers(deployment, racks, seed);
-    Chaos chaos(deployment, seed, static_cast<unsigned>(numberOf("SOAK_LANES", 2)), chosenKinds(), phases);
+    Chaos chaos(deployment, seed, static_cast<unsigned>(numberOf("SOAK_LANES", 2)),
+                chosenKinds(phases.calm.count() > 0), phases);
     std::this_thread::sleep_for(length);
     chaos.end();
     callers.settle();
     DeploymentSeen seen;
     seen.runs = deployment.runs.all();
     seen.jobs = callers.view().jobs();
-    for (const auto &minion : deployment.minions) {
-        seen.minions[minion->id()] = {minion->capacity(), minion->labels()};
+    for (std::size_t i = 0; i < deployment.minions.size(); ++i) {
+        const auto &minion = *deployment.minions[i];
+        seen.minions[minion.id()] = {minion.capacity(), minion.labels(), chaos.absences(i)};
     }
     seen.untilMs = Standins::nowMs();
     seen.calm = chaos.calmSpans(seen.untilMs);
--- a/tests/soak/standstillchecks.cpp
+++ b/tests/soak/standstillchecks.cpp
@@ -126,6 +126,15 @@
     EXPECT_EQ(1U, freed.found());
 }
 
+TEST(Standstills, NeedRoomOnMinionsThatAreThere)
+{
+    Scene scene;
+    scene.seen.minions["i-0"].away = {{95'000, 200'000}};
+    EXPECT_EQ(1U, scene.found());
+    scene.seen.minions["i-1"].away = {{95'000, RULED_MS + 1}};
+    EXPECT_EQ(0U, scene.found());
+}
+
 TEST(Standstills, OfAGangNeedRoomForAllMembersTwiceOver)
 {
     StepShape gang {2, TASK};
--- a/tests/soak/standstills.cpp
+++ b/tests/soak/standstills.cpp
@@ -185,9 +185,13 @@
         const std::int64_t wanted = ROOM_FACTOR * (step.gang ? step.count : 1);
         std::int64_t fitting = 0;
         for (const auto &[id, minion] : m_seen.minions) {
-            const bool suits =
+            const bool labelled =
                 step.label.empty()
                 || std::find(minion.labels.begin(), minion.labels.end(), step.label) != minion.labels.end();
+            const bool away = std::any_of(minion.away.begin(), minion.away.end(), [atMs](const TimeSpan &span) {
+                return span.fromMs <= atMs && atMs < span.toMs;
+            });
+            const bool suits = labelled && !away;
             std::uint32_t tasks = tasksOfStep[id];
             for (Resources &left = free[id]; suits && fitting < wanted && left.covers(step.need)
                                              && (step.antiAffinity == 0 || tasks < step.antiAffinity);
--- a/tests/soak/standstills.h
+++ b/tests/soak/standstills.h
@@ -18,15 +18,17 @@
 struct MinionOffer {
     Resources capacity;
     std::vector<std::string> labels;
+    std::vector<TimeSpan> away = {}; ///< when it was down
 };
 
 /** What was seen of a deployment. */
 struct DeploymentSeen {
     std::vector<Standins::TaskRun> runs;
     std::map<std::string, JobSeen> jobs;
-    std::map<std::string, MinionOffer> minions; ///< by id; while it is calm, all of them are up, reachable and listed
-    std::vector<TimeSpan> calm;                 ///< the spans without faults
-    std::int64_t untilMs = 0;                   ///< end of the observation
+    std::map<std::string, MinionOffer>
+        minions;                ///< by id; while it is calm, those that are not away are listed and reachable
+    std::vector<TimeSpan> calm; ///< the spans without faults
+    std::int64_t untilMs = 0;   ///< end of the observation
 };
 
 /** @return a line for each job, and for each unit that lasts, that stands still in a calm span. */
