Do not let versions without spells read a record of a silence that has one

An earlier version takes two silences of a minion under one planner for the same one if it reloads in between, and counts the wait from the first, although the minion has got leases since: in a rolling upgrade, two runs of a task at once. It ignores a record that it cannot read, and waits from its take-over. A silence with a spell is now stored in a form that is no number. JobRecord.OfASilenceWithASpellCannotBeReadAsAnEpochAlone tests that.

--- a/packages/steps/jobrecord.cpp
+++ b/packages/steps/jobrecord.cpp
@@ -22,7 +22,8 @@
 constexpr std::string_view PLANNER_KEY = "q";
 constexpr std::string_view CONFIG_KEY = "c";
 constexpr char FIELD_SEPARATOR = ' ';
-constexpr char ESCAPE = '%'; // precedes the two hexadecimal digits of a byte
+constexpr char SPELL_MARK = 'n'; // precedes MinionSilence::spell
+constexpr char ESCAPE = '%';     // precedes the two hexadecimal digits of a byte
 constexpr std::string_view EMPTY_FIELD = "-";
 constexpr std::string_view HEX_DIGITS = "0123456789ABCDEF";
 
@@ -247,7 +248,8 @@
     {
         std::string value = record.since ? std::to_string(record.since->value()) : std::string();
         if (record.since && record.spell > 0) {
-            value += FIELD_SEPARATOR + std::to_string(record.spell);
+            // Earlier versions cannot tell one spell from the next, so they must not be able to read the record.
+            value = SPELL_MARK + std::to_string(record.spell) + FIELD_SEPARATOR + value;
         }
         return {std::string(SILENCE_PREFIX) + record.minion.value(), std::move(value)};
     }
@@ -288,10 +290,11 @@
         if (key.starts_with(SILENCE_PREFIX)) {
             MinionSilence record {MinionId(std::string(key.substr(SILENCE_PREFIX.size()))), std::nullopt};
             if (!value.empty()) {
-                const std::size_t end = std::min(value.find(FIELD_SEPARATOR), value.size());
-                record.since = Epoch(std::stoull(std::string(value.substr(0, end))));
-                record.spell =
-                    end < value.size() ? static_cast<std::uint32_t>(std::stoul(std::string(value.substr(end + 1)))) : 0;
+                if (value.front() == SPELL_MARK) {
+                    value.remove_prefix(1);
+                    record.spell = static_cast<std::uint32_t>(std::stoul(std::string(takeField(value))));
+                }
+                record.since = Epoch(std::stoull(std::string(value)));
             }
             return JobRecord(std::move(record));
         }
--- a/tests/unit/jobtable.cpp
+++ b/tests/unit/jobtable.cpp
@@ -194,6 +194,13 @@
     EXPECT_EQ(0U, silence.spell);
 }
 
+// Guards against earlier versions, which know no spells, taking a later silence of a minion for an earlier one.
+TEST(JobRecord, OfASilenceWithASpellCannotBeReadAsAnEpochAlone)
+{
+    const StoredRecord stored = encodeRecord(MinionSilence {MinionId("i-0"), Epoch(4711), 2});
+    EXPECT_THROW(std::stoull(stored.value), std::invalid_argument);
+}
+
 // Guards against a checkpoint with spaces being cut when another node reads its record.
 TEST(JobRecord, OfAUnitKeepsACheckpointWithSpaces)
 {
