Count a refused poll only if it was sent after the last start of earlier planners

The view of minions was checked when the refusal arrived, so a poll could end an adopted run that a predecessor, which had not noticed the take-over, started while the poll was in flight. The time at which the poll was sent counts now, as rule 6 of the planner says.

--- a/packages/dispatch/stepplannerhealth.cpp
+++ b/packages/dispatch/stepplannerhealth.cpp
@@ -89,11 +89,13 @@
 
 void StepPlanner::endReplaced(MinionLink &link, std::int64_t sentMs)
 {
+    const std::int64_t lastStartMs = m_takeoverMs + m_context.maxViewAge.count(); // of earlier planners
     std::vector<PlacedMember> ended;
     for (const PlacedMember &placed : link.placed) {
         const Member &member = placed.member();
+        const bool adopted = placed.assignment->decidedMs == 0;
         const std::int64_t orderedMs = member.state == MemberState::Running ? member.confirmedMs : member.orderedMs;
-        if (orderedMs > 0 && orderedMs < sentMs) {
+        if (orderedMs > 0 && (adopted ? lastStartMs : orderedMs) < sentMs) {
             ended.push_back(placed);
         }
     }
@@ -102,7 +104,6 @@
     }
     // Starts that are carried out late are refused by the other minion. They could only take effect if this one came
     // back to the address, so it is polled, which raises its fence.
-    const std::int64_t lastStartMs = m_takeoverMs + m_context.maxViewAge.count();
     link.lateStartsUntilMs = std::max(link.lateStartsUntilMs, lastStartMs + LATE_START_SPAN_MS);
     for (const auto &[assignment, index] : ended) {
         m_context.metrics.count(StepEvent::RunLost, "minion-replaced");
