Keep in mind which minions were vacated while several waves reserve minions

The reservations are passed on after each wave, with those of later waves missing, so that a vacated minion of a later wave was forgotten and could get an overdue unit as a last resort, just before it went down. A minion that was vacated gets none any more.

--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -328,7 +328,7 @@
     bool m_oracleQueryInFlight = false;
     std::int64_t m_nextOracleQueryMs = 0;
     std::set<MinionId> m_reserved;  ///< get no new work until their upkeep
-    std::set<MinionId> m_vacated;   ///< of these, the ones whose work was ordered to stop
+    std::set<MinionId> m_vacated;   ///< had their work ordered to stop for their upkeep
     std::set<MinionId> m_goingDown; ///< ordered to go down; their runs may have ended
 };
 
--- a/packages/dispatch/stepplannershares.cpp
+++ b/packages/dispatch/stepplannershares.cpp
@@ -125,7 +125,6 @@
 {
     const bool released = !std::includes(minions.begin(), minions.end(), m_reserved.begin(), m_reserved.end());
     m_reserved = std::move(minions);
-    std::erase_if(m_vacated, [this](const MinionId &minion) { return !m_reserved.contains(minion); });
     if (released) {
         requestPass();
     }
