Do not let a task that has just ended hold up other tasks of a long-running step

Each unit of a long-running step may be overdue by itself, but the pass left the step after the first unit that had to wait. OverdueJob.OfALongRunningStepIsNotHeldUpByATaskThatHasJustEnded was red before.

--- a/packages/steps/stepscheduler.cpp
+++ b/packages/steps/stepscheduler.cpp
@@ -160,8 +160,9 @@
             }
             const auto avoided = m_input.avoid.find(unit);
             request.avoid = avoided == m_input.avoid.end() ? nullptr : &avoided->second;
-            if (!scheduleUnit(candidate, unit, request, feasible, placed)) {
-                return; // the other units of the step have the same needs
+            const bool advanced = scheduleUnit(candidate, unit, request, feasible, placed);
+            if (!advanced && !step.longRunning) { // units of a long-running step may be overdue by themselves
+                return;                           // the other units of the step have the same needs
             }
         }
     }
--- a/tests/unit/stepscheduling.cpp
+++ b/tests/unit/stepscheduling.cpp
@@ -245,6 +245,44 @@
     EXPECT_EQ(2U, scenario.planAfterWaiting(OVERDUE_MS).starts.size());
 }
 
+TEST(OverdueJob, OfALongRunningStepIsNotHeldUpByATaskThatHasJustEnded)
+{
+    Scenario scenario(2, 2);
+    scenario.fillWithBatch();
+    StepSpec serving = Scenario::step(2, 1);
+    serving.dataRack = RackName("r1");
+    serving.longRunning = true;
+    const JobId job = scenario.submit("plan", serving);
+    scenario.minions[0].free.gpus = 4;
+    const UnitKey first {job, 0, 0, 0};
+    UnitStatus status;
+    status.state = UnitState::Placed;
+    status.run = 1;
+    status.minions = {scenario.minions[0].id};
+    scenario.jobTable.apply(UnitChanged {first, status});
+    IdleJobs idle;
+    idle.update(scenario.jobTable, {{first, RunPhase::Running}}, {NOW, NOW - OVERDUE_MS});
+    status.state = UnitState::Waiting;
+    status.minions.clear();
+    scenario.jobTable.apply(UnitChanged {first, status});
+    idle.update(scenario.jobTable, {}, {NOW, NOW});
+    PlanInput input {scenario.jobTable,
+                     scenario.config,
+                     scenario.times,
+                     scenario.tickets,
+                     scenario.minions,
+                     scenario.active,
+                     {},
+                     {},
+                     NOW,
+                     NOW,
+                     scenario.headroom,
+                     &idle};
+    const PlanDecisions decisions = planSteps(std::move(input));
+    ASSERT_EQ(1U, decisions.starts.size());
+    EXPECT_EQ((UnitKey {job, 0, 0, 1}), decisions.starts[0].unit);
+}
+
 // Load pattern: urgent gangs preempt batch work again and again, so that the headroom never ends.
 TEST(OverdueJob, IsNotHeldBackByTheHeadroom)
 {
