Take any error of an idle connection as its end

Only a reset counted; a time-out or an unreachable host was cleared by the look, and the order was written into a dead connection all the same.

--- a/packages/connection/httpclient.cpp
+++ b/packages/connection/httpclient.cpp
@@ -109,7 +109,7 @@
     {
         char byte = 0;
         const ssize_t read = ::recv(m_stream->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return read == 0 || (read < 0 && errno == ECONNRESET);
+        return read == 0 || (read < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
     }
     [[nodiscard]] bool reused() const override
     {
