Count the duration of a run from the first record of its placement

The record that tells which members of a unit have ended is one of a placed unit and began the measured duration anew, so that expected durations became too short. RunTimes.CountARunFromItsFirstRecord was red before.

--- a/packages/steps/runtimes.cpp
+++ b/packages/steps/runtimes.cpp
@@ -73,7 +73,7 @@
     const auto placed = m_placedMs.find(change.unit);
     if (change.status.state == UnitState::Placed) {
         if (change.status.checkpoint.empty()) {
-            m_placedMs[change.unit] = nowMs;
+            m_placedMs.try_emplace(change.unit, nowMs); // further records of the run tell of members that ended
         }
         return;
     }
--- a/tests/unit/stepscheduling.cpp
+++ b/tests/unit/stepscheduling.cpp
@@ -461,6 +461,24 @@
     EXPECT_NEAR(2'100, double(times.expectedMs(queue, 20'000)), 500);
 }
 
+TEST(RunTimes, CountARunFromItsFirstRecord)
+{
+    RunTimes times;
+    StepJob job;
+    job.id = JobId("job");
+    job.queue = QueueName("q");
+    job.spec.steps = {Scenario::step(1, 1)};
+    UnitChanged change {{job.id, 0, 0, 0}, {}};
+    for (std::int64_t start = 0; start < 200 * 3'000; start += 3'000) {
+        change.status.state = UnitState::Placed;
+        times.observe(job, change, start);
+        times.observe(job, change, start + 1'500);
+        change.status.state = UnitState::Done;
+        times.observe(job, change, start + 2'000);
+    }
+    EXPECT_NEAR(2'000, double(times.expectedMs(job.queue, job.spec.steps[0].estimate.count())), 100);
+}
+
 TEST(RunTimes, FollowEstimatesThatAreAccurate)
 {
     RunTimes times;
