--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -44,7 +44,7 @@
     return value == nullptr ? fallback : value;
 }
 
-std::vector<FaultKind> chosenKinds(std::vector<FaultKind> usual)
+std::vector<FaultKind> chosenKinds(const std::vector<FaultKind> &usual)
 {
     std::istringstream text(variable("SOAK_KINDS", ""));
     std::vector<FaultKind> kinds;
@@ -253,7 +253,7 @@
  * @param kinds the faults to choose from unless SOAK_KINDS is set
  * @param minions their number unless SOAK_MINIONS is set
  */
-void playRound(std::uint32_t seed, Millis length, const ChaosPhases &phases, std::vector<FaultKind> kinds,
+void playRound(std::uint32_t seed, Millis length, const ChaosPhases &phases, const std::vector<FaultKind> &kinds,
                std::size_t minions = 8)
 {
     DeploymentOptions options {std::stoul(variable("SOAK_NODES", "3")),
@@ -267,8 +267,7 @@
     deployment.configure(addTenants);
     const auto racks = static_cast<std::uint32_t>((options.minions + MINIONS_PER_RACK - 1) / MINIONS_PER_RACK);
     Callers callers(deployment, racks, seed);
-    Chaos chaos(deployment, seed, static_cast<unsigned>(numberOf("SOAK_LANES", 2)), chosenKinds(std::move(kinds)),
-                phases);
+    Chaos chaos(deployment, seed, static_cast<unsigned>(numberOf("SOAK_LANES", 2)), chosenKinds(kinds), phases);
     std::this_thread::sleep_for(length);
     chaos.end();
     callers.settle();
