Say in the planner's rules which ends are journaled and which refused polls count

From reading the whole change once more: rule 2 claimed more than holds for single members of a unit, and rule 6 did not name the time at which a poll was sent.

--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -27,7 +27,8 @@
 // Carries out the scheduler's decisions on the minions and renews the leases of running tasks.
 //
 // 1. A start is journaled before it is ordered, so that a successor knows of every run that may exist.
-// 2. An end is journaled before it is acknowledged to the minion, which then forgets it.
+// 2. The end of a unit is journaled before it is acknowledged to the minion, which then forgets it. Which members of a
+//    unit have ended is journaled only if the others take long to end; see recordMemberEnds().
 // 3. A member counts as running until one of these holds: the minion refuses the first order to start it, the minion
 //    lists its end, a later poll does not list the run, another minion answers at its address, or the lease has expired
 //    even on the slowest permitted clock. Until then its unit is not started elsewhere. This holds also if the minion
@@ -43,7 +44,8 @@
 //    anew with the next successor.
 // 6. If another minion refuses a poll, the instance that had its address has ended. The minion may have come back at
 //    another address, so this counts only for its newest entry, and once every entry has been read that a predecessor
-//    may have used. One that has not noticed the take-over sends starts for up to Context::maxViewAge.
+//    may have used. One that has not noticed the take-over sends starts for up to Context::maxViewAge, so for its
+//    starts only a poll counts that was sent after that.
 // 7. A planner also records a minion as silent that has stopped to answer and whose lease ends within LEASE_MS. It has
 //    raised the minion's fence, so that no earlier planner grants a lease either, and grants none itself before the
 //    withdrawal is stored. So a successor that finds the record waits only for LAST_LEASE_SPAN_MS from when it read it.
