--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -26,16 +26,21 @@
     Minion &minion = place.minion("i-11");
     minion.lateMs = LATE_MS;
     minion.latePaces = trouble() ? 1 : 0;
-    const auto runs = [&](const char *job) { return place.eventually([&] { return !place.runs.of(job).empty(); }, Millis(8'000)); };
-    const Json serving = {{"count", 1}, {"cpu", 4'000}, {"memMb", 1'000}, {"estimateMs", 500}, {"longRunning", true},
-                          {"targetMs", TARGET_MS}, {"image", "front"}, {"requires", "r9"}};
-    place.submit(0, "serve", SERVES, {{"taskSpec", R"({"lasts":true,"tailMs":40,"disturbedMs":2000})"}, {"steps", Json::array({serving})}});
+    const auto runs = [&](const char *job) {
+        return place.eventually([&] { return !place.runs.of(job).empty(); }, Millis(8'000));
+    };
+    const Json serving = {{"count", 1},          {"cpu", 4'000},          {"memMb", 1'000},   {"estimateMs", 500},
+                          {"longRunning", true}, {"targetMs", TARGET_MS}, {"image", "front"}, {"requires", "r9"}};
+    place.submit(0, "serve", SERVES,
+                 {{"taskSpec", R"({"lasts":true,"tailMs":40,"disturbedMs":2000})"}, {"steps", Json::array({serving})}});
     if (!runs(SERVES)) {
         throw CannotRun("the service does not run");
     }
     std::this_thread::sleep_for(Millis(2'000));
-    const Json filling = {{"count", 1}, {"cpu", 4'000}, {"memMb", 1'000}, {"estimateMs", 90'000}, {"fills", true}, {"image", "study"}, {"requires", "r9"}};
-    place.submit(1, "batch", FILLS, {{"taskSpec", R"({"workMs":90000,"fills":true})"}, {"steps", Json::array({filling})}});
+    const Json filling = {{"count", 1},    {"cpu", 4'000},     {"memMb", 1'000},  {"estimateMs", 90'000},
+                          {"fills", true}, {"image", "study"}, {"requires", "r9"}};
+    place.submit(1, "batch", FILLS,
+                 {{"taskSpec", R"({"workMs":90000,"fills":true})"}, {"steps", Json::array({filling})}});
     if (!runs(FILLS)) {
         throw CannotRun("the filling task does not run");
     }
--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -23,11 +23,11 @@
     Place place(recordPath, {});
     place.start(configuration({queue("urgent", 0), queue("batch", 2)}, 8));
     std::this_thread::sleep_for(Millis(1'000));
-    // 1. A client hands in a job of many tasks of 0.01 cores, for all of which there is room.
+    // 1. A client hands in a job of many tasks of 0.001 cores, for all of which each minion has room.
     if (trouble()) {
         Json steps = Json::array();
         for (std::uint32_t i = 0; i < STEPS; ++i) {
-            steps.push_back({{"count", TASKS_OF_STEP}, {"cpu", 10}, {"memMb", 20}, {"estimateMs", 1'000}});
+            steps.push_back({{"count", TASKS_OF_STEP}, {"cpu", 1}, {"memMb", 2}, {"estimateMs", 1'000}});
         }
         const Answer answer =
             place.submit(0, "batch", "00000000000e0000", {{"taskSpec", R"({"workMs":1000})"}, {"steps", steps}});
--- a/review/harness-2/place.hh
+++ b/review/harness-2/place.hh
@@ -66,7 +66,7 @@
     std::atomic<int> latePaces {0};
     std::atomic<std::int64_t> lateMs {0};
     std::atomic<std::int64_t> lateDoneMs {0}; ///< Unix time at which the last late order was carried out
-    std::atomic<bool> gone {false}; ///< crashed for good: no entry, no heartbeat
+    std::atomic<bool> gone {false};           ///< crashed for good: no entry, no heartbeat
 
 protected:
     Asio::awaitable<HttpResponse> serve(HttpRequest request) override;
