--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -22,7 +22,7 @@
     if (first < 0) {
         throw CannotRun("no node leads");
     }
-    // 1. The cut begins when the answer to the holder's append about the machine has passed.
+    // 1. The cut begins behind the answer to the holder's append about the machine.
     Link &storeLink = *place.storeLinks[static_cast<std::size_t>(first)];
     Link &cloudLink = *place.cloudLinks[static_cast<std::size_t>(first)];
     std::atomic<std::int64_t> cutMs {0};
@@ -36,7 +36,7 @@
         }
     };
     if (trouble()) {
-        storeLink.passed = [&](const std::string &bytes) {
+        storeLink.passing = [&](const std::string &bytes) {
             const std::lock_guard lock(mutex);
             if (cutMs == 0 && !answerOfOrder.empty() && bytes.ends_with(answerOfOrder)) {
                 storeLink.cut(true);
