--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -2,72 +2,65 @@
 
 #include <algorithm>
 
-// The node that leads and a minion lose power together. The job on that minion stands still until its successor trusts
-// that every lease has run out.
+// Tasks that last, of one tenant, hold all GPUs that were idle. Another tenant asks for the GPUs that belong to it.
 
 using namespace Review;
 
 namespace
 {
 
-constexpr const char *JOB = "0000000000100001";
-constexpr std::int64_t CALM_BEFORE_MS = 4'000; // "the 3 s and the 4 s before them are calm"
-constexpr std::int64_t STANDS_STILL_MS = 3'000;
+constexpr const char *OTHERS = "00000000000c0001";
+constexpr const char *URGENT = "00000000000c0002";
+constexpr std::size_t MINIONS = 12;
+constexpr std::int64_t GUARANTEED_GPUS = 24; // of each tenant; the fleet has 96
+constexpr std::size_t URGENT_TASKS = 3;      // with 8 GPUs each
+constexpr std::int64_t RECLAIM_MS = 2'700;   // reclaimMs
+constexpr std::int64_t WATCHED_MS = 40'000;
 
 bool run(const std::string &recordPath)
 {
     Options options;
-    options.nodes = 6;
+    options.minions = MINIONS;
     Place place(recordPath, options);
-    place.start(configuration({queue("batch", 2)}, 8));
-    std::this_thread::sleep_for(Millis(2'000));
-    // 1. One job with one task of 8.5 s on an otherwise empty fleet of 12 minions.
-    const Json step = {{"count", 1}, {"cpu", 26'000}, {"memMb", 53'000}, {"gpu", 1}, {"estimateMs", 8'500}};
-    const Json job = {{"taskSpec", R"({"workMs":8500})"}, {"steps", Json::array({step})}};
-    if (place.submit(0, "batch", JOB, job).status != 200) {
-        throw CannotRun("the job was not accepted");
-    }
-    if (!place.eventually([&] { return !place.runs.of(JOB).empty(); }, Millis(5'000))) {
-        throw CannotRun("the job does not run");
+    Json config = configuration({queue("urgent", 0), queue("serve", 2)}, GUARANTEED_GPUS);
+    config["tenants"].push_back(
+        {{"name", "b"}, {"apiKeys", {"key-b"}}, {"guaranteed", {{"gpu", GUARANTEED_GPUS}}}});
+    place.start(config);
+    std::this_thread::sleep_for(Millis(1'000));
+    // 1. Tenant b takes all GPUs, which are idle, with a job of the lowest priority. With TROUBLE=0 its tasks end by
+    //    themselves after two minutes; else they last.
+    Json step = {{"count", MINIONS}, {"cpu", 8'000}, {"memMb", 10'000}, {"gpu", 8}, {"estimateMs", 120'000}};
+    std::string work = R"({"workMs":120000})";
+    if (trouble()) {
+        step["longRunning"] = true;
+        step["mayMiss"] = MINIONS; // its owner lets the system stop all of them
+        work = R"({"lasts":true})";
     }
-    std::this_thread::sleep_for(Millis(2'500));
-    const std::string minion = place.runs.of(JOB).front().minion;
-    const int first = place.leader();
-    if (first < 0) {
-        throw CannotRun("no node leads");
+    const Json others = {{"taskSpec", work}, {"steps", Json::array({step})}};
+    if (place.submit(0, "serve", OTHERS, others, "key-b").status != 200) {
+        throw CannotRun("the job of tenant b was not accepted");
     }
-    // 2. The minion is lost for good; the process that leads is killed, and is started again 3.5 s later.
-    std::int64_t faultMs = place.now();
-    if (trouble()) {
-        place.crash(minion);
-        place.nodes[static_cast<std::size_t>(first)]->kill();
-        place.record.line("front-" + std::to_string(first) + " is killed");
-        std::this_thread::sleep_for(Millis(3'500));
-        place.nodes[static_cast<std::size_t>(first)]->start();
-        place.record.line("front-" + std::to_string(first) + " is started again");
-        faultMs = place.now();
+    const auto begun = [&](const char *job) { return place.runs.of(job).size(); };
+    if (!place.eventually([&] { return begun(OTHERS) >= MINIONS; }, Millis(8'000))) {
+        throw CannotRun("the job of tenant b does not run");
     }
-    // 3. From 4 s after the last fault on, for how long has the job nothing running?
-    std::int64_t stillSinceMs = 0;
-    std::int64_t longestMs = 0;
-    std::string lastState;
-    const std::int64_t endMs = place.now() + 40'000;
-    for (bool done = false; !done && place.now() < endMs;) {
-        std::this_thread::sleep_for(Millis(50));
-        const std::int64_t now = place.now();
-        const std::vector<TaskRun> runs = place.runs.of(JOB);
-        const bool working = std::any_of(runs.begin(), runs.end(), [](const TaskRun &run) { return run.endedMs == 0; });
-        done = std::any_of(runs.begin(), runs.end(), [](const TaskRun &run) { return run.how == "done"; });
-        const bool calm = now - faultMs >= CALM_BEFORE_MS;
-        stillSinceMs = working || done || !calm ? 0 : stillSinceMs == 0 ? now : stillSinceMs;
-        longestMs = std::max(longestMs, stillSinceMs == 0 ? 0 : now - stillSinceMs);
+    std::this_thread::sleep_for(Millis(8'000));
+    // 2. Tenant a, of which nothing runs, hands in a job of priority 0 that needs just what belongs to it.
+    const Json urgentStep = {{"count", URGENT_TASKS}, {"cpu", 7'500}, {"memMb", 11'000}, {"gpu", 8}, {"estimateMs", 2'500}};
+    const Json urgent = {{"taskSpec", R"({"workMs":2500})"}, {"steps", Json::array({urgentStep})}};
+    if (place.submit(1, "urgent", URGENT, urgent).status != 200) {
+        throw CannotRun("the urgent job was not accepted");
     }
-    place.call(1, "GET", std::string("/batch/") + JOB);
+    const std::int64_t acceptedMs = place.now();
+    const bool inTime = place.eventually([&] { return begun(URGENT) >= URGENT_TASKS; }, Millis(RECLAIM_MS));
+    const bool atAll = inTime || place.eventually([&] { return begun(URGENT) >= URGENT_TASKS; }, Millis(WATCHED_MS));
+    const std::int64_t tookMs = place.now() - acceptedMs;
+    place.call(2, "GET", std::string("/urgent/") + URGENT);
     place.recordRuns();
-    const bool held = longestMs <= STANDS_STILL_MS;
-    place.record.line("in calm the job had nothing running for " + std::to_string(longestMs) + " ms on end");
-    place.record.line(held ? "LOST held" : "LOST was broken");
-    return held;
+    place.record.line("all tasks of the urgent job had begun: " + std::string(atAll ? "yes" : "no") + ", looked at until "
+                      + std::to_string(tookMs) + " ms after its acknowledgement");
+    place.record.line(inTime ? "RECLAIM held" : "RECLAIM was broken");
+    return inTime;
 }
 
 } // namespace
