--- a/review/harness-2/place.cc
+++ b/review/harness-2/place.cc
@@ -53,10 +53,6 @@
         }
     } counted {m_calls};
     m_most = std::max(m_most.load(), ++*m_calls);
-    if (unhealthy && path == "/-/run-start") {
-        m_record.line("minion " + m_name + " got " + request.body + " answered 503, did nothing");
-        co_return jsonAnswer(503, Json::object());
-    }
     const std::string body = path == "/-/hold" ? "" : request.body;
     HttpResponse response = co_await PlatformMinionStandin::serve(std::move(request));
     if (path == "/-/hold" && response.status == 200) {
@@ -89,12 +85,6 @@
     m_machines["m-" + minion.id()].minion = &minion;
 }
 
-std::vector<UpkeepOrder> Cloud::orders() const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_orders;
-}
-
 HttpResponse Cloud::upkeep(const HttpRequest &request)
 {
     const Json body = bodyOf(request);
@@ -142,16 +132,8 @@
         }
         co_return jsonAnswer(200, {{"machines", machines}, {"nextToken", nullptr}});
     }
-    HttpResponse response = upkeep(request);
-    UpkeepOrder order;
-    order.machine = bodyOf(request).value("machine", "");
-    order.holder = request.fields.get("Papayahall-Duty-Holder");
-    order.token = std::strtoull(request.fields.get("Papayahall-Fencing-Token").c_str(), nullptr, 10);
-    order.atMs = nowMs();
-    order.status = response.status;
-    m_orders.push_back(order);
-    m_record.line("cloud got upkeep of " + order.machine + " from " + order.holder + " with token "
-                  + std::to_string(order.token) + " answered " + std::to_string(order.status));
+    const HttpResponse response = upkeep(request);
+    m_record.line("cloud got upkeep " + request.body + " answered " + std::to_string(response.status));
     co_return response;
 }
 
@@ -160,103 +142,52 @@
     return jsonAnswer(404, Json::object());
 }
 
-Asio::awaitable<HttpResponse> Store::serve(HttpRequest request)
+void Advice::allow(const std::string &job, std::set<std::string> minions)
 {
-    if (request.path() == "/-/log-append" && request.body.size() > CALL_BYTES) {
-        if (m_refused++ < 20) {
-            m_record.line("store refused an append of " + std::to_string(request.body.size()) + " bytes with 413");
-        }
-        co_return jsonAnswer(413, Json::object());
-    }
-    const std::string sent = appended && request.path() == "/-/log-append" ? request.body : "";
-    HttpResponse response = co_await PlatformStoreStandin::serve(std::move(request));
-    if (!sent.empty()) {
-        appended(sent, response.body);
-    }
-    co_return response;
+    const std::lock_guard lock(m_mutex);
+    m_allowed[job] = std::move(minions);
 }
 
-using Tcp = Asio::ip::tcp;
-
-struct Link::Acceptor {
-    explicit Acceptor(Asio::io_context &io)
-        : acceptor(io, Tcp::endpoint(Asio::ip::make_address("127.0.0.1"), 0))
-    {
-    }
-    Tcp::acceptor acceptor;
-};
-
-struct Link::Ends {
-    Ends(Tcp::socket nearEnd, Asio::io_context &io)
-        : near(std::move(nearEnd))
-        , far(io)
+Asio::awaitable<HttpResponse> Advice::serve(HttpRequest request)
+{
+    const Json body = bodyOf(request);
+    const std::string step = body.at("step");
+    const Json &named = body.at("workers");
+    std::int64_t waitMs = 0;
     {
+        const std::lock_guard lock(m_mutex);
+        const auto takesMs = DECISION_MS + PERIOD_MS * static_cast<std::int64_t>(named.size());
+        m_freeAtMs = std::max(m_freeAtMs, nowMs()) + takesMs;
+        waitMs = m_freeAtMs - nowMs();
     }
-    Tcp::socket near;
-    Tcp::socket far;
-};
-
-Link::Link(Asio::io_context &io, Endpoint target)
-    : m_io(io)
-    , m_target(std::move(target))
-    , m_acceptor(std::make_shared<Acceptor>(io))
-{
-    m_address = {"127.0.0.1", m_acceptor->acceptor.local_endpoint().port()};
-}
-
-std::shared_ptr<Link> Link::create(Asio::io_context &io, const Endpoint &target)
-{
-    std::shared_ptr<Link> link(new Link(io, target));
-    Asio::co_spawn(io, acceptLoop(link), Asio::detached);
-    return link;
-}
-
-Asio::awaitable<void> Link::whileCut()
-{
-    while (m_cut) {
-        co_await Papaya::sleepFor(Millis(2));
+    co_await Papaya::sleepFor(Millis(waitMs));
+    const std::lock_guard lock(m_mutex);
+    const auto allowed = m_allowed.find(step.substr(0, step.find('.')));
+    Json good = Json::array();
+    for (const Json &minion : named) {
+        if (allowed == m_allowed.end() || allowed->second.contains(minion.get<std::string>())) {
+            good.push_back({minion, "ticket"});
+        }
     }
+    m_record.line("advice asked about step " + step + " and " + std::to_string(named.size()) + " minions, "
+                  + std::to_string(good.size()) + " may run it");
+    co_return jsonAnswer(200, {{"good", good}, {"validMs", VALID_MS}});
 }
 
-Asio::awaitable<void> Link::acceptLoop(std::shared_ptr<Link> self)
+HttpResponse Advice::control(const HttpRequest & /*request*/)
 {
-    for (;;) {
-        Tcp::socket socket = co_await self->m_acceptor->acceptor.async_accept(Asio::use_awaitable);
-        auto ends = std::make_shared<Ends>(std::move(socket), self->m_io);
-        Asio::co_spawn(self->m_io, relay(self, ends, false), Asio::detached);
-    }
+    return jsonAnswer(404, Json::object());
 }
 
-Asio::awaitable<void> Link::relay(std::shared_ptr<Link> self, std::shared_ptr<Ends> ends, bool fromTarget)
+Asio::awaitable<HttpResponse> Store::serve(HttpRequest request)
 {
-    boost::system::error_code error;
-    auto token = Asio::redirect_error(Asio::use_awaitable, error);
-    if (!fromTarget) {
-        co_await self->whileCut();
-        const Tcp::endpoint target(Asio::ip::make_address(self->m_target.ip), self->m_target.port);
-        co_await ends->far.async_connect(target, token);
-        if (error) {
-            co_return;
-        }
-        Asio::co_spawn(self->m_io, relay(self, ends, true), Asio::detached);
-    }
-    Tcp::socket &from = fromTarget ? ends->far : ends->near;
-    Tcp::socket &to = fromTarget ? ends->near : ends->far;
-    std::string buffer(64 * 1024, '\0');
-    while (!error) {
-        const std::size_t size = co_await from.async_read_some(Asio::buffer(buffer), token);
-        const bool ended = bool(error);
-        co_await self->whileCut();
-        if (ended) {
-            boost::system::error_code ignored;
-            to.shutdown(Tcp::socket::shutdown_send, ignored);
-            break;
-        }
-        if (fromTarget && self->passing) {
-            self->passing(buffer.substr(0, size));
+    if (request.path() == "/-/log-append" && request.body.size() > CALL_BYTES) {
+        if (m_refused++ < 20) {
+            m_record.line("store refused an append of " + std::to_string(request.body.size()) + " bytes with 413");
         }
-        co_await Asio::async_write(to, Asio::buffer(buffer.data(), size), token);
+        co_return jsonAnswer(413, Json::object());
     }
+    co_return co_await PlatformStoreStandin::serve(std::move(request));
 }
 
 Node::~Node()
@@ -304,6 +235,7 @@
     : record(recordPath)
     , store(record)
     , cloud(record)
+    , advice(record)
     , m_work(Asio::make_work_guard(io))
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
@@ -316,6 +248,7 @@
     }
     store.listen(io, {"127.0.0.1", 0});
     cloud.start(io, Millis(2'000)); // maintenanceS
+    advice.listen(io, {"127.0.0.1", 0});
     for (std::size_t i = 0; i < options.minions; ++i) {
         const std::string rack =
             i < options.racks.size() ? options.racks[i] : "r" + std::to_string(i / options.minionsPerRack);
@@ -329,27 +262,22 @@
     for (std::size_t i = 0; i < options.nodes; ++i) {
         fronts.push_back(freeEndpoint());
         readies.push_back(freeEndpoint());
-        Endpoint storeAddress = store.address();
-        Endpoint cloudAddress = cloud.address();
-        if (options.nodeLinks) {
-            storeLinks.push_back(Link::create(io, storeAddress));
-            cloudLinks.push_back(Link::create(io, cloudAddress));
-            storeAddress = storeLinks.back()->address();
-            cloudAddress = cloudLinks.back()->address();
-        }
         // As deploy/settings.json, with the bounds of the small sites.
-        const Json settings = {{"node", "front-" + std::to_string(i)},
+        Json settings = {{"node", "front-" + std::to_string(i)},
                                {"place", "here"},
                                {"callers", fronts[i].toString()},
                                {"ready", readies[i].toString()},
-                               {"store", storeAddress.toString()},
+                               {"store", store.address().toString()},
                                {"peers", freeEndpoint().toString()},
-                               {"machines", cloudAddress.toString()},
+                               {"machines", cloud.address().toString()},
                                {"cores", 0.25},
                                {"minionDrainMs", 2'000},
                                {"maxLeaseMs", 10'000},
                                {"drainLimitMs", 6'000},
                                {"keepEndedMs", 120'000}};
+        if (options.advice) {
+            settings["oracle"] = advice.address().toString();
+        }
         const std::string base = m_directory + "/front-" + std::to_string(i);
         std::ofstream(base + ".json") << settings.dump(2);
         nodes.push_back(std::make_unique<Node>(base + ".json", base + ".log"));
--- a/review/harness-2/place.hh
+++ b/review/harness-2/place.hh
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -51,7 +52,7 @@
     std::int64_t m_startMs;
 };
 
-/** A minion of the platform that may turn unhealthy: it then answers every start with 503 and does nothing. */
+/** A minion of the platform, which lists its ends in parts. */
 class Minion : public Standins::PlatformMinionStandin
 {
 public:
@@ -61,7 +62,6 @@
         , m_name(std::move(id))
     {
     }
-    std::atomic<bool> unhealthy {false};
     std::atomic<bool> gone {false}; ///< crashed for good: no entry, no heartbeat
     /** @return the largest number of calls in progress at one time. */
     [[nodiscard]] int mostAtOnce() const
@@ -80,15 +80,6 @@
     std::atomic<int> m_most {0};
 };
 
-/** An upkeep order that the cloud has got. */
-struct UpkeepOrder {
-    std::string machine;
-    std::string holder;
-    std::uint64_t token = 0;
-    std::int64_t atMs = 0;
-    int status = 0;
-};
-
 /** The platform's control of machines. A machine is named "m-" and the id of its minion. */
 class Cloud : public Standins::StandinServer
 {
@@ -99,7 +90,6 @@
     }
     void start(Asio::io_context &io, Millis maintenance);
     void add(Minion &minion);
-    [[nodiscard]] std::vector<UpkeepOrder> orders() const;
 
 protected:
     Asio::awaitable<HttpResponse> serve(HttpRequest request) override;
@@ -119,7 +109,31 @@
     Asio::io_context *m_io = nullptr;
     Millis m_maintenance {2'000};
     std::map<std::string, Machine> m_machines;
-    std::vector<UpkeepOrder> m_orders;
+};
+
+/** The advice on which minions may run a step. It handles one call at a time for all nodes. */
+class Advice : public Standins::StandinServer
+{
+public:
+    explicit Advice(Record &record)
+        : m_record(record)
+    {
+    }
+    static constexpr std::int64_t DECISION_MS = 100; // decisionMs
+    static constexpr std::int64_t PERIOD_MS = 5;     // periodMs, for each minion named
+    static constexpr std::int64_t VALID_MS = 3'000;  // validMs
+    /** Lets the steps of @p job run on @p minions only; those of other jobs run anywhere. */
+    void allow(const std::string &job, std::set<std::string> minions);
+
+protected:
+    Asio::awaitable<HttpResponse> serve(HttpRequest request) override;
+    HttpResponse control(const HttpRequest &request) override;
+
+private:
+    Record &m_record;
+    std::mutex m_mutex;
+    std::map<std::string, std::set<std::string>> m_allowed;
+    std::int64_t m_freeAtMs = 0; ///< when the calls so far will have been answered
 };
 
 /** The platform's store, with its limits on the size of a record and of a call. */
@@ -132,8 +146,6 @@
     }
     static constexpr std::size_t RECORD_BYTES = 262'144; // recordBytes
     static constexpr std::size_t CALL_BYTES = 2'097'152; // callBytes
-    /** Called with the body of an append and that of its answer, before the answer is sent. */
-    std::function<void(const std::string &, const std::string &)> appended;
     [[nodiscard]] std::size_t refusedForSize() const
     {
         return m_refused;
@@ -147,40 +159,6 @@
     std::atomic<std::size_t> m_refused {0};
 };
 
-/**
- * A TCP link. While it is cut, nothing passes: what either side sends is held up, as by the retransmission of TCP, and
- * passes once the cut has ended, also if its sender has closed its socket meanwhile.
- */
-class Link : public std::enable_shared_from_this<Link>
-{
-public:
-    static std::shared_ptr<Link> create(Asio::io_context &io, const Endpoint &target);
-    [[nodiscard]] Endpoint address() const
-    {
-        return m_address;
-    }
-    void cut(bool isCut)
-    {
-        m_cut = isCut;
-    }
-    /** Called with what the target has sent and what passes in any case, also if this call cuts the link. */
-    std::function<void(const std::string &)> passing;
-
-private:
-    explicit Link(Asio::io_context &io, Endpoint target);
-    struct Ends;
-    static Asio::awaitable<void> acceptLoop(std::shared_ptr<Link> self);
-    static Asio::awaitable<void> relay(std::shared_ptr<Link> self, std::shared_ptr<Ends> ends, bool fromTarget);
-    Asio::awaitable<void> whileCut();
-
-    Asio::io_context &m_io;
-    Endpoint m_target;
-    Endpoint m_address;
-    std::atomic<bool> m_cut {false};
-    struct Acceptor;
-    std::shared_ptr<Acceptor> m_acceptor;
-};
-
 /** A server process. */
 class Node
 {
@@ -217,7 +195,7 @@
     std::size_t nodes = 3;
     std::size_t minions = 12;
     std::size_t minionsPerRack = 6;
-    bool nodeLinks = false;              ///< each node reaches the store and the cloud over links of its own
+    bool advice = false;                 ///< the nodes are told where to ask for advice
     std::vector<std::string> racks = {}; ///< rack of each minion; by minionsPerRack where the list ends
 };
 
@@ -252,10 +230,9 @@
     Store store;
     Standins::PlatformRuns runs;
     Cloud cloud;
+    Advice advice;
     std::vector<std::unique_ptr<Minion>> minions;
     std::vector<std::unique_ptr<Standins::FaultProxy>> links; ///< to each minion
-    std::vector<std::shared_ptr<Link>> storeLinks;            ///< of each node, with nodeLinks
-    std::vector<std::shared_ptr<Link>> cloudLinks;            ///< of each node, with nodeLinks
     std::vector<std::unique_ptr<Node>> nodes;
     std::vector<Endpoint> fronts;
     std::vector<Endpoint> readies;
