Evacuate failure domains at the operators' request

What callers and operators saw: the record evacuate/ZONE of the operators' topic was not read at all.

Change: minions of an evacuated place are unusable with the obstacle "evacuated", and an order to one is withdrawn when it is about to be written, so that first starts, restarts, take-overs, queued and repeated orders, last resorts, tickets, headroom and explanations follow. Long-running units move within the disruption budget of their step, as far as there is room elsewhere.

Deployments without such a record are served as before: the preference is only used once an evacuation has been requested.

--- a/packages/dispatch/deploymentcodec.h
+++ b/packages/dispatch/deploymentcodec.h
@@ -31,6 +31,10 @@
     /** @return true if the record under @p key requests a maintenance wave. */
     [[nodiscard]] virtual bool isWave(std::string_view key) const = 0;
     [[nodiscard]] virtual Result<UpkeepWave> decodeWave(std::string_view key, std::string_view value) const = 0;
+    /** @return true if the record under @p key requests the evacuation of a failure domain. */
+    [[nodiscard]] virtual bool isEvacuation(std::string_view key) const = 0;
+    /** @return the failure domain that the record under @p key names. */
+    [[nodiscard]] virtual Result<PlaceName> decodeEvacuation(std::string_view key) const = 0;
     [[nodiscard]] virtual StoredRecord encodeWaveStatus(WaveNumber wave, WaveStatus status) const = 0;
     [[nodiscard]] virtual Result<MinionEntry> decodeMinion(std::string_view key, std::string_view value) const = 0;
     [[nodiscard]] virtual Result<JobSpec> decodeJob(std::string_view body) const = 0;
--- a/packages/dispatch/deploymentview.cpp
+++ b/packages/dispatch/deploymentview.cpp
@@ -11,11 +11,30 @@
 {
 }
 
+void DeploymentView::configReloaded(const std::vector<StoredRecord> &records)
+{
+    std::set<PlaceName> requested;
+    std::vector<StoredRecord> others;
+    for (const StoredRecord &record : records) {
+        if (!m_codec.isEvacuation(record.key)) {
+            others.push_back(record);
+        } else if (const auto place = evacuatedPlace(record); place && !record.value.empty()) {
+            requested.insert(*place);
+        }
+    }
+    const std::set<PlaceName> before = m_evacuations.inForce();
+    m_evacuations.reload(std::move(requested));
+    evacuationsChanged(before);
+    configReceived(others);
+}
+
 void DeploymentView::configReceived(const std::vector<StoredRecord> &records)
 {
     for (const StoredRecord &record : records) {
         if (m_codec.isWave(record.key)) {
             acceptWave(record);
+        } else if (m_codec.isEvacuation(record.key)) {
+            acceptEvacuation(record);
         } else if (m_codec.isConfig(record.key)) {
             acceptConfig(record.value);
         }
@@ -53,6 +72,52 @@
     m_waves[decoded->number] = std::move(*decoded);
 }
 
+std::optional<PlaceName> DeploymentView::evacuatedPlace(const StoredRecord &record) const
+{
+    auto decoded = m_codec.decodeEvacuation(record.key);
+    if (!decoded) {
+        logEvent(LogLevel::Warning, "evacuation-ignored",
+                 {{"key", record.key}, {"error", decoded.errors().front().message}});
+        return std::nullopt;
+    }
+    return *decoded;
+}
+
+void DeploymentView::acceptEvacuation(const StoredRecord &record)
+{
+    if (const auto place = evacuatedPlace(record)) {
+        const std::set<PlaceName> before = m_evacuations.inForce();
+        record.value.empty() ? m_evacuations.withdraw(*place) : m_evacuations.request(*place);
+        evacuationsChanged(before);
+    }
+}
+
+void DeploymentView::acceptEvacuationsCopy(const EvacuationsCopied &copy)
+{
+    const std::set<PlaceName> before = m_evacuations.inForce();
+    m_evacuations.setCopy({copy.places.begin(), copy.places.end()});
+    evacuationsChanged(before);
+}
+
+void DeploymentView::evacuationsChanged(const std::set<PlaceName> &before)
+{
+    const std::set<PlaceName> &now = m_evacuations.inForce();
+    if (now == before) {
+        return;
+    }
+    for (const PlaceName &place : now) {
+        if (!before.contains(place)) {
+            logEvent(LogLevel::Info, "evacuation-requested", {{"place", place.value()}});
+        }
+    }
+    for (const PlaceName &place : before) {
+        if (!now.contains(place)) {
+            logEvent(LogLevel::Info, "evacuation-withdrawn", {{"place", place.value()}});
+        }
+    }
+    m_listener.evacuationsChanged();
+}
+
 void DeploymentView::minionsReloaded(const std::vector<StoredRecord> &records)
 {
     std::set<MinionId> removed;
--- a/packages/dispatch/minioncontrol.h
+++ b/packages/dispatch/minioncontrol.h
@@ -31,6 +31,7 @@
     Resources capacity; ///< cores in thousandths of a core
     bool draining = false;
     std::int64_t remainingMs = 0; ///< minimum time until a draining minion leaves
+    bool cold = false;            ///< runs slower for a while after it has started
     std::int64_t startTimeMs = 0; ///< start of the process, milliseconds since 1970; 0 if not given
 };
 
--- a/packages/dispatch/operatorapi.cpp
+++ b/packages/dispatch/operatorapi.cpp
@@ -122,6 +122,10 @@
 HttpResponse OperatorApi::showStatus() const
 {
     const NodeStatus status = m_context.status();
+    Json evacuatedPlaces = Json::array();
+    for (const PlaceName &place : status.evacuatedPlaces) {
+        evacuatedPlaces.push_back(place.value());
+    }
     return jsonResponse(200, toJson({{"node", status.node},
                                      {"ready", status.ready},
                                      {"leading", status.leading},
@@ -132,7 +136,8 @@
                                      {"journalOffset", status.journalOffset},
                                      {"jobs", status.jobs},
                                      {"liveJobs", status.liveJobs},
-                                     {"minions", status.minions}}));
+                                     {"minions", status.minions},
+                                     {"evacuatedPlaces", evacuatedPlaces}}));
 }
 
 HttpResponse OperatorApi::showMetrics() const
@@ -145,7 +150,8 @@
                                                 {"journal_age_seconds", double(status.journalAgeMs) / 1000},
                                                 {"jobs", double(status.jobs)},
                                                 {"jobs_live", double(status.liveJobs)},
-                                                {"minions", double(status.minions)}};
+                                                {"minions", double(status.minions)},
+                                                {"places_evacuated", double(status.evacuatedPlaces.size())}};
     HttpResponse response;
     response.fields.set(Field::CONTENT_TYPE, "text/plain; version=0.0.4");
     response.body = m_context.metrics.toPrometheus(gauges);
--- a/packages/dispatch/operatorapi.h
+++ b/packages/dispatch/operatorapi.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 // The operators' HTTP interface, on the listener that the balancer probes: readiness, metrics, node status, step jobs
@@ -29,6 +30,7 @@
     std::size_t jobs = 0;
     std::size_t liveJobs = 0;
     std::size_t minions = 0; ///< 0 on a node that does not lead
+    std::set<PlaceName> evacuatedPlaces;
 };
 
 /** Handles the requests of operators and of the command line on one node. */
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -76,9 +76,10 @@
         , platform(std::move(nodePlatform))
         , journalForwarder([this](const auto &records) { journalLoaded(records); },
                            [this](const auto &records) { journalReceived(records); })
-        , deployment(*platform.codec, {[this](const MinionEntry &entry) { minionListed(entry); },
-                                       [this](const MinionId &id) { minionUnlisted(id); }})
-        , configForwarder([this](const auto &records) { deployment.configReceived(records); },
+        , deployment(*platform.codec,
+                     {[this](const MinionEntry &entry) { minionListed(entry); },
+                      [this](const MinionId &id) { minionUnlisted(id); }, [this] { evacuationsChanged(); }})
+        , configForwarder([this](const auto &records) { deployment.configReloaded(records); },
                           [this](const auto &records) { deployment.configReceived(records); })
         , minionForwarder([this](const auto &records) { deployment.minionsReloaded(records); },
                           [this](const auto &records) { deployment.minionsReceived(records); })
@@ -136,6 +137,13 @@
         }
     }
 
+    void evacuationsChanged()
+    {
+        if (planner) {
+            planner->evacuationsChanged();
+        }
+    }
+
     [[nodiscard]] bool upToDate() const
     {
         return journal.isLoaded() && bootMillis() - journal.lastSuccessMs() < MAX_READ_AGE_MS;
@@ -160,6 +168,7 @@
         status.jobs = jobTable.size();
         status.liveJobs = jobTable.live().size();
         status.minions = planner ? planner->minionCount() : 0;
+        status.evacuatedPlaces = deployment.evacuations().inForce();
         return status;
     }
 
@@ -240,6 +249,10 @@
             deployment.acceptConfig(copied->document);
             return;
         }
+        if (const auto *copied = std::get_if<EvacuationsCopied>(&record)) {
+            deployment.acceptEvacuationsCopy(*copied);
+            return;
+        }
         if (const auto *silence = std::get_if<MinionSilence>(&record)) {
             jobTable.applySilence(*silence, bootMillis());
             return;
@@ -425,6 +438,7 @@
                                 [this] { return deployment.config(); },
                                 [this]() -> const ConfigDocument & { return deployment.document(); },
                                 [this]() -> const std::map<WaveNumber, UpkeepWave> & { return deployment.waves(); },
+                                [this]() -> const PlaceEvacuations & { return deployment.evacuations(); },
                                 [this] { return wallNow(); },
                                 [this] {
                                     return Freshness {minionTopic->currentAsOfMs(), journal.currentAsOfMs()};
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -197,6 +197,11 @@
     }
 }
 
+void StepPlanner::evacuationsChanged()
+{
+    requestPass();
+}
+
 void StepPlanner::jobChanged(const JobId &id)
 {
     const JobEntry *entry = m_context.jobTable.find(id);
@@ -217,7 +222,7 @@
     const std::int64_t now = bootMillis();
     m_load.tick(now, m_context.freshness());
     expireLeases();
-    evacuate();
+    leaveDrainingMinions();
     if (now - m_lastStuckCheckMs >= STUCK_CHECK_INTERVAL_MS) {
         m_lastStuckCheckMs = now;
         moveStuckRuns();
@@ -235,6 +240,8 @@
     recordSilences(now);
     recordMemberEnds(now);
     journalConfig(now);
+    journalEvacuations(now);
+    moveStrandedServices(now);
     if (now - m_lastForgetMs >= FORGET_INTERVAL_MS) {
         m_lastForgetMs = now;
         forgetEnded(now);
@@ -306,6 +313,9 @@
     if (link.entry.draining) {
         return "draining";
     }
+    if (m_context.evacuations().inForce().contains(link.entry.place)) {
+        return EVACUATED;
+    }
     if (link.silenceRecorded) {
         return "silence-recorded";
     }
@@ -370,6 +380,7 @@
         view.obstacle = obstacleOn(link, now);
         view.usable = view.obstacle.empty();
         view.lastResort = isLastResort(link, now);
+        view.cold = link.entry.cold;
         view.penalty = link.runFailures;
         places[id] = ids.size();
         ids.push_back(id);
@@ -391,6 +402,9 @@
         active.preemptible = !assignment->step.longRunning && assignment->percent < NEARLY_DONE_PERCENT;
         input.active.push_back(std::move(active));
     }
+    if (m_context.evacuations().everRequested()) {
+        input.preferences.push_back(&m_coldMinions);
+    }
     for (const auto &[unit, until] : m_notBefore) {
         if (now < until) {
             input.heldBack.insert(unit);
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -9,6 +9,9 @@
 #include "dispatch/plannerload.h"
 #include "dispatch/stepmetrics.h"
 #include "dispatch/upkeepcontroller.h"
+#include "evacuation/coldminions.h"
+#include "evacuation/placeevacuations.h"
+#include "evacuation/servicemoves.h"
 #include "steps/idlejobs.h"
 #include "steps/stepscheduler.h"
 #include "steps/waitreason.h"
@@ -72,6 +75,7 @@
         std::function<const DeploymentConfig *()> config;
         std::function<const ConfigDocument &()> configDocument;
         std::function<const std::map<WaveNumber, UpkeepWave> &()> waves;
+        std::function<const PlaceEvacuations &()> evacuations;
         std::function<std::int64_t()> wallNow; ///< time of day in milliseconds since 1970, without its jumps
         std::function<Freshness()> freshness;  ///< of the minion entries and the job table
         std::string node;
@@ -97,9 +101,12 @@
     /** Handles a new or changed entry of a minion. */
     void minionListed(const MinionEntry &entry);
     void minionUnlisted(const MinionId &id);
+    /** Reacts to a change of Context::evacuations. */
+    void evacuationsChanged();
     /** Reacts to a submission or cancellation that has already been applied to the job table. */
     void jobChanged(const JobId &id);
-    /** Does periodic work: heartbeats, expired leases, evacuation and clean-up. To be called about every 100 ms. */
+    /** Does periodic work: heartbeats, expired leases, moves off leaving minions and clean-up. To be called about every
+     * 100 ms. */
     void tick();
     /** Gives up leadership; @p done is called once the resignation is journaled, or can no longer be. */
     void resign(std::function<void()> done);
@@ -182,6 +189,14 @@
     static Asio::awaitable<void> paceMember(std::shared_ptr<StepPlanner> self, AssignmentPtr assignment,
                                             std::size_t index, int percent);
 
+    // Evacuation of failure domains
+    /** Stops units of long-running steps in evacuated failure domains, so that they restart elsewhere. */
+    void moveStrandedServices(std::int64_t nowMs);
+    /** @return the running units of long-running steps that are wholly or partly in evacuated failure domains. */
+    [[nodiscard]] std::vector<StrandedUnit> strandedUnits() const;
+    /** Journals a copy of the requests to evacuate failure domains if the last one is outdated. */
+    void journalEvacuations(std::int64_t nowMs);
+
     // FleetAccess, for machine upkeep
     [[nodiscard]] bool leading() const override
     {
@@ -238,7 +253,7 @@
     /** Takes note of whether the entry of @p link shows where its minion may have got starts of earlier planners. */
     void checkAddress(MinionLink &link) const;
     /** Stops runs on draining minions that would otherwise be lost, so that they restart elsewhere. */
-    void evacuate();
+    void leaveDrainingMinions();
     /** Counts the members of @p assignment, all of which have started, as without progress from @p nowMs. */
     void watchProgress(Assignment &assignment, std::int64_t nowMs);
     /** Stops runs that make no progress, so that they restart on another minion. */
@@ -312,6 +327,9 @@
     std::set<MinionId> m_withdrawn;          ///< minions without a link whose MinionSilence was withdrawn
     std::set<JobId> m_forgetting;            ///< jobs whose deletion has not been stored
     std::int64_t m_lastForgetMs = 0;
+    ColdMinions m_coldMinions;
+    std::int64_t m_lastServiceMoveMs = 0;
+    std::int64_t m_lastEvacuationsJournalMs = 0;
     ConfigVersion m_journaledConfigVersion;
     std::int64_t m_lastConfigJournalMs = 0;
     std::int64_t m_lastHeartbeatMs = 0;
--- a/packages/dispatch/stepplannerhealth.cpp
+++ b/packages/dispatch/stepplannerhealth.cpp
@@ -3,7 +3,7 @@
 #include "dispatch/boottime.h"
 #include "dispatch/leaseterms.h"
 #include "process/logging.h"
-#include "steps/evacuation.h"
+#include "steps/departure.h"
 #include "steps/progresswatch.h"
 
 #include <algorithm>
@@ -115,7 +115,7 @@
     }
 }
 
-void StepPlanner::evacuate()
+void StepPlanner::leaveDrainingMinions()
 {
     const std::int64_t now = bootMillis();
     for (const auto &[id, link] : m_links) {
@@ -129,7 +129,7 @@
             }
             const LeavingRun run {now - assignment->startedMs, assignment->percent, assignment->step.estimate.count(),
                                   link.leavesAtMs - now, assignment->step.checkpointing};
-            if (shouldEvacuate(run)) {
+            if (shouldLeave(run)) {
                 stopAssignment(assignment, "minion-leaves");
             }
         }
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -80,6 +80,9 @@
     if (link.entry.draining) {
         return "minion-draining";
     }
+    if (m_context.evacuations().inForce().contains(link.entry.place)) {
+        return "place-evacuated";
+    }
     const std::int64_t now = bootMillis();
     if (!isUsable(link, now) && !(assignment.lastResort && isLastResort(link, now))) {
         return "minion-unusable";
--- a/packages/steps/evacuation.cpp
+++ b/packages/steps/departure.cpp
@@ -1,4 +1,4 @@
-#include "steps/evacuation.h"
+#include "steps/departure.h"
 
 #include <algorithm>
 
@@ -21,7 +21,7 @@
     return std::max<std::int64_t>(0, run.estimateMs - run.elapsedMs);
 }
 
-bool shouldEvacuate(const LeavingRun &run)
+bool shouldLeave(const LeavingRun &run)
 {
     if (expectedRemainingMs(run) <= run.leavesInMs) {
         return false;
--- a/packages/steps/evacuation.h
+++ b/packages/steps/departure.h
@@ -24,6 +24,6 @@
  * @return true if @p run should be stopped now. A run with checkpoints is stopped as late as possible, since it makes
  * progress until then; a run without is stopped at once, since its work would be lost anyway.
  */
-bool shouldEvacuate(const LeavingRun &run);
+bool shouldLeave(const LeavingRun &run);
 
 } // namespace Papaya
--- a/packages/steps/jobrecord.cpp
+++ b/packages/steps/jobrecord.cpp
@@ -21,6 +21,7 @@
 constexpr std::string_view SILENCE_PREFIX = "s/";
 constexpr std::string_view PLANNER_KEY = "q";
 constexpr std::string_view CONFIG_KEY = "c";
+constexpr std::string_view EVACUATIONS_KEY = "e";
 constexpr char FIELD_SEPARATOR = ' ';
 constexpr char SPELL_MARK = 'n'; // precedes MinionSilence::spell
 constexpr char ESCAPE = '%';     // precedes the two hexadecimal digits of a byte
@@ -257,6 +258,14 @@
     {
         return {std::string(CONFIG_KEY), record.document};
     }
+    StoredRecord operator()(const EvacuationsCopied &record) const
+    {
+        Json places = Json::array();
+        for (const PlaceName &place : record.places) {
+            places.push_back(place.value());
+        }
+        return {std::string(EVACUATIONS_KEY), toCbor(places)};
+    }
     StoredRecord operator()(const PlannerAnnouncement &record) const
     {
         return {std::string(PLANNER_KEY), toCbor(Json::array({record.epoch.value(), record.node, record.resigned,
@@ -326,6 +335,13 @@
         if (key.starts_with(WAVE_PREFIX)) {
             return JobRecord(decodeWave(key.substr(WAVE_PREFIX.size()), *json));
         }
+        if (key == EVACUATIONS_KEY) {
+            EvacuationsCopied record;
+            for (const Json &place : *json) {
+                record.places.emplace_back(place.get<std::string>());
+            }
+            return JobRecord(std::move(record));
+        }
         if (key == PLANNER_KEY) {
             return JobRecord(PlannerAnnouncement {Epoch(json->at(0).get<std::uint64_t>()),
                                                   json->at(1).get<std::string>(), json->at(2).get<bool>(),
--- a/packages/steps/jobrecord.h
+++ b/packages/steps/jobrecord.h
@@ -81,8 +81,13 @@
     std::string document;
 };
 
+/** Copy of the operators' requests to evacuate failure domains, for nodes that cannot read the originals. */
+struct EvacuationsCopied {
+    std::vector<PlaceName> places;
+};
+
 using JobRecord = std::variant<StepJobSubmitted, StepJobCancelled, StepJobForgotten, UnitChanged, PlannerAnnouncement,
-                               WaveProgress, ConfigCopied, MinionSilence>;
+                               WaveProgress, ConfigCopied, MinionSilence, EvacuationsCopied>;
 
 /** A record in stored form. An empty value deletes the key. */
 struct StoredRecord {
--- a/packages/steps/minionfleet.h
+++ b/packages/steps/minionfleet.h
@@ -19,6 +19,8 @@
 constexpr std::string_view ON_PROBATION = "probation";
 /** MinionView::obstacle of a minion that takes no new work before its upkeep. */
 constexpr std::string_view RESERVED_FOR_UPKEEP = "upkeep";
+/** MinionView::obstacle of a minion whose failure domain is evacuated. */
+constexpr std::string_view EVACUATED = "evacuated";
 
 /** Snapshot of a minion for one pass. */
 struct MinionView {
@@ -32,6 +34,7 @@
     bool usable = true;        ///< accepts new work
     std::string_view obstacle; ///< why it is not usable, if so
     bool lastResort = false;   ///< accepts new work that has waited too long for a usable minion, though not usable
+    bool cold = false;         ///< runs slower for a while after it has started
     std::uint32_t penalty = 0; ///< minions with a lower penalty are preferred
 };
 
--- a/packages/steps/placementsearch.cpp
+++ b/packages/steps/placementsearch.cpp
@@ -9,11 +9,12 @@
 {
 
 // Weights of the terms of a placement score. Each term outweighs all that follow: a minion of last resort, a minion on
-// which the unit has failed or got stuck, the penalty of the minion, the GPUs that stay free, and the fraction of its
-// memory that stays free. The fraction of its cores that stays free has weight 1.
+// which the unit has failed or got stuck, the penalty of the minion, the cost by the preferences, the GPUs that stay
+// free, and the fraction of its memory that stays free. The fraction of its cores that stays free has weight 1.
 constexpr double LAST_RESORT_SCORE = 1e10;
 constexpr double AVOIDED_SCORE = 1e8;
 constexpr double PENALTY_SCORE = 1e6;
+constexpr double PREFERENCE_SCORE = 1e5;
 constexpr double GPU_SCORE = 100;
 constexpr double MEMORY_SCORE = 10;
 
@@ -41,6 +42,11 @@
                          && std::find(request.avoid->begin(), request.avoid->end(), minion.id) != request.avoid->end();
     double score = (minion.usable ? 0 : LAST_RESORT_SCORE) + (avoided ? AVOIDED_SCORE : 0);
     score += PENALTY_SCORE * minion.penalty;
+    if (request.job != nullptr && request.step != nullptr) {
+        for (const PlacementPreference *preference : m_preferences) {
+            score += PREFERENCE_SCORE * preference->cost(*request.job, *request.step, minion);
+        }
+    }
     score += GPU_SCORE * double(minion.free.gpus - need.gpus);
     score += MEMORY_SCORE * shareOf(minion.free.memoryMb - need.memoryMb, minion.capacity.memoryMb);
     score += shareOf(minion.free.cores - need.cores, minion.capacity.cores);
--- a/packages/steps/placementsearch.h
+++ b/packages/steps/placementsearch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "steps/minionfleet.h"
+#include "steps/placementpreference.h"
 
 #include <map>
 #include <vector>
@@ -20,14 +21,18 @@
     std::uint32_t maxPerMinion = 0;                               ///< 0 is no limit
     const std::vector<MinionId> *avoid = nullptr;                 ///< where it has failed; may be null
     const std::map<std::size_t, std::uint32_t> *placed = nullptr; ///< of its step, by minion; may be null
+    const StepJob *job = nullptr;                                 ///< rated by the preferences, if not null
+    const StepSpec *step = nullptr;                               ///< of job
 };
 
 /** Searches for free capacity within one scheduling pass. */
 class PlacementSearch
 {
 public:
-    explicit PlacementSearch(const MinionFleet &fleet)
+    /** @param preferences order the minions with room; they must outlive the search */
+    explicit PlacementSearch(const MinionFleet &fleet, std::vector<const PlacementPreference *> preferences = {})
         : m_fleet(fleet)
+        , m_preferences(std::move(preferences))
     {
     }
 
@@ -49,6 +54,7 @@
     [[nodiscard]] double placementScore(const PlacementRequest &request, const MinionView &minion) const;
 
     const MinionFleet &m_fleet;
+    std::vector<const PlacementPreference *> m_preferences;
     std::map<SearchKey, std::vector<Failure>> m_failures;
 };
 
--- a/packages/steps/stepscheduler.cpp
+++ b/packages/steps/stepscheduler.cpp
@@ -53,7 +53,7 @@
     explicit SchedulingPass(PlanInput &input)
         : m_input(input)
         , m_fleet(input.minions)
-        , m_search(m_fleet)
+        , m_search(m_fleet, input.preferences)
         , m_urgentGpus(urgentGpus(input))
         , m_preemption(m_fleet, input.active, borrowers())
     {
@@ -152,6 +152,8 @@
         request.members = step.gang ? step.count : 1;
         request.maxPerMinion = step.maxPerMinion;
         request.placed = &placed;
+        request.job = &candidate.entry->job;
+        request.step = &step;
         const std::vector<std::size_t> feasible = feasibleRacks(m_fleet, *request.group, step, request.need);
         for (std::size_t i = 0; i < progress.units.size(); ++i) {
             const UnitKey unit = candidate.unit(i);
--- a/packages/steps/stepscheduler.h
+++ b/packages/steps/stepscheduler.h
@@ -4,6 +4,7 @@
 #include "steps/headroom.h"
 #include "steps/idlejobs.h"
 #include "steps/jobtable.h"
+#include "steps/placementpreference.h"
 #include "steps/preemption.h"
 #include "steps/runtimes.h"
 #include "steps/ticketbook.h"
@@ -47,6 +48,7 @@
     std::int64_t steadyMs = 0;                      ///< steady clock by which tickets expire
     Headroom headroom = {};                         ///< GPUs that less urgent work leaves free
     const IdleJobs *idleJobs = nullptr;             ///< since when jobs stand still; null if unknown
+    std::vector<const PlacementPreference *> preferences = {}; ///< order minions that have room for a unit
 };
 
 /** A query to the admission oracle: which of these minions may run the step? */
--- a/packages/steps/waitreason.cpp
+++ b/packages/steps/waitreason.cpp
@@ -54,6 +54,7 @@
     std::uint32_t membersWithoutSpread = 0;      ///< the same without the limit of tasks on one minion
     std::uint32_t membersOnProbation = 0;        ///< tasks that fit on minions on probation
     std::uint32_t membersReserved = 0;           ///< tasks that fit on minions that are reserved for their upkeep
+    std::uint32_t membersEvacuated = 0;          ///< tasks that fit on minions of evacuated failure domains
     MinionGroup group;                           ///< the ticketed minions
     std::map<std::string_view, std::size_t> out; ///< minions that could hold a task, but are not usable, by obstacle
 };
@@ -93,6 +94,7 @@
             supply.out[minion.obstacle] += within > 0 ? 1 : 0;
             supply.membersOnProbation += minion.obstacle == ON_PROBATION ? within : 0;
             supply.membersReserved += minion.obstacle == RESERVED_FOR_UPKEEP ? within : 0;
+            supply.membersEvacuated += minion.obstacle == EVACUATED ? within : 0;
             continue;
         }
         ++supply.eligible;
@@ -153,6 +155,10 @@
         return {WaitReason::Upkeep,
                 fitting + number(supply.membersReserved) + " on minions that are reserved for their upkeep"};
     }
+    if (supply.members + supply.membersOnProbation + supply.membersReserved + supply.membersEvacuated >= members) {
+        return {WaitReason::Evacuated,
+                fitting + number(supply.membersEvacuated) + " on minions of evacuated failure domains"};
+    }
     return {};
 }
 
@@ -200,9 +206,9 @@
 
 std::string_view toString(WaitReason reason)
 {
-    constexpr std::array<std::string_view, 15> NAMES {
+    constexpr std::array<std::string_view, 16> NAMES {
         "none",    "job-ended",    "not-due",   "dependencies", "held-back", "no-minion", "too-large", "no-ticket",
-        "no-room", "spread-limit", "probation", "upkeep",       "headroom",  "rack-wait", "next-pass"};
+        "no-room", "spread-limit", "probation", "upkeep",       "evacuated", "headroom",  "rack-wait", "next-pass"};
     return NAMES[static_cast<std::size_t>(reason)];
 }
 
--- a/packages/steps/waitreason.h
+++ b/packages/steps/waitreason.h
@@ -23,6 +23,7 @@
     SpreadLimit,  ///< enough is free, but not beyond the limit of tasks of its step on one minion
     Probation,    ///< enough is free only with minions on which runs have failed
     Upkeep,       ///< enough is free only with minions that are reserved for their upkeep
+    Evacuated,    ///< enough is free only with minions of failure domains that are evacuated
     Headroom,     ///< the GPUs that are free stay free for urgent work for a while
     RackWait,     ///< enough is free, but on none of the racks that it is bound to
     NextPass,     ///< enough is free in total; the next pass decides
--- a/tests/standins/platformminionstandin.cpp
+++ b/tests/standins/platformminionstandin.cpp
@@ -232,6 +232,12 @@
     return m_ticketsRefused;
 }
 
+void PlatformMinionStandin::setZone(const std::string &zone)
+{
+    const std::lock_guard lock(m_mutex);
+    m_zone = zone;
+}
+
 void PlatformMinionStandin::setCapacity(std::int64_t cpu, std::int64_t memoryMb, std::int64_t gpus)
 {
     const std::lock_guard lock(m_mutex);
@@ -276,7 +282,7 @@
     {
         const std::lock_guard lock(m_mutex);
         entry = {{"service", m_service}, {"address", m_advertised.value_or(address()).toString()},
-                 {"zone", "here"},       {"version", "v1"},
+                 {"zone", m_zone},       {"version", "v1"},
                  {"slots", 8},           {"state", m_state},
                  {"coldRemainingMs", 0}, {"capacity", {{"cpu", m_cpu}, {"memMb", m_memoryMb}, {"gpu", m_gpus}}},
                  {"labels", labels()},   {"born", m_bornMs},
--- a/tests/standins/platformminionstandin.h
+++ b/tests/standins/platformminionstandin.h
@@ -119,6 +119,8 @@
     [[nodiscard]] std::size_t ticketsRefused() const;
     /** Sets the published capacity, which takes effect with the next list(). @param cpu thousandths of a core */
     void setCapacity(std::int64_t cpu, std::int64_t memoryMb, std::int64_t gpus);
+    /** Sets the published failure domain, which takes effect with the next list(). */
+    void setZone(const std::string &zone);
     [[nodiscard]] const std::string &id() const
     {
         return m_id;
@@ -195,6 +197,7 @@
     std::string m_id;
     std::string m_service;
     std::string m_rack;
+    std::string m_zone = "here";
     std::optional<Endpoint> m_advertised; ///< published instead of the minion's own address
     PlatformRuns &m_runs;
     class PlatformStoreStandin *m_store = nullptr;
--- a/tests/unit/stepscheduling.cpp
+++ b/tests/unit/stepscheduling.cpp
@@ -1,4 +1,4 @@
-#include "steps/evacuation.h"
+#include "steps/departure.h"
 #include "steps/minionclock.h"
 #include "steps/progresswatch.h"
 #include "steps/runtimes.h"
@@ -192,6 +192,52 @@
     EXPECT_EQ((UnitKey {id, 0, 0, 2}), scenario.plan().starts.at(0).unit);
 }
 
+/** Prefers any other minion to one. */
+class AvoidsMinion : public PlacementPreference
+{
+public:
+    explicit AvoidsMinion(MinionId minion)
+        : m_minion(std::move(minion))
+    {
+    }
+    [[nodiscard]] double cost(const StepJob & /*job*/, const StepSpec & /*step*/,
+                              const MinionView &minion) const override
+    {
+        return minion.id == m_minion ? 1 : 0;
+    }
+
+private:
+    MinionId m_minion;
+};
+
+// A preference that made a unit wait would turn an estimate into lost capacity.
+TEST(PlacementPreference, OrdersMinionsWithRoomAndMakesNoUnitWait)
+{
+    Scenario scenario(1, 2);
+    const AvoidsMinion preference(scenario.minions[0].id);
+    const JobId job = scenario.submit("plan", Scenario::step(1, 4));
+    const auto plan = [&] {
+        PlanInput input {scenario.jobTable,
+                         scenario.config,
+                         scenario.times,
+                         scenario.tickets,
+                         scenario.minions,
+                         {},
+                         {},
+                         {},
+                         NOW,
+                         NOW};
+        input.preferences = {&preference};
+        return planSteps(std::move(input));
+    };
+    ASSERT_EQ(1U, plan().starts.size());
+    EXPECT_EQ(1U, plan().starts[0].minions.at(0));
+    scenario.minions[1].free.gpus = 3;
+    ASSERT_EQ(1U, plan().starts.size());
+    EXPECT_EQ(0U, plan().starts[0].minions.at(0));
+    EXPECT_EQ(job, plan().starts[0].unit.job);
+}
+
 // Load pattern: rack-bound jobs on a fleet more than half full of long work, so that none of their racks gets free.
 // Each of the tests below is of a job that stands still although the fleet has room for it twice over.
 TEST(OverdueJob, OfASameRackGangIsSpreadOverRacks)
@@ -505,13 +551,13 @@
 }
 
 // Load pattern: minions that are drained and reclaimed at short notice.
-TEST(Evacuation, StopsOnlyRunsThatWillNotEndBeforeTheMinionLeaves)
+TEST(Departure, StopsOnlyRunsThatWillNotEndBeforeTheMinionLeaves)
 {
-    EXPECT_FALSE(shouldEvacuate({2'000, 50, 4'000, 2'500, false})); // 2 s of work remain
-    EXPECT_TRUE(shouldEvacuate({2'000, 50, 4'000, 1'500, false}));
-    EXPECT_FALSE(shouldEvacuate({2'000, 10, 4'000, 3'000, true})); // continues to make progress until it must stop
-    EXPECT_TRUE(shouldEvacuate({2'000, 10, 4'000, 1'000, true}));
-    EXPECT_TRUE(shouldEvacuate({0, 0, 4'000, 1'000, false}));
+    EXPECT_FALSE(shouldLeave({2'000, 50, 4'000, 2'500, false})); // 2 s of work remain
+    EXPECT_TRUE(shouldLeave({2'000, 50, 4'000, 1'500, false}));
+    EXPECT_FALSE(shouldLeave({2'000, 10, 4'000, 3'000, true})); // continues to make progress until it must stop
+    EXPECT_TRUE(shouldLeave({2'000, 10, 4'000, 1'000, true}));
+    EXPECT_TRUE(shouldLeave({0, 0, 4'000, 1'000, false}));
 }
 
 // Load pattern: minions that hang while they report themselves as healthy.
