Probe the store before a topic is loaded

Cause: the first call of a node reads a page of newest records with a time-out of 2.5 s. Sent while the store was still silent, it was never answered, and nothing else was tried before its time-out.

Change: a cheap read with a time-out of 0.4 s, doubled with each failure, comes before a load.

--- a/packages/dispatch/recordstore.h
+++ b/packages/dispatch/recordstore.h
@@ -86,6 +86,11 @@
      * @throws StoreError
      */
     virtual Asio::awaitable<NewestResult> newest(Topic topic) = 0;
+    /**
+     * Finds out at little cost whether the store answers calls on @p topic.
+     * @throws StoreError if it does not within @p timeout, or rejects calls for now
+     */
+    virtual Asio::awaitable<void> probe(Topic topic, Millis timeout) = 0;
 };
 
 } // namespace Papaya
--- a/packages/dispatch/topicfollower.cpp
+++ b/packages/dispatch/topicfollower.cpp
@@ -18,7 +18,12 @@
 namespace
 {
 
-constexpr Millis RETRY_INTERVAL {100};     // after a failed read; the store counts every call
+constexpr Millis RETRY_INTERVAL {100}; // after a failed read; the store counts every call
+// A call that reaches a silent store is never answered, so that a load sent into an outage would end it late by the
+// time-out of a page. The store is first probed with short time-outs, which double for a store that is slow.
+constexpr Millis MIN_PROBE_TIMEOUT {400};
+constexpr Millis MAX_PROBE_TIMEOUT {2'500};
+constexpr std::uint32_t MAX_PROBE_DOUBLINGS = 3;
 constexpr Millis LOAD_ALLOWANCE {2'500};   // for the newest records of all keys, which come in pages
 constexpr std::size_t READ_KB = 64;        // of one read
 constexpr std::size_t MAX_READ_KB = 1'024; // for a record that exceeds READ_KB
@@ -112,6 +117,8 @@
 {
     const std::int64_t sent = bootMillis();
     if (!m_loaded) {
+        co_await m_store.probe(
+            m_topic, std::min(MIN_PROBE_TIMEOUT * (1 << std::min(m_failures, MAX_PROBE_DOUBLINGS)), MAX_PROBE_TIMEOUT));
         NewestResult newest = co_await m_store.newest(m_topic);
         m_next = newest.end;
         m_loaded = true;
