--- a/packages/dispatch/nodesettings.cpp
+++ b/packages/dispatch/nodesettings.cpp
@@ -78,9 +78,6 @@
     if (const auto lease = root.integer("maxLeaseMs", 1'000, MAX_DRAIN_MS)) {
         settings.maxLease = Millis(*lease);
     }
-    if (const auto grace = root.integer("stopGraceMs", 0, MAX_DRAIN_MS)) {
-        settings.stopGrace = Millis(*grace);
-    }
     if (const auto limit = root.integer("drainLimitMs", 1'000, MAX_DRAIN_MS)) {
         settings.drainLimit = Millis(*limit);
     }
--- a/packages/dispatch/nodesettings.h
+++ b/packages/dispatch/nodesettings.h
@@ -27,7 +27,6 @@
     std::uint32_t milliCores = 1'000;   ///< CPU limit of this node, in thousandths of a core; larger nodes lead first
     Millis minionDrain {2'000};         ///< how long a minion accepts work after it has said that it drains
     Millis maxLease {10'000};           ///< longest lease that a minion keeps; it shortens longer ones
-    Millis stopGrace {0};               ///< longest time that a minion takes to stop a run; 0 if unknown
     Millis drainLimit {6'000};          ///< time from SIGTERM to SIGKILL
     Millis endedJobRetention {120'000}; ///< how long the state of an ended job can be queried
 
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -269,7 +269,7 @@
         if (jobTable.planner().epoch > planner->epoch()) {
             loseLeadership("superseded");
         } else if (const auto *submitted = std::get_if<StepJobSubmitted>(&record)) {
-            planner->jobSubmitted(submitted->job.id);
+            planner->jobChanged(submitted->job.id);
         } else if (const auto *cancelled = std::get_if<StepJobCancelled>(&record)) {
             planner->jobChanged(cancelled->job);
         }
@@ -448,7 +448,6 @@
                                 settings.milliCores,
                                 settings.endedJobRetention,
                                 settings.maxLease,
-                                settings.stopGrace,
                                 settings.minionDrain - ARRIVAL_RESERVE,
                                 [this](const char *reason) { loseLeadership(reason); }},
                                claimWriter, statusWriter, epoch, deployment.minions());
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -27,8 +27,6 @@
 constexpr std::int64_t MAX_ENTRY_AGE_MS = 600; // from the writing of an entry to its reading
 constexpr std::int64_t FORGET_INTERVAL_MS = 1'000;
 constexpr std::int64_t MINION_RETENTION_MS = 60'000; // after its entry is removed; orders in flight end sooner
-constexpr std::int64_t RESERVE_MARGIN_MS = 300;      // beyond the time of a stop, until the next pass and its orders
-constexpr std::int64_t MAX_RESERVE_DIVISOR = 4;      // of the fleet's GPUs
 constexpr std::int64_t NEARLY_DONE_PERCENT = 85;     // units with at least this progress are not preempted
 
 } // namespace
@@ -66,20 +64,9 @@
     return planner;
 }
 
-/** Tracks every unit that the journal shows as placed, since it may be running, and the demand of the last jobs. */
+/** Tracks every unit that the journal shows as placed, since it may be running. */
 void StepPlanner::adopt()
 {
-    std::map<std::int64_t, std::vector<const JobEntry *>> recent; // by when they were accepted
-    for (const auto &[id, entry] : m_context.jobTable.jobs()) {
-        if (entry.acceptedMs && m_takeoverMs - *entry.acceptedMs < UrgentDemand::WINDOW_MS) {
-            recent[*entry.acceptedMs].push_back(&entry);
-        }
-    }
-    for (const auto &[acceptedMs, entries] : recent) {
-        for (const JobEntry *entry : entries) {
-            noteDemand(*entry, acceptedMs);
-        }
-    }
     for (const auto &[id, entry] : m_context.jobTable.jobs()) {
         for (const UnitKey &unit : JobTable::unitsOf(entry)) {
             const UnitStatus &status = *m_context.jobTable.find(unit);
@@ -230,26 +217,6 @@
     requestPass();
 }
 
-void StepPlanner::jobSubmitted(const JobId &id)
-{
-    if (const JobEntry *entry = m_context.jobTable.find(id)) {
-        noteDemand(*entry, bootMillis());
-    }
-    jobChanged(id);
-}
-
-void StepPlanner::noteDemand(const JobEntry &entry, std::int64_t acceptedMs)
-{
-    if (entry.job.priority != 0 || !m_demandNoted.insert(entry.job.id).second) {
-        return; // a record that this node has stored is read from the journal once more
-    }
-    std::int64_t gpus = 0;
-    for (const StepSpec &step : entry.job.spec.steps) {
-        gpus += step.dependencies.empty() ? step.need.gpus * step.count : 0;
-    }
-    m_urgentDemand.submitted(gpus, acceptedMs);
-}
-
 void StepPlanner::tick()
 {
     const std::int64_t now = bootMillis();
@@ -431,21 +398,10 @@
             }
         }
         active.lossMs = assignment->lossMs(now);
-        const UnitStatus &status = *m_context.jobTable.find(unit);
-        active.interruptions = status.run - std::min(status.run, status.failures + 1);
         active.stopping = assignment->stopping || assignment->outcome.has_value();
         active.preemptible = !assignment->step.longRunning && assignment->percent < NEARLY_DONE_PERCENT;
         input.active.push_back(std::move(active));
     }
-    input.stopMs = m_context.stopTime.count();
-    if (input.stopMs > 0) {
-        std::int64_t fleetGpus = 0;
-        for (const MinionView &minion : input.minions) {
-            fleetGpus += minion.usable ? minion.capacity.gpus : 0;
-        }
-        input.reservedGpus = std::min(m_urgentDemand.expectedGpus(input.stopMs + RESERVE_MARGIN_MS, now),
-                                      fleetGpus / MAX_RESERVE_DIVISOR);
-    }
     if (m_context.evacuations().everRequested()) {
         input.preferences.push_back(&m_coldMinions);
     }
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -12,7 +12,6 @@
 #include "evacuation/coldminions.h"
 #include "evacuation/placeevacuations.h"
 #include "evacuation/servicemoves.h"
-#include "reserve/urgentdemand.h"
 #include "steps/idlejobs.h"
 #include "steps/stepscheduler.h"
 #include "steps/waitreason.h"
@@ -84,7 +83,6 @@
         std::uint32_t milliCores; ///< CPU limit of this node, in thousandths of a core
         Millis endedJobRetention; ///< how long an ended job is kept in the job table
         Millis maxLease;          ///< minions shorten longer leases to this
-        Millis stopTime;          ///< longest time that a minion takes to stop a run; 0 if unknown
         Millis maxViewAge;        ///< of the view on which a start rests when it is sent
         std::function<void(const char *reason)> onLeadershipLost; ///< called once, when leadership is lost
     };
@@ -107,8 +105,6 @@
     void evacuationsChanged();
     /** Reacts to a submission or cancellation that has already been applied to the job table. */
     void jobChanged(const JobId &id);
-    /** Reacts to a submission that has already been applied to the job table. */
-    void jobSubmitted(const JobId &id);
     /** Does periodic work: heartbeats, expired leases, moves off leaving minions and clean-up. To be called about every
      * 100 ms. */
     void tick();
@@ -134,8 +130,6 @@
     StepPlanner(Context context, std::shared_ptr<JournalWriter> writer, Epoch epoch);
     void adopt();
     void adoptUnit(const JobEntry &entry, const UnitKey &unit, const UnitStatus &status);
-    /** Adds an urgent job to the demand that the reserve rests on. */
-    void noteDemand(const JobEntry &entry, std::int64_t acceptedMs);
     AssignmentPtr track(const JobEntry &entry, const UnitKey &unit, const UnitStatus &status);
 
     // Decisions
@@ -344,8 +338,6 @@
     std::map<std::string, std::int64_t> m_unknownRunStopMs; ///< last stop order of each unknown run, by task
     TicketBook m_tickets;
     Headroom m_headroom;
-    UrgentDemand m_urgentDemand;
-    std::set<JobId> m_demandNoted; ///< urgent jobs that m_urgentDemand has counted
     IdleJobs m_idleJobs;
     std::int64_t m_lastPassMs = 0;
     std::int64_t m_lastExplainedMs = 0;
--- a/packages/dispatch/stepplannerjournal.cpp
+++ b/packages/dispatch/stepplannerjournal.cpp
@@ -154,7 +154,6 @@
     m_endedMs.erase(job);
     m_tickets.forget(job);
     m_startedJobs.erase(job);
-    m_demandNoted.erase(job);
 }
 
 void StepPlanner::flushSoon()
--- a/packages/steps/minionfleet.cpp
+++ b/packages/steps/minionfleet.cpp
@@ -60,7 +60,6 @@
         if (minions[m].usable) {
             m_capacity += minions[m].capacity;
             m_free += minions[m].free;
-            m_wholeGpus += isWhole(m) ? minions[m].capacity.gpus : 0;
         }
     }
     std::size_t number = 0;
@@ -98,17 +97,8 @@
     return found == m_rackNumbers.end() ? SIZE_MAX : found->second;
 }
 
-bool MinionFleet::isWhole(std::size_t minion) const
-{
-    const MinionView &view = m_minions[minion];
-    return view.capacity.gpus > 0 && view.free.gpus == view.capacity.gpus;
-}
-
 void MinionFleet::allocate(std::size_t minion, const Resources &need)
 {
-    if (m_minions[minion].usable && need.gpus > 0 && isWhole(minion)) {
-        m_wholeGpus -= m_minions[minion].capacity.gpus;
-    }
     m_minions[minion].free -= need;
     if (m_minions[minion].usable) {
         m_free -= need;
--- a/packages/steps/minionfleet.h
+++ b/packages/steps/minionfleet.h
@@ -83,13 +83,6 @@
     [[nodiscard]] std::size_t rackNumber(const RackName &rack) const;
     /** Subtracts @p need from the free resources of @p minion. */
     void allocate(std::size_t minion, const Resources &need);
-    /** @return true if nothing holds a GPU of @p minion, which has some. */
-    [[nodiscard]] bool isWhole(std::size_t minion) const;
-    /** @return the GPUs of the usable minions of which no GPU is held. */
-    [[nodiscard]] std::int64_t wholeGpus() const
-    {
-        return m_wholeGpus;
-    }
     /** @return true if at most half of the usable minions' GPUs, memory and cores are allocated. */
     [[nodiscard]] bool isLightlyLoaded() const;
 
@@ -126,7 +119,6 @@
     std::map<std::tuple<ServiceName, std::string, bool>, MinionGroup> m_groups;
     Resources m_capacity; ///< of the usable minions
     Resources m_free;
-    std::int64_t m_wholeGpus = 0;
 };
 
 } // namespace Papaya
--- a/packages/steps/placementsearch.cpp
+++ b/packages/steps/placementsearch.cpp
@@ -59,8 +59,7 @@
         const auto failures = m_failures.find({request.group, where});
         return failures != m_failures.end()
                && std::any_of(failures->second.begin(), failures->second.end(), [&](const Failure &failure) {
-                      return request.need.covers(failure.need) && request.members >= failure.members
-                             && request.maxWholeGpus <= failure.maxWholeGpus;
+                      return request.need.covers(failure.need) && request.members >= failure.members;
                   });
     };
     return failedOn(rack) || (rack != MinionGroup::ANY_RACK && failedOn(MinionGroup::ANY_RACK));
@@ -81,14 +80,7 @@
     std::sort(ranked.begin(), ranked.end());
     // 2. Places as many members on each as fit, the best minion first.
     std::vector<std::size_t> chosen;
-    std::int64_t wholeGpus = 0;
     for (const auto &[score, m] : ranked) {
-        if (request.need.gpus > 0 && m_fleet.isWhole(m) && chosen.size() < request.members) {
-            if (wholeGpus + m_fleet[m].capacity.gpus > request.maxWholeGpus) {
-                continue;
-            }
-            wholeGpus += m_fleet[m].capacity.gpus;
-        }
         Resources remaining = m_fleet[m].free;
         std::uint32_t membersHere = placedOn(request, m);
         while (chosen.size() < request.members && remaining.covers(request.need)
@@ -102,7 +94,7 @@
         return chosen;
     }
     if (request.maxPerMinion == 0) {
-        m_failures[{request.group, rack}].push_back({request.need, request.members, request.maxWholeGpus});
+        m_failures[{request.group, rack}].push_back({request.need, request.members});
     }
     return {};
 }
--- a/packages/steps/placementsearch.h
+++ b/packages/steps/placementsearch.h
@@ -3,7 +3,6 @@
 #include "steps/minionfleet.h"
 #include "steps/placementpreference.h"
 
-#include <cstdint>
 #include <map>
 #include <vector>
 
@@ -16,14 +15,11 @@
 
 /** The resources that a unit needs, and the minions that it may use. */
 struct PlacementRequest {
-    static constexpr std::int64_t NO_LIMIT = INT64_MAX;
-
     const MinionGroup *group = nullptr; ///< the minions that it may use
     Resources need;                     ///< of one member
     std::size_t members = 1;
-    std::uint32_t maxPerMinion = 0;               ///< 0 is no limit
-    std::int64_t maxWholeGpus = NO_LIMIT;         ///< GPUs of minions of which no GPU is held, that it may take
-    const std::vector<MinionId> *avoid = nullptr; ///< where it has failed; may be null
+    std::uint32_t maxPerMinion = 0;                               ///< 0 is no limit
+    const std::vector<MinionId> *avoid = nullptr;                 ///< where it has failed; may be null
     const std::map<std::size_t, std::uint32_t> *placed = nullptr; ///< of its step, by minion; may be null
     const StepJob *job = nullptr;                                 ///< rated by the preferences, if not null
     const StepSpec *step = nullptr;                               ///< of job
@@ -51,7 +47,6 @@
     struct Failure {
         Resources need;
         std::size_t members = 1;
-        std::int64_t maxWholeGpus = PlacementRequest::NO_LIMIT;
     };
     using SearchKey = std::pair<const MinionGroup *, std::size_t>;
 
--- a/packages/steps/preemption.cpp
+++ b/packages/steps/preemption.cpp
@@ -13,16 +13,10 @@
 constexpr double FIXED_STOP_COST = 1; // core-seconds; so that a stop that loses no work has a cost too
 constexpr double INFEASIBLE_COST = std::numeric_limits<double>::max();
 
-/**
- * Without a known stop time, only the lost work counts. With it, so does the capacity that stands idle during the stop,
- * which makes wide gangs dearer than what the beneficiary needs, and a unit gets dearer with each interruption, so that
- * the same one is not stopped again and again.
- */
-double stopCost(const ActiveUnit &victim, std::int64_t stopMs)
+double stopCost(const ActiveUnit &victim)
 {
-    const double cores = equivalentCores(victim.need) * double(victim.minions.size());
-    const double repetition = stopMs > 0 ? 1 + double(victim.interruptions) : 1;
-    return FIXED_STOP_COST + cores * double(victim.lossMs + stopMs) / 1000 * repetition;
+    return FIXED_STOP_COST
+           + equivalentCores(victim.need) * double(victim.minions.size()) * double(victim.lossMs) / 1000;
 }
 
 } // namespace
@@ -32,15 +26,14 @@
     return double(need.cores) / 1000 + CORES_PER_GPU * double(need.gpus);
 }
 
-Preemption::Preemption(MinionFleet &fleet, std::vector<ActiveUnit> &active, std::set<TeamName> borrowers,
-                       std::int64_t stopMs)
+Preemption::Preemption(MinionFleet &fleet, std::vector<ActiveUnit> &active, std::set<TeamName> borrowers)
     : m_fleet(fleet)
     , m_active(active)
     , m_borrowers(std::move(borrowers))
     , m_activeOn(fleet.size())
 {
     for (std::size_t v = 0; v < active.size(); ++v) {
-        m_stopCosts.push_back(stopCost(active[v], stopMs));
+        m_stopCosts.push_back(stopCost(active[v]));
         for (const std::size_t m : active[v].minions) {
             if (m_activeOn[m].empty() || m_activeOn[m].back() != v) {
                 m_activeOn[m].push_back(v);
--- a/packages/steps/preemption.h
+++ b/packages/steps/preemption.h
@@ -24,7 +24,6 @@
     Resources need;                   ///< of one member
     std::vector<std::size_t> minions; ///< minion of each member, as an index into the fleet
     std::int64_t lossMs = 0;          ///< time lost by a stop: unsaved work, or the restore from a checkpoint
-    std::uint32_t interruptions = 0;  ///< earlier runs that were stopped or lost
     bool stopping = false;
     bool preemptible = true;
 };
@@ -51,11 +50,8 @@
 class Preemption
 {
 public:
-    /**
-     * @param borrowers teams whose urgent work exceeds their guarantee
-     * @param stopMs time that a stop takes, in which all members hold their capacity idle; 0 if unknown
-     */
-    Preemption(MinionFleet &fleet, std::vector<ActiveUnit> &active, std::set<TeamName> borrowers, std::int64_t stopMs);
+    /** @param borrowers teams whose urgent work exceeds their guarantee */
+    Preemption(MinionFleet &fleet, std::vector<ActiveUnit> &active, std::set<TeamName> borrowers);
 
     /**
      * Searches each of @p racks, placing one member after another at the least cost.
--- a/packages/steps/stepscheduler.cpp
+++ b/packages/steps/stepscheduler.cpp
@@ -55,7 +55,7 @@
         , m_fleet(input.minions)
         , m_search(m_fleet, input.preferences)
         , m_urgentGpus(urgentGpus(input))
-        , m_preemption(m_fleet, input.active, borrowers(), input.stopMs)
+        , m_preemption(m_fleet, input.active, borrowers())
     {
     }
 
@@ -182,11 +182,7 @@
             return false;
         }
         const std::vector<std::size_t> racks = racksToTry(m_fleet, candidate.spec(), feasible);
-        PlacementRequest reserved = request;
-        if (candidate.entry->job.priority > 0 && m_input.reservedGpus > 0) {
-            reserved.maxWholeGpus = std::max<std::int64_t>(0, m_fleet.wholeGpus() - m_input.reservedGpus);
-        }
-        std::vector<std::size_t> chosen = isHeldBack ? std::vector<std::size_t>() : findOn(racks, reserved);
+        std::vector<std::size_t> chosen = isHeldBack ? std::vector<std::size_t>() : findOn(racks, request);
         if (chosen.empty() && overdue) {
             chosen = findAnywhere(candidate, request, feasible);
         }
--- a/packages/steps/stepscheduler.h
+++ b/packages/steps/stepscheduler.h
@@ -48,8 +48,6 @@
     std::int64_t steadyMs = 0;                      ///< steady clock by which tickets expire
     Headroom headroom = {};                         ///< GPUs that less urgent work leaves free
     const IdleJobs *idleJobs = nullptr;             ///< since when jobs stand still; null if unknown
-    std::int64_t stopMs = 0;                        ///< time that a stop takes; 0 if unknown
-    std::int64_t reservedGpus = 0; ///< of entirely free minions, which less urgent work leaves to urgent work
     std::vector<const PlacementPreference *> preferences = {}; ///< order minions that have room for a unit
 };
 
--- a/packages/steps/waitreason.cpp
+++ b/packages/steps/waitreason.cpp
@@ -1,6 +1,5 @@
 #include "steps/waitreason.h"
 
-#include "steps/placementsearch.h"
 #include "steps/rackchoice.h"
 
 #include <algorithm>
@@ -142,18 +141,6 @@
     });
 }
 
-/** @return true if a unit of @p step does not fit beside the GPUs that are reserved for urgent work. */
-bool waitsForReserve(const MinionFleet &fleet, const FleetSupply &supply, const StepSpec &step, const PlanInput &input)
-{
-    PlacementRequest request;
-    request.group = &supply.group;
-    request.need = countedNeed(step);
-    request.members = step.gang ? step.count : 1;
-    request.maxPerMinion = step.maxPerMinion;
-    request.maxWholeGpus = std::max<std::int64_t>(0, fleet.wholeGpus() - input.reservedGpus);
-    return PlacementSearch(fleet).find(request, MinionGroup::ANY_RACK).empty();
-}
-
 /** Explains that a unit of @p members tasks would fit on minions that are kept from new work; WaitReason::None if not.
  */
 WaitExplanation explainHeldBack(const FleetSupply &supply, std::uint32_t members)
@@ -246,11 +233,6 @@
                 number(headroom) + " of " + number(m_fleet.free().gpus)
                     + " free GPUs stay free, as urgent work has just taken as many by preemption"};
     }
-    if (entry.job.priority > 0 && m_input.reservedGpus > 0 && waitsForReserve(m_fleet, supply, step, m_input)) {
-        return {WaitReason::Headroom,
-                number(m_input.reservedGpus) + " GPUs of entirely free minions, of which there are "
-                    + number(m_fleet.wholeGpus()) + ", stay free for urgent work that is expected"};
-    }
     if (waitsForRack(m_fleet, supply, step)) {
         return {WaitReason::RackWait, "there is room for " + number(supply.members)
                                           + " tasks, but not on a rack that it is bound to, and the fleet is busy"};
