Let the planner learn interference from reports, and act on it

Callers saw nothing of what is known about images: the planner kept the cores in use only as the tail latency of tasks that have none, set one share for all filling tasks on a minion, and placed by capacity alone.

The stand-in minion reports the cores of tasks that state them.

--- a/packages/dispatch/assignment.h
+++ b/packages/dispatch/assignment.h
@@ -34,6 +34,7 @@
     std::optional<std::int64_t> lastProgressMs; ///< start of its unit or last rise of percent, on the minion's clock
     std::optional<std::int64_t> lastReportMs;   ///< on the minion's clock
     std::int64_t tailMs = 0;                    ///< tail response time, if it is a service task
+    std::int64_t coresInUse = 0;                ///< if it is no service task
     std::optional<int> pacePercent;             ///< last confirmed pace; empty if unknown
     bool paceInFlight = false;                  ///< a pace order is in flight
 
--- a/packages/dispatch/minionlink.h
+++ b/packages/dispatch/minionlink.h
@@ -57,6 +57,8 @@
     std::int64_t leavesAtMs = 0;        ///< earliest departure, while draining
     FillPace fillPace;                  ///< throttling of best-effort tasks
     bool shared = false;                ///< runs best-effort tasks beside services
+    /** When a report was last used to learn interference. */
+    std::int64_t interferenceSeenMs = 0;
     /** Latest end of leases of earlier planners or by a former clock of the minion; unused after the first answer. */
     std::int64_t priorLeaseUntilMs = 0;
 
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -275,6 +275,7 @@
     journalConfig(now);
     journalEvacuations(now);
     moveStrandedServices(now);
+    refitInterference(now);
     if (now - m_lastForgetMs >= FORGET_INTERVAL_MS) {
         m_lastForgetMs = now;
         forgetEnded(now);
@@ -449,6 +450,9 @@
     if (m_context.evacuations().everRequested()) {
         input.preferences.push_back(&m_coldMinions);
     }
+    if (m_interference.preference().active()) {
+        input.preferences.push_back(&m_interference.preference());
+    }
     for (const auto &[unit, until] : m_notBefore) {
         if (now < until) {
             input.heldBack.insert(unit);
@@ -486,6 +490,7 @@
     }
     const TimePoint begun = Clock::now();
     std::vector<MinionId> ids;
+    updateKeepApart();
     const PlanDecisions decisions = planSteps(planInput(ids));
     const TimePoint decided = Clock::now();
     m_load.passEnded(decided - begun);
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -12,6 +12,7 @@
 #include "evacuation/coldminions.h"
 #include "evacuation/placeevacuations.h"
 #include "evacuation/servicemoves.h"
+#include "interference/interference.h"
 #include "reserve/urgentdemand.h"
 #include "steps/idlejobs.h"
 #include "steps/stepscheduler.h"
@@ -123,6 +124,11 @@
     {
         return m_links.size();
     }
+    /** @return how many pairs of images are known to interfere. */
+    [[nodiscard]] std::size_t interferingPairs() const
+    {
+        return m_interference.pairs().size();
+    }
     [[nodiscard]] Epoch epoch() const
     {
         return m_epoch;
@@ -195,6 +201,16 @@
     static Asio::awaitable<void> paceMember(std::shared_ptr<StepPlanner> self, AssignmentPtr assignment,
                                             std::size_t index, int percent);
 
+    // Interference between images
+    /** Learns from the latest report of a minion. */
+    void observeInterference(MinionLink &link, std::int64_t nowMs);
+    /** @return the load of each image of filling tasks. */
+    static ImageInterference::Loads fillLoads(const std::vector<PlacedMember> &fills);
+    /** Fits what is known to the observations, and logs the pairs that have become known. */
+    void refitInterference(std::int64_t nowMs);
+    /** Brings the preference for minions without interfering images up to date. */
+    void updateKeepApart();
+
     // Evacuation of failure domains
     /** Stops units of long-running steps in evacuated failure domains, so that they restart elsewhere. */
     void moveStrandedServices(std::int64_t nowMs);
@@ -334,6 +350,9 @@
     std::set<JobId> m_forgetting;            ///< jobs whose deletion has not been stored
     std::int64_t m_lastForgetMs = 0;
     ColdMinions m_coldMinions;
+    Interference m_interference;
+    std::int64_t m_interferenceLinesFromMs = 0; ///< since when m_interferenceLines are counted
+    std::size_t m_interferenceLines = 0;        ///< lines logged on pairs that interfere
     std::int64_t m_lastServiceMoveMs = 0;
     std::int64_t m_lastEvacuationsJournalMs = 0;
     ConfigVersion m_journaledConfigVersion;
--- a/packages/dispatch/stepplannerreports.cpp
+++ b/packages/dispatch/stepplannerreports.cpp
@@ -52,6 +52,7 @@
         flushSoon();
     }
     handleRunning(link, report, sentMs);
+    observeInterference(link, bootMillis());
     paceFills(link, bootMillis());
 }
 
@@ -142,7 +143,7 @@
             member.lastProgressMs = report.clockMs;
         }
         member.lastReportMs = report.clockMs;
-        member.tailMs = running.tailMs;
+        (assignment->step.serves() ? member.tailMs : member.coresInUse) = running.load;
         if (!running.checkpoint.empty() && running.checkpoint != assignment->checkpoint) {
             assignment->checkpoint = running.checkpoint;
             assignment->checkpointMs = now;
--- a/packages/dispatch/stepplannershares.cpp
+++ b/packages/dispatch/stepplannershares.cpp
@@ -26,6 +26,7 @@
 void StepPlanner::paceFills(MinionLink &link, std::int64_t nowMs)
 {
     std::vector<TailLatency> tails;
+    std::vector<std::string> serving; // images of the tasks in tails
     std::vector<PlacedMember> fills;
     for (const PlacedMember &placed : link.placed) {
         const StepSpec &step = placed.assignment->step;
@@ -33,21 +34,31 @@
             continue;
         }
         if (step.serves()) {
-            tails.push_back({placed.member().tailMs, step.tailTarget.count()});
+            tails.push_back({placed.member().tailMs, step.tailTarget.count(), {}});
+            serving.push_back(step.image);
         } else if (step.fills) {
             fills.push_back(placed);
         }
     }
     link.shared = !tails.empty() && !fills.empty();
     if (tails.empty() || !fills.empty()) {
-        link.fillPace.observe(tails, nowMs); // without best-effort tasks, tails show nothing of the share's effect
+        const ImageInterference::Loads loads = fillLoads(fills);
+        std::set<std::string> images;
+        for (const auto &item : loads) {
+            images.insert(item.first);
+        }
+        for (std::size_t i = 0; i < tails.size(); ++i) {
+            tails[i].causes = m_interference.causes(serving[i], loads, nowMs);
+        }
+        // Without best-effort tasks, tails show nothing of the share's effect.
+        link.fillPace.observe(tails, nowMs, images);
     }
     for (const auto &[assignment, index] : fills) {
         Member &member = assignment->members[index];
-        if (member.pacePercent != link.fillPace.percent() && !member.paceInFlight) {
+        const int percent = link.fillPace.percent(assignment->step.image);
+        if (member.pacePercent != percent && !member.paceInFlight) {
             member.paceInFlight = true;
-            Asio::co_spawn(m_context.io, paceMember(shared_from_this(), assignment, index, link.fillPace.percent()),
-                           Asio::detached);
+            Asio::co_spawn(m_context.io, paceMember(shared_from_this(), assignment, index, percent), Asio::detached);
         }
     }
 }
--- a/tests/integration/stepservices.cpp
+++ b/tests/integration/stepservices.cpp
@@ -73,6 +73,32 @@
                                     Millis(3'000 + OVER_TARGET_LIMIT_MS)));
 }
 
+// One share for all filling tasks on a minion would keep those slow that do no harm.
+TEST(FillingTasks, KeepTheirFullShareIfOnlyAnotherImageDisturbsTheService)
+{
+    Deployment deployment({1, 1});
+    deployment.start();
+    const std::string serving = deployment.newId();
+    const Json spec = {{"lasts", true}, {"tailMs", 40}, {"disturbedMs", 160}};
+    ASSERT_EQ(200, deployment.submit(0, "urgent", serving, {service(1, 0)}, spec).status);
+    ASSERT_TRUE(deployment.waitForRunCount(serving, 1));
+    std::map<std::string, std::string> fills; // task by image
+    for (const char *image : {"loud", "calm-1", "calm-2"}) {
+        const std::string id = deployment.newId();
+        fills[image] = id + ".0.0.0";
+        const Json fill = Deployment::step(1, {}, {{"fills", true}, {"image", image}});
+        const Json work = {
+            {"workMs", 600'000}, {"fills", true}, {"cores", 6'000}, {"calm", std::string(image) != "loud"}};
+        ASSERT_EQ(200, deployment.submit(0, "batch", id, {fill}, work).status);
+        ASSERT_TRUE(deployment.waitForRunCount(id, 1));
+    }
+    const auto &minion = *deployment.minions.front();
+    const auto pace = [&](const char *image) { return minion.paceOf(fills.at(image)).value_or(0); };
+    EXPECT_TRUE(Cluster::eventually(
+        [&] { return pace("calm-1") == 100 && pace("calm-2") == 100 && pace("loud") <= 50; }, Millis(60'000)));
+    EXPECT_NE(std::string::npos, deployment.log(0).find("interference-found disturbed=web by=loud"));
+}
+
 TEST(AdvisedQueue, RunsTasksOnlyOnMinionsThatTheOracleAdmits)
 {
     Deployment deployment({2, 4});
--- a/tests/standins/platformminionstandin.cpp
+++ b/tests/standins/platformminionstandin.cpp
@@ -221,11 +221,18 @@
 {
     int fillPercent = 0;
     for (const auto &[task, other] : m_running) {
-        fillPercent += other.fills ? other.pacePercent : 0;
+        fillPercent += other.fills && !other.calm ? activity(task, other) : 0;
     }
     return running.tailMs + running.disturbedMs * std::min(fillPercent, 100) / 100;
 }
 
+int PlatformMinionStandin::activity(const std::string &task, const Running &running) const
+{
+    constexpr std::size_t LEVELS = 70; // from 30 to 100 percent of its pace
+    const std::size_t level = std::hash<std::string>()(task + std::to_string(clock() / 500)) % (LEVELS + 1);
+    return running.cores == 0 ? running.pacePercent : running.pacePercent * static_cast<int>(100 - level) / 100;
+}
+
 std::size_t PlatformMinionStandin::ticketsRefused() const
 {
     const std::lock_guard lock(m_mutex);
@@ -490,6 +497,8 @@
     running.fills = spec.value("fills", false);
     running.tailMs = spec.value("tailMs", std::int64_t(0));
     running.disturbedMs = spec.value("disturbedMs", std::int64_t(0));
+    running.calm = spec.value("calm", false);
+    running.cores = spec.value("cores", std::int64_t(0));
     running.startedMs = clock();
     TaskRun record;
     record.task = task;
@@ -541,7 +550,8 @@
         const std::int64_t saved = run.doneMs / CHECKPOINT_INTERVAL_MS * CHECKPOINT_INTERVAL_MS;
         const std::int64_t work = run.lasts ? STARTUP_MS : run.workMs;
         const std::int64_t percent = work > 0 ? std::min<std::int64_t>(100, 100 * run.doneMs / work) : 0;
-        running.push_back({task, run.run, saved > 0 ? std::to_string(saved) : "", percent, tailOf(run)});
+        running.push_back({task, run.run, saved > 0 ? std::to_string(saved) : "", percent,
+                           run.cores > 0 ? run.cores * activity(task, run) / 100 : tailOf(run)});
     }
     Json ended = Json::array();
     for (const End &end : m_ends) {
--- a/tests/standins/platformminionstandin.h
+++ b/tests/standins/platformminionstandin.h
@@ -52,6 +52,8 @@
  * - "disturbedMs": tail latency added at full interference from tasks with "fills" on the same minion, in proportion
  *   to their pace.
  * - "fills": the task fills spare capacity and disturbs the tasks beside it.
+ * - "calm": the task disturbs no other, although it fills spare capacity.
+ * - "cores": most cores that the task uses and reports; its use, and by how much it disturbs, then vary with time.
  * - "advised": if false, a start needs no ticket from the admission oracle (default true).
  */
 class PlatformRuns
@@ -162,6 +164,8 @@
         bool fills = false;
         std::int64_t tailMs = 0;
         std::int64_t disturbedMs = 0;
+        bool calm = false;
+        std::int64_t cores = 0;
         int pacePercent = 100;
     };
     struct End {
@@ -187,6 +191,8 @@
     HttpResponse stopRun(const Json &body);
     HttpResponse pace(const Json &body);
     [[nodiscard]] std::int64_t tailOf(const Running &running) const;
+    /** @return how active a task is at present, in percent; constant within half a second. */
+    [[nodiscard]] int activity(const std::string &task, const Running &running) const;
     void resetState();
     Asio::awaitable<HttpResponse> hold(Json body);
     Json report() const;
