Look up the costs of interfering images by hash

A pass reads the cost of each minion with room for each placement of an image that is known to interfere.

--- a/packages/interference/keepapart.cpp
+++ b/packages/interference/keepapart.cpp
@@ -23,10 +23,10 @@
     for (const auto &[minion, images] : running) {
         for (const InterferingPair &pair : pairs) {
             if (images.contains(pair.disturbed)) {
-                m_costs[pair.other][minion] += pair.effect.perTask;
+                m_costs[pair.other][minion.value()] += pair.effect.perTask;
             }
             if (images.contains(pair.other)) {
-                m_costs[pair.disturbed][minion] += pair.effect.perTask;
+                m_costs[pair.disturbed][minion.value()] += pair.effect.perTask;
             }
         }
     }
@@ -46,7 +46,7 @@
     if (image == m_costs.end()) {
         return 0;
     }
-    const auto found = image->second.find(minion.id);
+    const auto found = image->second.find(minion.id.value());
     return found == image->second.end() ? 0 : found->second;
 }
 
--- a/packages/interference/keepapart.h
+++ b/packages/interference/keepapart.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 // Keeps images that are known to interfere on different minions, as far as there is room.
@@ -31,7 +32,8 @@
     [[nodiscard]] double cost(const StepJob &job, const StepSpec &step, const MinionView &minion) const override;
 
 private:
-    std::map<std::string, std::map<MinionId, double>> m_costs; ///< above 0, by image; quantised
+    /** Costs above 0, quantised, by image and name of the minion. Hashed, since each placement reads many. */
+    std::map<std::string, std::unordered_map<std::string, double>> m_costs;
 };
 
 } // namespace Papaya
