Conclude nothing from tasks that a full page of ends does not list

A minion lists at most 500 ends, the oldest first, and ends stay unacknowledged while a start order is unanswered, or nothing is stored. The planner took a task that was listed neither as running nor as ended for lost, although its end was beyond the 500th.

The next pages follow as the ends are acknowledged. The minion stand-in lists 500 ends at a time.

SilentMinion.ThatListsOnlyTheFirstEndsHasNoDoneTaskStartedAgain fails with the server before this change, and passes with it.

--- a/packages/dispatch/minioncontrol.h
+++ b/packages/dispatch/minioncontrol.h
@@ -69,7 +69,8 @@
     std::int64_t clockMs = 0;     ///< the minion's steady clock
     std::int64_t startTimeMs = 0; ///< start of the process, milliseconds since 1970; 0 if not given
     std::vector<RunningTask> running;
-    std::vector<EndedTask> ended;
+    std::vector<EndedTask> ended; ///< in the order of their numbers
+    bool mayHaveMoreEnds = false; ///< ends beyond the last one of ended may exist that are not listed
 };
 
 /** The outcome of an order. */
--- a/packages/dispatch/stepplannerreports.cpp
+++ b/packages/dispatch/stepplannerreports.cpp
@@ -148,6 +148,9 @@
             assignment->checkpointMs = now;
         }
     }
+    if (report.mayHaveMoreEnds) {
+        return; // a member that is not listed may have ended; the next pages show its end once these are acknowledged
+    }
     // A member that is missing from a poll sent after its start or stop was answered does not run.
     std::vector<PlacedMember> missing;
     for (const auto &[assignment, index] : link.placed) {
--- a/tests/integration/silentminions.cpp
+++ b/tests/integration/silentminions.cpp
@@ -93,6 +93,34 @@
     EXPECT_EQ("lapsed", minion.deployment.runs.of(minion.job).front().how);
 }
 
+// A minion lists 500 ends at a time, and none is acknowledged while a start order is unanswered. Guards against tasks
+// whose ends are beyond the first 500 being taken for lost and started again.
+TEST(SilentMinion, ThatListsOnlyTheFirstEndsHasNoDoneTaskStartedAgain)
+{
+    constexpr std::uint32_t TASKS = 600;
+    constexpr std::int64_t WORK_MS = 4'000;
+    DeploymentOptions options;
+    options.minions = 1;
+    Deployment deployment(options);
+    deployment.start();
+    const std::string job = deployment.newId();
+    ASSERT_EQ(
+        200, deployment.submit(0, "batch", job, {Deployment::step(TASKS, {50, 100, 0})}, {{"workMs", WORK_MS}}).status);
+    ASSERT_TRUE(deployment.waitForRunCount(job, TASKS));
+    // The start order must be unanswered while the tasks end.
+    const std::int64_t endMs = deployment.runs.of(job).front().startedMs + WORK_MS;
+    std::this_thread::sleep_for(Millis(endMs - 150 - nowMs()));
+    Standins::PlatformMinionFaults faults;
+    faults.lateStarts = 1;
+    faults.lateMs = 4'500;
+    deployment.minions.front()->setFaults(faults);
+    const std::string late = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "batch", late, {Deployment::step(1, {50, 100, 0})}).status);
+    EXPECT_TRUE(deployment.waitForState("batch", job, "completed", Millis(20'000)));
+    EXPECT_EQ(TASKS, deployment.runs.of(job).size());
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+}
+
 } // namespace
 
 } // namespace Papaya::Testing
--- a/tests/standins/platformminionstandin.cpp
+++ b/tests/standins/platformminionstandin.cpp
@@ -17,6 +17,7 @@
 constexpr Millis TICK_INTERVAL {10};
 constexpr std::int64_t STOP_DURATION_MS = 50;
 constexpr std::int64_t MAX_LEASE_MS = 10'000;
+constexpr std::size_t ENDS_OF_REPORT = 500; // at most; the others are listed once these are acknowledged
 constexpr std::int64_t CHECKPOINT_INTERVAL_MS = 200;
 constexpr std::int64_t STARTUP_MS = 100;           // until a long-running task is at work
 constexpr std::int64_t FIRST_CLOCK_MS = 1'000'000; // the first instance has run for a while; later ones start at 0
@@ -545,6 +546,9 @@
     }
     Json ended = Json::array();
     for (const End &end : m_ends) {
+        if (ended.size() == ENDS_OF_REPORT) {
+            break;
+        }
         ended.push_back({end.number, end.task, end.run, end.how, end.checkpoint});
     }
     return {{"clockMs", clock()}, {"born", m_bornMs}, {"runningTasks", running}, {"ended", ended}};
