Split appends below the limit of the store

The planner appended the records of a whole pass as one entry. The store refuses more than 2,097,152 bytes in one append, and the writer repeated the refused append for ever, also as a successor.

- JournalWriter splits entries above 512 KiB, keeps the order, and calls the callback of an entry once all parts are stored or one is fenced.
An entry with a record above the store's limit is refused at once, and blocks no other.
A unit whose checkpoint is too long is stored without it; a gang whose minions fit into no record is given up.
- The records of a forgotten job are an entry of their own.
Deletions of units no longer make readers forget the job; that of its own record, which comes last, does.
Deletions count as signs of life of the planner.

The store stand-in refuses with 413 what exceeds its limits.

--- a/packages/dispatch/jobapi.cpp
+++ b/packages/dispatch/jobapi.cpp
@@ -180,6 +180,10 @@
               {"first", time.firstAttempt ? "yes" : "no"},
               {"time_left_ms", std::chrono::duration_cast<Millis>(time.latest - Clock::now()).count()}});
     JobRecord record = StepJobSubmitted {std::move(job)};
+    if (!m_context.writer->fits(encodeRecord(record))) {
+        logEvent(LogLevel::Info, "job-too-large", {{"job", id.value()}});
+        co_return refuse(400, "job-too-large");
+    }
     HttpResponse response = co_await store(std::move(record), time, id, "job-submitted");
     if (response.status == 504) {
         m_attempts.inDoubt(id);
--- a/packages/dispatch/journalwriter.cpp
+++ b/packages/dispatch/journalwriter.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/this_coro.hpp>
 
 #include <algorithm>
+#include <numeric>
+#include <utility>
 
 namespace Papaya
 {
@@ -15,22 +17,35 @@
 namespace
 {
 
-constexpr std::size_t MAX_BATCH_BYTES = 512UL * 1024; // well below the limit of the store for one call
 constexpr Millis MIN_ATTEMPT_TIMEOUT {600};
 constexpr Millis MAX_ATTEMPT_TIMEOUT {2'400}; // the store refuses an append that would wait for more than 2 s
 constexpr int READ_DELAY_FACTOR = 6;          // appends to a partition wait for each other, unlike reads
 constexpr Millis RETRY_INTERVAL {60};
 
-std::size_t sizeOf(const std::vector<StoredRecord> &records)
+} // namespace
+
+JournalWriter::Completion::Completion(Callback done, std::size_t parts)
+    : m_done(std::move(done))
+    , m_left(parts)
 {
-    std::size_t bytes = 0;
-    for (const StoredRecord &record : records) {
-        bytes += record.key.size() + record.value.size();
-    }
-    return bytes;
 }
 
-} // namespace
+void JournalWriter::Completion::partDone(AppendOutcome outcome)
+{
+    if (!m_done) {
+        return;
+    }
+    --m_left;
+    // If the parts differ, some of the records may be stored.
+    m_outcome = !m_outcome || *m_outcome == outcome ? outcome : AppendOutcome::Unknown;
+    if (outcome == AppendOutcome::Fenced) {
+        m_outcome = outcome; // no later part is stored either
+        m_left = 0;
+    }
+    if (m_left == 0) {
+        std::exchange(m_done, nullptr)(*m_outcome);
+    }
+}
 
 std::shared_ptr<JournalWriter> JournalWriter::create(Asio::io_context &io, RecordStore &store,
                                                      std::optional<Producer> producer,
@@ -56,7 +71,29 @@
         done(AppendOutcome::Unknown);
         return;
     }
-    m_queue.push_back({std::move(records), deadline, std::move(done)});
+    const auto tooLarge =
+        std::find_if(records.begin(), records.end(), [this](const StoredRecord &record) { return !fits(record); });
+    if (tooLarge != records.end()) {
+        logEvent(LogLevel::Error, "record-too-large",
+                 {{"key", tooLarge->key}, {"bytes", std::uint64_t(storedBytes(*tooLarge))}});
+        done(AppendOutcome::NotStored);
+        return;
+    }
+    std::vector<Entry> parts(1);
+    for (StoredRecord &record : records) {
+        const std::size_t bytes = storedBytes(record);
+        if (!parts.back().records.empty() && parts.back().bytes + bytes > maxBatchBytes()) {
+            parts.emplace_back();
+        }
+        parts.back().bytes += bytes;
+        parts.back().records.push_back(std::move(record));
+    }
+    const auto completion = std::make_shared<Completion>(std::move(done), parts.size());
+    for (Entry &part : parts) {
+        part.deadline = deadline;
+        part.completion = completion;
+        m_queue.push_back(std::move(part));
+    }
     if (!m_sending) {
         m_sending = true;
         Asio::co_spawn(m_io, sendLoop(shared_from_this()), Asio::detached);
@@ -82,18 +119,35 @@
 void JournalWriter::stop()
 {
     m_stopped = true;
-    for (Entry &entry : m_queue) {
-        entry.done(AppendOutcome::Unknown);
+    for (const Entry &entry : std::exchange(m_queue, {})) {
+        entry.completion->partDone(AppendOutcome::Unknown);
     }
-    m_queue.clear();
+}
+
+bool JournalWriter::fits(const StoredRecord &record) const
+{
+    return storedBytes(record) <= m_store.limits().recordBytes;
+}
+
+bool JournalWriter::storesAtomically(const std::vector<StoredRecord> &records) const
+{
+    const std::size_t bytes =
+        std::accumulate(records.begin(), records.end(), std::size_t(0),
+                        [](std::size_t sum, const StoredRecord &record) { return sum + storedBytes(record); });
+    return bytes <= maxBatchBytes();
+}
+
+std::size_t JournalWriter::maxBatchBytes() const
+{
+    return std::min(MAX_BATCH_BYTES, m_store.limits().callBytes);
 }
 
 std::vector<JournalWriter::Entry> JournalWriter::takeBatch()
 {
     std::vector<Entry> batch;
     std::size_t bytes = 0;
-    while (!m_queue.empty() && (batch.empty() || bytes + sizeOf(m_queue.front().records) <= MAX_BATCH_BYTES)) {
-        bytes += sizeOf(m_queue.front().records);
+    while (!m_queue.empty() && (batch.empty() || bytes + m_queue.front().bytes <= maxBatchBytes())) {
+        bytes += m_queue.front().bytes;
         batch.push_back(std::move(m_queue.front()));
         m_queue.pop_front();
     }
@@ -116,7 +170,7 @@
     const TimePoint now = Clock::now();
     for (Entry &entry : batch) {
         if (entry.deadline <= now) {
-            entry.done(entry.inDoubt ? AppendOutcome::Unknown : AppendOutcome::NotStored);
+            entry.completion->partDone(entry.inDoubt ? AppendOutcome::Unknown : AppendOutcome::NotStored);
         }
     }
     std::erase_if(batch, [now](const Entry &entry) { return entry.deadline <= now; });
@@ -146,7 +200,7 @@
         }
         if (outcome == AppendOutcome::Stored || outcome == AppendOutcome::Fenced || m_stopped) {
             for (Entry &entry : batch) {
-                entry.done(outcome);
+                entry.completion->partDone(outcome);
             }
             co_return;
         }
--- a/packages/dispatch/journalwriter.h
+++ b/packages/dispatch/journalwriter.h
@@ -13,8 +13,9 @@
 #include <vector>
 
 // Appends records to a topic, by default the journal. One append is in flight at a time; entries that arrive meanwhile
-// are batched into the next one. The time that an attempt is given grows with the delay of reads, since an append that
-// a slow store still has in its queue is only delayed further by a repetition.
+// are batched into the next one. An entry above the size of a batch is split into parts, which are stored in order. The
+// time that an attempt is given grows with the delay of reads, since an append that a slow store still has in its queue
+// is only delayed further by a repetition.
 
 namespace Papaya
 {
@@ -27,6 +28,8 @@
 
     /** Time beyond the deadline of an entry for the answer to an attempt that is under way. */
     static constexpr Millis ANSWER_MARGIN {600};
+    /** Longest batch, unless the store's limit is lower. A slow store takes a longer one too late for heartbeats. */
+    static constexpr std::size_t MAX_BATCH_BYTES = 512UL * 1024;
 
     /**
      * @param producer identity of the writer, with the sequence number of its last append. With a producer, an append
@@ -38,7 +41,12 @@
                                                  std::optional<Producer> producer, std::function<Millis()> readDelay,
                                                  Topic topic = Topic::Journal);
 
-    /** Appends @p records in one batch; @p done is called exactly once. */
+    /**
+     * Appends @p records; @p done is called exactly once, when all of them are stored or the outcome is certain.
+     * Records of up to MAX_BATCH_BYTES in total are stored atomically; more are split, so that a prefix of them may be
+     * stored without the rest. If one of them exceeds the limit of the store, none is stored, and the outcome is
+     * AppendOutcome::NotStored.
+     */
     void append(std::vector<StoredRecord> records, TimePoint deadline, Callback done);
     /** Appends @p records. @return the outcome; AppendOutcome::Unknown if there is none ANSWER_MARGIN after @p deadline
      */
@@ -46,6 +54,10 @@
     /** Stops the writer; queued entries end with AppendOutcome::Unknown. */
     void stop();
 
+    /** @return true if an append of @p records is not split. */
+    [[nodiscard]] bool storesAtomically(const std::vector<StoredRecord> &records) const;
+    /** @return true if the store takes a record of the size of @p record. */
+    [[nodiscard]] bool fits(const StoredRecord &record) const;
     /** @return when the last successful append was sent, in bootMillis(). */
     [[nodiscard]] std::int64_t lastStoredMs() const
     {
@@ -59,10 +71,24 @@
     }
 
 private:
+    /** Collects the outcomes of the parts of one append. */
+    class Completion
+    {
+    public:
+        Completion(Callback done, std::size_t parts);
+        /** Takes note of the outcome of one part and calls the callback once the outcome of all is certain. */
+        void partDone(AppendOutcome outcome);
+
+    private:
+        Callback m_done;
+        std::size_t m_left; ///< parts without an outcome
+        std::optional<AppendOutcome> m_outcome;
+    };
     struct Entry {
         std::vector<StoredRecord> records;
+        std::size_t bytes = 0;
         TimePoint deadline;
-        Callback done;
+        std::shared_ptr<Completion> completion;
         bool inDoubt = false; ///< an earlier attempt may have taken effect
     };
 
@@ -70,6 +96,7 @@
                   std::function<Millis()> readDelay, Topic topic);
     static Asio::awaitable<void> sendLoop(std::shared_ptr<JournalWriter> self);
     Asio::awaitable<void> send(std::vector<Entry> &batch);
+    [[nodiscard]] std::size_t maxBatchBytes() const;
     std::vector<Entry> takeBatch();
     /** Completes and removes entries whose deadline has passed. */
     static void expireOverdue(std::vector<Entry> &batch);
--- a/packages/dispatch/recordstore.h
+++ b/packages/dispatch/recordstore.h
@@ -41,6 +41,19 @@
 /** @return the name of @p outcome for logs. */
 std::string_view toString(AppendOutcome outcome);
 
+/** Limits of the store on one append, in bytes of records in stored form. */
+struct StoreLimits {
+    std::size_t recordBytes = 0; ///< of one record
+    std::size_t callBytes = 0;   ///< of all records of one append
+};
+
+/** @return an upper bound of the size that a store counts for @p record. */
+inline std::size_t storedBytes(const StoredRecord &record)
+{
+    constexpr std::size_t FRAME_BYTES = 8; // lengths of the record and its key
+    return FRAME_BYTES + record.key.size() + record.value.size();
+}
+
 /** The records read from an offset. */
 struct ReadResult {
     bool expired = false; ///< the records have expired; the newest of each key must be read instead
@@ -68,6 +81,9 @@
 public:
     virtual ~RecordStore() = default;
 
+    /** @return the limits above which the store refuses an append however often it is repeated. */
+    [[nodiscard]] virtual StoreLimits limits() const = 0;
+
     /**
      * Appends @p records to @p topic atomically.
      * @param expectedEnd if given, appends only if the topic ends there, so that a delayed append has no effect
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -232,7 +232,8 @@
     static bool isFromPlanner(const JobRecord &record)
     {
         return std::holds_alternative<UnitChanged>(record) || std::holds_alternative<PlannerAnnouncement>(record)
-               || std::holds_alternative<MinionSilence>(record);
+               || std::holds_alternative<MinionSilence>(record) || std::holds_alternative<StepJobForgotten>(record)
+               || std::holds_alternative<StepJobPartForgotten>(record);
     }
 
     void applyRecord(const JobRecord &record)
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -516,6 +516,18 @@
     for (const std::size_t m : decision.minions) {
         status.minions.push_back(ids[m]);
     }
+    UnitStatus bare = status;
+    bare.checkpoint.clear();
+    if (!m_writer->fits(encodeRecord(UnitChanged {decision.unit, std::move(bare)}))) {
+        // No record of a gang on so many minions can be stored.
+        logEvent(LogLevel::Error, "unit-too-wide",
+                 {{"unit", decision.unit.toString()}, {"members", std::uint64_t(status.minions.size())}});
+        status.state = UnitState::Failed;
+        status.minions.clear();
+        record(decision.unit, std::move(status));
+        jobChanged(decision.unit.job);
+        return;
+    }
     record(decision.unit, status);
     m_notBefore.erase(decision.unit);
     m_context.metrics.count(StepEvent::Placement, m_context.jobTable.find(decision.unit.job)->job.queue.value());
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -309,7 +309,6 @@
     std::map<UnitKey, std::int64_t> m_notBefore;      ///< earliest time of the next start, by unit
     std::vector<StoredRecord> m_pendingRecords;       ///< to be journaled by the next flush
     std::vector<UnitChanged> m_pendingChanges;        ///< the changes among m_pendingRecords
-    std::vector<JobId> m_pendingDeletions;            ///< jobs that m_pendingRecords delete
     std::vector<MinionId> m_pendingWithdrawals;       ///< minions whose MinionSilence m_pendingRecords withdraw
     /** Ends of one instance of a minion, up to a number, that the next flush stores. */
     struct PendingEnds {
--- a/packages/dispatch/stepplannerjournal.cpp
+++ b/packages/dispatch/stepplannerjournal.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <utility>
 
 // Journaling: a unit change is stored before its start is ordered or its end is acknowledged.
 
@@ -114,7 +115,15 @@
 void StepPlanner::record(const UnitKey &unit, UnitStatus status)
 {
     UnitChanged change {unit, std::move(status)};
-    m_pendingRecords.push_back(encodeRecord(change));
+    StoredRecord encoded = encodeRecord(change);
+    if (!m_writer->fits(encoded)) {
+        // The store never takes it, and the work since then is the only loss; see startUnit() on minions.
+        logEvent(LogLevel::Error, "checkpoint-too-large",
+                 {{"unit", unit.toString()}, {"bytes", std::uint64_t(change.status.checkpoint.size())}});
+        change.status.checkpoint.clear();
+        encoded = encodeRecord(change);
+    }
+    m_pendingRecords.push_back(std::move(encoded));
     m_context.times.observe(m_context.jobTable.find(unit.job)->job, change, bootMillis());
     m_context.jobTable.applyUnstored(change);
     m_pendingChanges.push_back(std::move(change));
@@ -136,11 +145,22 @@
         }
     }
     for (const JobId &id : old) {
-        const auto records = encodeForgetting(id, JobTable::unitsOf(*m_context.jobTable.find(id)));
-        m_pendingRecords.insert(m_pendingRecords.end(), records.begin(), records.end());
         m_forgetting.insert(id);
-        m_pendingDeletions.push_back(id);
-        flushSoon();
+        ForgettingRecords records = encodeForgetting(id, JobTable::unitsOf(*m_context.jobTable.find(id)));
+        std::vector<StoredRecord> last = std::move(records.units);
+        last.insert(last.end(), records.job.begin(), records.job.end());
+        if (!m_writer->storesAtomically(last)) {
+            last.resize(last.size() - records.job.size());
+            last.insert(last.begin(), std::move(records.cancellation));
+            m_writer->append(std::exchange(last, std::move(records.job)), TimePoint::max(), [](AppendOutcome) {});
+        }
+        m_writer->append(std::move(last), TimePoint::max(), [self = shared_from_this(), id](AppendOutcome outcome) {
+            if (outcome == AppendOutcome::Stored && self->m_leading) {
+                self->forget(id);
+            } else if (outcome == AppendOutcome::Fenced) {
+                self->stepDown("fenced-by-store");
+            }
+        });
     }
     if (!old.empty()) {
         logEvent(LogLevel::Info, "jobs-forgotten", {{"jobs", std::uint64_t(old.size())}});
@@ -174,13 +194,10 @@
     }
     const auto stored = [self = shared_from_this(), ends = std::move(m_pendingEnds),
                          starts = std::move(m_pendingStarts), changes = std::move(m_pendingChanges),
-                         deletions = std::move(m_pendingDeletions), heard = std::move(m_pendingWithdrawals)] {
+                         heard = std::move(m_pendingWithdrawals)] {
         for (const UnitChanged &change : changes) {
             self->m_context.jobTable.confirmStored(change);
         }
-        for (const JobId &job : deletions) {
-            self->forget(job);
-        }
         for (const MinionId &minion : heard) {
             if (const auto found = self->m_links.find(minion); found != self->m_links.end()) {
                 found->second.silenceRecorded = found->second.silenceEnding = false;
@@ -204,7 +221,6 @@
     m_pendingEnds.clear();
     m_pendingStarts.clear();
     m_pendingChanges.clear();
-    m_pendingDeletions.clear();
     m_pendingWithdrawals.clear();
     if (m_pendingRecords.empty() && m_writer->idle()) {
         stored(); // ends of unknown runs need no record
--- a/packages/steps/jobrecord.cpp
+++ b/packages/steps/jobrecord.cpp
@@ -237,6 +237,10 @@
     {
         return {std::string(JOB_PREFIX) + record.job.value(), ""};
     }
+    StoredRecord operator()(const StepJobPartForgotten &record) const
+    {
+        return {std::string(CANCEL_PREFIX) + record.job.value(), ""};
+    }
     StoredRecord operator()(const UnitChanged &record) const
     {
         return {std::string(UNIT_PREFIX) + record.unit.toString(), encodeStatus(record.status)};
@@ -280,16 +284,16 @@
     return std::visit(Encoder {}, record);
 }
 
-std::vector<StoredRecord> encodeForgetting(const JobId &job, const std::vector<UnitKey> &units)
+ForgettingRecords encodeForgetting(const JobId &job, const std::vector<UnitKey> &units)
 {
-    std::vector<StoredRecord> records;
-    records.reserve(units.size() + 2);
+    ForgettingRecords records;
+    records.cancellation = encodeRecord(StepJobCancelled {job});
+    records.units.reserve(units.size());
     for (const UnitKey &unit : units) {
-        records.push_back({std::string(UNIT_PREFIX) + unit.toString(), ""});
+        records.units.push_back({std::string(UNIT_PREFIX) + unit.toString(), ""});
     }
-    records.push_back({std::string(CANCEL_PREFIX) + job.value(), ""});
     // The record of the job is deleted last, so that no node is left with records of its units only.
-    records.push_back(encodeRecord(StepJobForgotten {job}));
+    records.job = {encodeRecord(StepJobPartForgotten {job}), encodeRecord(StepJobForgotten {job})};
     return records;
 }
 
@@ -309,7 +313,9 @@
         }
         if (value.empty() && key.size() > JOB_PREFIX.size() && key != PLANNER_KEY) {
             const std::string_view name = key.substr(JOB_PREFIX.size());
-            return JobRecord(StepJobForgotten {JobId(std::string(name.substr(0, name.find('.'))))});
+            JobId job(std::string(name.substr(0, name.find('.'))));
+            return key.starts_with(JOB_PREFIX) ? JobRecord(StepJobForgotten {std::move(job)})
+                                               : JobRecord(StepJobPartForgotten {std::move(job)});
         }
         if (key.starts_with(UNIT_PREFIX)) {
             UnitChanged record;
--- a/packages/steps/jobrecord.h
+++ b/packages/steps/jobrecord.h
@@ -47,6 +47,11 @@
     JobId job;
 };
 
+/** A record about a job other than its own has been deleted; the deletion of its own record follows. */
+struct StepJobPartForgotten {
+    JobId job;
+};
+
 /** The state of a unit has changed. */
 struct UnitChanged {
     UnitKey unit;
@@ -87,7 +92,7 @@
 };
 
 using JobRecord = std::variant<StepJobSubmitted, StepJobCancelled, StepJobForgotten, UnitChanged, PlannerAnnouncement,
-                               WaveProgress, ConfigCopied, MinionSilence, EvacuationsCopied>;
+                               WaveProgress, ConfigCopied, MinionSilence, EvacuationsCopied, StepJobPartForgotten>;
 
 /** A record in stored form. An empty value deletes the key. */
 struct StoredRecord {
@@ -98,11 +103,22 @@
 /** @return the stored form of @p record. */
 StoredRecord encodeRecord(const JobRecord &record);
 
+/**
+ * The records that delete the keys of a job. If only some of those about units are stored, a node that loads the
+ * journal then takes the units for waiting. Unless all records are stored atomically, the cancellation comes first.
+ */
+struct ForgettingRecords {
+    StoredRecord cancellation;
+    std::vector<StoredRecord> units; ///< delete the records of units
+    std::vector<StoredRecord> job;   ///< delete the rest; must be stored atomically and last
+};
+
 /** @return the records that delete the keys of @p job and of its @p units. */
-std::vector<StoredRecord> encodeForgetting(const JobId &job, const std::vector<UnitKey> &units);
+ForgettingRecords encodeForgetting(const JobId &job, const std::vector<UnitKey> &units);
 
 /**
- * Decodes the stored form of a record. An empty value of any key of a job decodes as StepJobForgotten.
+ * Decodes the stored form of a record. An empty value of the key of a job decodes as StepJobForgotten, of another key
+ * that belongs to a job as StepJobPartForgotten.
  * @return an error with the code "malformed" if the record does not match the format of this version
  */
 Result<JobRecord> decodeRecord(std::string_view key, std::string_view value);
--- a/tests/integration/stepstore.cpp
+++ b/tests/integration/stepstore.cpp
@@ -48,6 +48,35 @@
     EXPECT_TRUE(deployment.waitForState("plan", id, "completed"));
 }
 
+// Guards against an append of all changes of a pass that the store refuses for its size again and again: no job of
+// anybody ran any more.
+TEST(StepStore, WithALimitOnAppendsKeepsNoSmallJobWaitingBehindALargeOne)
+{
+    Deployment deployment;
+    StoreFaults limited;
+    limited.callBytes = 600'000; // the records of one pass over the large job take 700,000
+    deployment.store.setFaults(limited);
+    deployment.start();
+    const Json step = Deployment::step(7'000, {1, 2, 0});
+    ASSERT_EQ(200, deployment.submit(0, "batch", deployment.newId(), {step, step}, {{"workMs", 1'000}}).status);
+    std::this_thread::sleep_for(Millis(1'000));
+    const std::string small = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", small, {Deployment::step(1)}).status);
+    EXPECT_TRUE(deployment.waitForState("plan", small, "completed", Millis(20'000)));
+}
+
+// Guards against a job that is accepted although no record of it can be stored.
+TEST(StepStore, WithALimitOnRecordsLetsNoJobAboveItBeAccepted)
+{
+    Deployment deployment;
+    deployment.start();
+    const Json step = Deployment::step(1, {}, {{"image", std::string(300, 'x')}});
+    const std::vector<Json> steps(1'000, step);
+    const Answer answer = deployment.submit(0, "plan", deployment.newId(), steps);
+    EXPECT_EQ(400, answer.status);
+    EXPECT_NE(std::string::npos, answer.body.find("job-too-large")) << answer.body;
+}
+
 TEST(StepStore, ThatDoesNotAnswerMakesASubmissionTimeOutRatherThanBeRefused)
 {
     Deployment deployment;
--- a/tests/standins/platformstorestandin.cpp
+++ b/tests/standins/platformstorestandin.cpp
@@ -192,6 +192,15 @@
 HttpResponse PlatformStoreStandin::appendNow(const HttpRequest &request)
 {
     const std::lock_guard lock(m_mutex);
+    bool tooLarge = request.body.size() > m_faults.callBytes;
+    for (std::string_view rest = request.body; rest.size() >= 4;) {
+        const std::size_t length = fromBigEndian(rest.substr(0, 4));
+        tooLarge = tooLarge || length > m_faults.recordBytes;
+        rest.remove_prefix(std::min(rest.size(), 4 + length));
+    }
+    if (tooLarge) {
+        return jsonAnswer(413, Json::object());
+    }
     TopicLog &log = m_topics[std::string(request.query("topic"))];
     const std::string producer(request.query("producer"));
     const auto epoch = static_cast<std::uint64_t>(queryNumber(request, "epoch", 0));
--- a/tests/standins/platformstorestandin.h
+++ b/tests/standins/platformstorestandin.h
@@ -28,7 +28,9 @@
     bool busyAfterLoss = false; ///< the store turns busy with the first lost answer
     /** Number of appends that get no answer and take effect after lateMs, if still valid then. */
     std::int64_t lateAppends = 0;
-    std::int64_t lateMs = 0; ///< delay of a late append, in milliseconds
+    std::int64_t lateMs = 0;           ///< delay of a late append, in milliseconds
+    std::size_t callBytes = 2'097'152; ///< an append of more is refused with 413
+    std::size_t recordBytes = 262'144; ///< an append with a larger record is refused with 413
 };
 
 /**
--- a/tests/unit/storedjobs.cpp
+++ b/tests/unit/storedjobs.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <deque>
+#include <map>
 
 // Tests what the job table tells of changes that a planner has made and the store has not acknowledged.
 
@@ -99,6 +100,40 @@
     RC_ASSERT(planner.live().size() == follower.live().size());
 }
 
+// The records of a large job are deleted in several appends. Guards against a node that loads the journal between them
+// and takes the tasks whose records are gone for waiting.
+TEST(StoredJobs, ThatAreOnlyPartlyForgottenAreNotLiveAgain)
+{
+    const StepJob job = jobOfTasks();
+    std::vector<StoredRecord> stored {encodeRecord(StepJobSubmitted {job})};
+    std::vector<UnitKey> units;
+    for (std::int32_t task = 0; task < std::int32_t(TASKS); ++task) {
+        stored.push_back(encodeRecord(changeOf(task, UnitState::Done)));
+        units.push_back(changeOf(task, UnitState::Done).unit);
+    }
+    const ForgettingRecords forgetting = encodeForgetting(job.id, units);
+    std::vector<StoredRecord> deletions {forgetting.cancellation};
+    deletions.insert(deletions.end(), forgetting.units.begin(), forgetting.units.end());
+    std::map<std::string, std::string> newest;
+    for (const StoredRecord &record : stored) {
+        newest[record.key] = record.value;
+    }
+    JobTable reader;
+    reader.apply(StepJobSubmitted {job});
+    for (const StoredRecord &deletion : deletions) {
+        newest[deletion.key] = deletion.value;
+        JobTable loaded;
+        for (const auto &[key, value] : newest) {
+            loaded.apply(*decodeRecord(key, value));
+        }
+        EXPECT_FALSE(loaded.find(job.id)->live());
+        reader.apply(*decodeRecord(deletion.key, deletion.value));
+        EXPECT_NE(nullptr, reader.find(job.id)) << "a later planner must know what is left to delete";
+    }
+    reader.apply(*decodeRecord(forgetting.job.back().key, forgetting.job.back().value));
+    EXPECT_EQ(nullptr, reader.find(job.id));
+}
+
 } // namespace
 
 } // namespace Papaya
--- a/tests/unit/topicfollower.cpp
+++ b/tests/unit/topicfollower.cpp
@@ -14,6 +14,11 @@
 class WakingStore : public RecordStore
 {
 public:
+    [[nodiscard]] StoreLimits limits() const override
+    {
+        return {};
+    }
+
     Asio::awaitable<AppendOutcome> append(Topic /*topic*/, std::vector<StoredRecord> /*records*/,
                                           std::optional<Producer> /*producer*/, std::optional<Offset> /*expectedEnd*/,
                                           TimePoint /*deadline*/) override
