End the wait for leases of a predecessor by its node's word

A successor that does not reach a minion waits 13.65 s, since its predecessor may renew leases for 8 s after its last stored record.

The wait now ends 5.65 s, a lease on the slowest clock, after the last possible renewal if there is evidence of that: the journaled resignation of the predecessor, or an answer of its node at `peers` (GET /v1/renewals?epoch=E) that the planner of that epoch has ended, or that the process there has never claimed it. Planners before the predecessor are allowed 8 s from when the predecessor's first record was read. The wait for a minion is only shortened if its entry shows that it was up 2 s before its jobs were submitted, since a lease by the clock of a former instance may last longer. Without evidence the wait stays.

--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -5,7 +5,9 @@
 #include "dispatch/boottime.h"
 #include "dispatch/deploymentview.h"
 #include "dispatch/jobapi.h"
+#include "dispatch/leaseterms.h"
 #include "dispatch/operatorapi.h"
+#include "dispatch/renewalinquiry.h"
 #include "dispatch/stepplanner.h"
 #include "dispatch/topicfollower.h"
 #include "process/logging.h"
@@ -95,6 +97,8 @@
         , relayReceiver([this](std::vector<StoredRecord> records, TimePoint deadline) {
             return appendRelayed(std::move(records), deadline);
         })
+        , inquiries(
+              settings.node.value(), [this](Epoch epoch) { return renewalsEndedAgo(epoch); }, relayReceiver)
         , operators({*platform.codec, jobApi, jobTable, metrics, [this] { return deployment.config(); },
                      [this] { return status(); },
                      [this](const JobId &job) {
@@ -107,8 +111,9 @@
     {
         journal.setMinInterval(FOLLOWER_READ_INTERVAL);
         if (settings.peers) {
-            peerServer = HttpServer::listen(io, *settings.peers, HttpLimits {}, relayReceiver);
+            peerServer = HttpServer::listen(io, *settings.peers, HttpLimits {}, inquiries);
         }
+        ownLeadership.emplace(bootMillis());
     }
 
     void start()
@@ -241,6 +246,9 @@
         if (isFromPlanner(record)) {
             lastPlannerRecordMs = bootMillis();
         }
+        if (const auto *announced = std::get_if<PlannerAnnouncement>(&record)) {
+            succession.read(*announced, !loading, bootMillis());
+        }
         const bool decided =
             std::holds_alternative<UnitChanged>(record) || std::holds_alternative<WaveProgress>(record);
         if (planner && decided) {
@@ -391,6 +399,7 @@
                   {"previous", jobTable.planner().epoch.value()},
                   {"previous_node", jobTable.planner().node},
                   {"silent_ms", bootMillis() - lastPlannerRecordMs}});
+        ownLeadership->claimBegun(epoch);
         Producer producer {producerName(), epoch, 1};
         AppendOutcome outcome = AppendOutcome::Conflict;
         const std::int64_t silentSinceMs = lastPlannerRecordMs;
@@ -414,6 +423,7 @@
             won = co_await loadMinions();
         }
         if (!won) {
+            ownLeadership->ended(bootMillis());
             journal.setMinInterval(FOLLOWER_READ_INTERVAL);
             metrics.count(StepEvent::Claim, toString(outcome));
             claimBackoff.failed(bootMillis(), static_cast<std::uint32_t>(random() % JITTER_RANGE));
@@ -451,8 +461,40 @@
                                 settings.maxLease,
                                 settings.stopGrace,
                                 settings.minionDrain - ARRIVAL_RESERVE,
-                                [this](const char *reason) { loseLeadership(reason); }},
+                                [this](const char *reason) { loseLeadership(reason); },
+                                succession.before(epoch)},
                                claimWriter, statusWriter, epoch, deployment.minions());
+        if (const auto prior = succession.before(epoch)) {
+            Asio::co_spawn(io, seekPriorRenewalsEnd(*this, planner, prior->announced), Asio::detached);
+        }
+    }
+
+    /** Asks the node of the predecessor when that one has ceased to renew leases, as long as it matters. */
+    static Asio::awaitable<void> seekPriorRenewalsEnd(Parts &parts, std::shared_ptr<StepPlanner> successor,
+                                                      PlannerAnnouncement prior)
+    {
+        const auto peer = Endpoint::parse(prior.peers);
+        const bool isOwn = prior.node == parts.settings.node.value();
+        while ((isOwn || peer) && successor->seeksPriorRenewalsEnd()) {
+            std::optional<Millis> ago;
+            if (isOwn) {
+                ago = parts.renewalsEndedAgo(prior.epoch);
+            } else {
+                ago = co_await askForRenewals(parts.peerPool, *peer, prior.node, prior.epoch, INQUIRY_TIMEOUT);
+            }
+            if (ago) {
+                successor->priorRenewalsEnded(bootMillis() - ago->count());
+                co_return;
+            }
+            co_await sleepFor(INQUIRY_INTERVAL);
+        }
+    }
+
+    /** @return how long ago the planner of @p epoch, of this node, has ceased to renew; nothing if it has not. */
+    [[nodiscard]] std::optional<Millis> renewalsEndedAgo(Epoch epoch) const
+    {
+        const auto endMs = ownLeadership ? ownLeadership->renewalsEndMs(epoch) : std::nullopt;
+        return endMs ? std::optional(Millis(bootMillis() - *endMs)) : std::nullopt;
     }
 
     /**
@@ -517,6 +559,7 @@
         logEvent(LogLevel::Warning, "leadership-lost", {{"reason", reason}});
         planner->stop();
         planner.reset();
+        ownLeadership->ended(bootMillis());
         journal.setMinInterval(FOLLOWER_READ_INTERVAL);
         // The job table may contain decisions that were never journaled. If they were, they are read again.
         jobTable.discardUnstored();
@@ -569,6 +612,7 @@
             // The job table is kept, since callers still query this node for a while.
             parts.planner->resign([&parts] {
                 parts.planner.reset();
+                parts.ownLeadership->ended(bootMillis());
                 parts.journal.setMinInterval(FOLLOWER_READ_INTERVAL);
                 parts.jobTable.discardUnstored();
                 parts.journal.reload();
@@ -587,6 +631,8 @@
     static constexpr Millis MIN_RELAY_TIME {300};
     static constexpr Millis MAX_CLAIM_OVERDUE {50}; // a store that answers late may hide the planner's records
     static constexpr Millis CLAIM_TIMEOUT {2'000};
+    static constexpr Millis INQUIRY_TIMEOUT {500};
+    static constexpr Millis INQUIRY_INTERVAL {200}; // a node that is started again answers within about as much
     static constexpr Millis CLAIM_POLL_INTERVAL {5};
     static constexpr int CLAIM_ATTEMPTS = 6;
     static constexpr std::size_t CLAIM_READ_KB = 256;
@@ -610,6 +656,7 @@
     JournalRelay relay;
     JobApi jobApi;
     RelayReceiver relayReceiver;
+    RenewalInquiryReceiver inquiries;
     OperatorApi operators;
     std::shared_ptr<StepPlanner> planner;
     Asio::signal_set signals;
@@ -621,6 +668,8 @@
     bool loading = false; ///< the newest record of each key is being applied
     std::int64_t startedMs = 0;
     std::int64_t lastPlannerRecordMs = 0;
+    Succession succession {RENEWAL_WINDOW_MS};
+    std::optional<OwnLeadership> ownLeadership; ///< empty until the listeners are open
     ClaimBackoff claimBackoff;
     bool claiming = false;
     bool draining = false;
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -30,6 +30,7 @@
 constexpr std::int64_t RESERVE_MARGIN_MS = 300;      // beyond the time of a stop, until the next pass and its orders
 constexpr std::int64_t MAX_RESERVE_DIVISOR = 4;      // of the fleet's GPUs
 constexpr std::int64_t NEARLY_DONE_PERCENT = 85;     // units with at least this progress are not preempted
+constexpr std::int64_t MAX_WALL_CLOCK_DIFFERENCE_MS = 2'000; // of a minion's host and a node
 
 } // namespace
 
@@ -58,6 +59,9 @@
               {"placed", std::uint64_t(planner->m_assignments.size())},
               {"jobs", std::uint64_t(planner->m_context.jobTable.size())}});
     planner->requestPass();
+    if (const auto &prior = planner->m_context.prior; prior && prior->resignedMs) {
+        planner->priorRenewalsEnded(*prior->resignedMs);
+    }
     if (planner->m_context.machines != nullptr) {
         const Context &own = planner->m_context;
         UpkeepController::begin({own.io, *own.machines, std::shared_ptr<FleetAccess>(planner, planner.get()),
@@ -199,6 +203,36 @@
     return std::min(unknownEndMs, silence->second.readMs + span);
 }
 
+std::int64_t StepPlanner::provenPriorLeaseEndMs(const MinionLink &link) const
+{
+    const bool proven = m_priorRenewalsEndMs && link.restarts == 0 && link.entry.startTimeMs != 0;
+    const bool precedesWork = std::all_of(link.placed.begin(), link.placed.end(), [&](const PlacedMember &placed) {
+        const JobEntry *entry = m_context.jobTable.find(placed.assignment->unit.job);
+        return entry != nullptr && link.entry.startTimeMs + MAX_WALL_CLOCK_DIFFERENCE_MS < entry->job.submittedMs;
+    });
+    return proven && precedesWork ? std::min(link.priorLeaseUntilMs, *m_priorRenewalsEndMs + LAST_LEASE_SPAN_MS)
+                                  : link.priorLeaseUntilMs;
+}
+
+bool StepPlanner::seeksPriorRenewalsEnd() const
+{
+    return m_leading && m_context.prior && !m_priorRenewalsEndMs && bootMillis() - m_takeoverMs < RENEWAL_WINDOW_MS;
+}
+
+void StepPlanner::priorRenewalsEnded(std::int64_t atMs)
+{
+    if (!seeksPriorRenewalsEnd()) {
+        return;
+    }
+    m_priorRenewalsEndMs = std::max(atMs, m_context.prior->earlierRenewalsEndMs);
+    const std::int64_t now = bootMillis();
+    logEvent(LogLevel::Info, "prior-renewals-ended",
+             {{"epoch", m_context.prior->announced.epoch.value()},
+              {"node", m_context.prior->announced.node},
+              {"ended_ms_ago", now - *m_priorRenewalsEndMs},
+              {"since_takeover_ms", now - m_takeoverMs}});
+}
+
 void StepPlanner::minionUnlisted(const MinionId &id)
 {
     const auto found = m_links.find(id);
--- a/packages/dispatch/stepplannerhealth.cpp
+++ b/packages/dispatch/stepplannerhealth.cpp
@@ -64,7 +64,7 @@
     std::vector<PlacedMember> lost;
     for (const auto &[id, link] : m_links) {
         const bool lapsed =
-            link.clock.known() ? link.pollFailures > 0 && link.clock.lapsed(now) : now > link.priorLeaseUntilMs;
+            link.clock.known() ? link.pollFailures > 0 && link.clock.lapsed(now) : now > provenPriorLeaseEndMs(link);
         if (lapsed) {
             std::copy_if(link.placed.begin(), link.placed.end(), std::back_inserter(lost),
                          [now](const PlacedMember &placed) { return now > placed.member().unverifiedUntilMs; });
--- a/tests/integration/silentminions.cpp
+++ b/tests/integration/silentminions.cpp
@@ -72,6 +72,25 @@
     EXPECT_TRUE(minion.deployment.runs.doubled().empty());
 }
 
+// Guards against waiting for leases that a predecessor might have renewed for some time, although its node says that
+// its process has ended.
+TEST(SilentMinion, IsWaitedForForOneLeaseOnceTheNodeOfThePredecessorRunsAgain)
+{
+    SilentMinion minion;
+    minion.start();
+    std::this_thread::sleep_for(Millis(8'000)); // a planner before the predecessor could renew leases for as long
+    minion.setSilent(true);
+    minion.deployment.nodes[minion.leader]->kill();
+    const std::int64_t killedMs = nowMs();
+    std::this_thread::sleep_for(Millis(1'500));
+    minion.deployment.startNode(minion.leader);
+    const std::int64_t startedMs = minion.secondStartMs();
+    ASSERT_GT(startedMs, 0);
+    EXPECT_LT(startedMs - killedMs, 1'500 + 5'650 + 2'000); // until the restart, one lease, and some time to begin
+    EXPECT_TRUE(minion.deployment.runs.doubled().empty());
+    EXPECT_EQ("lapsed", minion.deployment.runs.of(minion.job).front().how);
+}
+
 // Guards against a second run of a task whose minion was silent for a while, got leases again, and cannot be reached by
 // the planner that takes over.
 TEST(SilentMinion, ThatGotLeasesAgainIsWaitedForFromTheTakeOver)
