--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -28,6 +28,7 @@
 constexpr std::int64_t FORGET_INTERVAL_MS = 1'000;
 constexpr std::int64_t MINION_RETENTION_MS = 60'000; // after its entry is removed; orders in flight end sooner
 constexpr std::int64_t NEARLY_DONE_PERCENT = 85;     // units with at least this progress are not preempted
+constexpr std::int64_t MAX_WALL_CLOCK_DIFFERENCE_MS = 2'000; // of a minion's host and a node
 
 } // namespace
 
@@ -56,6 +57,9 @@
               {"placed", std::uint64_t(planner->m_assignments.size())},
               {"jobs", std::uint64_t(planner->m_context.jobTable.size())}});
     planner->requestPass();
+    if (const auto &prior = planner->m_context.prior; prior && prior->resignedMs) {
+        planner->priorRenewalsEnded(*prior->resignedMs);
+    }
     if (planner->m_context.machines != nullptr) {
         const Context &own = planner->m_context;
         UpkeepController::begin({own.io, *own.machines, std::shared_ptr<FleetAccess>(planner, planner.get()),
@@ -186,6 +190,36 @@
     return std::min(unknownEndMs, silence->second.readMs + span);
 }
 
+std::int64_t StepPlanner::provenPriorLeaseEndMs(const MinionLink &link) const
+{
+    const bool proven = m_priorRenewalsEndMs && link.restarts == 0 && link.entry.startTimeMs != 0;
+    const bool precedesWork = std::all_of(link.placed.begin(), link.placed.end(), [&](const PlacedMember &placed) {
+        const JobEntry *entry = m_context.jobTable.find(placed.assignment->unit.job);
+        return entry != nullptr && link.entry.startTimeMs + MAX_WALL_CLOCK_DIFFERENCE_MS < entry->job.submittedMs;
+    });
+    return proven && precedesWork ? std::min(link.priorLeaseUntilMs, *m_priorRenewalsEndMs + LAST_LEASE_SPAN_MS)
+                                  : link.priorLeaseUntilMs;
+}
+
+bool StepPlanner::seeksPriorRenewalsEnd() const
+{
+    return m_leading && m_context.prior && !m_priorRenewalsEndMs && bootMillis() - m_takeoverMs < RENEWAL_WINDOW_MS;
+}
+
+void StepPlanner::priorRenewalsEnded(std::int64_t atMs)
+{
+    if (!seeksPriorRenewalsEnd()) {
+        return;
+    }
+    m_priorRenewalsEndMs = std::max(atMs, m_context.prior->earlierRenewalsEndMs);
+    const std::int64_t now = bootMillis();
+    logEvent(LogLevel::Info, "prior-renewals-ended",
+             {{"epoch", m_context.prior->announced.epoch.value()},
+              {"node", m_context.prior->announced.node},
+              {"ended_ms_ago", now - *m_priorRenewalsEndMs},
+              {"since_takeover_ms", now - m_takeoverMs}});
+}
+
 void StepPlanner::minionUnlisted(const MinionId &id)
 {
     const auto found = m_links.find(id);
@@ -477,6 +511,18 @@
     for (const std::size_t m : decision.minions) {
         status.minions.push_back(ids[m]);
     }
+    UnitStatus bare = status;
+    bare.checkpoint.clear();
+    if (!m_writer->fits(encodeRecord(UnitChanged {decision.unit, std::move(bare)}))) {
+        // No record of a gang on so many minions can be stored.
+        logEvent(LogLevel::Error, "unit-too-wide",
+                 {{"unit", decision.unit.toString()}, {"members", std::uint64_t(status.minions.size())}});
+        status.state = UnitState::Failed;
+        status.minions.clear();
+        record(decision.unit, std::move(status));
+        jobChanged(decision.unit.job);
+        return;
+    }
     record(decision.unit, status);
     m_notBefore.erase(decision.unit);
     m_context.metrics.count(StepEvent::Placement, m_context.jobTable.find(decision.unit.job)->job.queue.value());
--- a/tests/integration/silentminions.cpp
+++ b/tests/integration/silentminions.cpp
@@ -72,6 +72,25 @@
     EXPECT_TRUE(minion.deployment.runs.doubled().empty());
 }
 
+// Guards against waiting for leases that a predecessor might have renewed for some time, although its node says that
+// its process has ended.
+TEST(SilentMinion, IsWaitedForForOneLeaseOnceTheNodeOfThePredecessorRunsAgain)
+{
+    SilentMinion minion;
+    minion.start();
+    std::this_thread::sleep_for(Millis(8'000)); // a planner before the predecessor could renew leases for as long
+    minion.setSilent(true);
+    minion.deployment.nodes[minion.leader]->kill();
+    const std::int64_t killedMs = nowMs();
+    std::this_thread::sleep_for(Millis(1'500));
+    minion.deployment.startNode(minion.leader);
+    const std::int64_t startedMs = minion.secondStartMs();
+    ASSERT_GT(startedMs, 0);
+    EXPECT_LT(startedMs - killedMs, 1'500 + 5'650 + 2'000); // until the restart, one lease, and some time to begin
+    EXPECT_TRUE(minion.deployment.runs.doubled().empty());
+    EXPECT_EQ("lapsed", minion.deployment.runs.of(minion.job).front().how);
+}
+
 // Guards against a second run of a task whose minion was silent for a while, got leases again, and cannot be reached by
 // the planner that takes over.
 TEST(SilentMinion, ThatGotLeasesAgainIsWaitedForFromTheTakeOver)
@@ -93,6 +112,34 @@
     EXPECT_EQ("lapsed", minion.deployment.runs.of(minion.job).front().how);
 }
 
+// A minion lists 500 ends at a time, and none is acknowledged while a start order is unanswered. Guards against tasks
+// whose ends are beyond the first 500 being taken for lost and started again.
+TEST(SilentMinion, ThatListsOnlyTheFirstEndsHasNoDoneTaskStartedAgain)
+{
+    constexpr std::uint32_t TASKS = 600;
+    constexpr std::int64_t WORK_MS = 4'000;
+    DeploymentOptions options;
+    options.minions = 1;
+    Deployment deployment(options);
+    deployment.start();
+    const std::string job = deployment.newId();
+    ASSERT_EQ(
+        200, deployment.submit(0, "batch", job, {Deployment::step(TASKS, {50, 100, 0})}, {{"workMs", WORK_MS}}).status);
+    ASSERT_TRUE(deployment.waitForRunCount(job, TASKS));
+    // The start order must be unanswered while the tasks end.
+    const std::int64_t endMs = deployment.runs.of(job).front().startedMs + WORK_MS;
+    std::this_thread::sleep_for(Millis(endMs - 150 - nowMs()));
+    Standins::PlatformMinionFaults faults;
+    faults.lateStarts = 1;
+    faults.lateMs = 4'500;
+    deployment.minions.front()->setFaults(faults);
+    const std::string late = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "batch", late, {Deployment::step(1, {50, 100, 0})}).status);
+    EXPECT_TRUE(deployment.waitForState("batch", job, "completed", Millis(20'000)));
+    EXPECT_EQ(TASKS, deployment.runs.of(job).size());
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+}
+
 } // namespace
 
 } // namespace Papaya::Testing
