--- a/tests/integration/cluster.h
+++ b/tests/integration/cluster.h
@@ -158,6 +158,10 @@
     {
         return m_admin[instance];
     }
+    [[nodiscard]] Endpoint peers(std::size_t instance) const
+    {
+        return m_peers[instance];
+    }
 
     Asio::io_context io;
     Standins::LogStandin log;
--- a/tests/integration/deployment.cpp
+++ b/tests/integration/deployment.cpp
@@ -69,6 +69,7 @@
     for (std::size_t i = 0; i < m_options.nodes; ++i) {
         m_callers.push_back(freeEndpoint(io));
         m_operatorEndpoints.push_back(freeEndpoint(io));
+        m_peers.push_back(freeEndpoint(io));
         const std::string base = m_directory + "/node-" + std::to_string(i);
         Endpoint storeAddress = store.address();
         if (m_options.storeProxies) {
@@ -78,7 +79,7 @@
         Json settings = {{"node", "node-" + std::to_string(i)},   {"place", "here"},
                          {"callers", m_callers[i].toString()},    {"ready", m_operatorEndpoints[i].toString()},
                          {"store", storeAddress.toString()},      {"drainLimitMs", DRAIN_LIMIT_MS},
-                         {"peers", freeEndpoint(io).toString()},  {"keepEndedMs", m_options.keepEndedMs},
+                         {"peers", m_peers[i].toString()},        {"keepEndedMs", m_options.keepEndedMs},
                          {"oracle", oracle.address().toString()}, {"machines", machines.address().toString()}};
         if (i < m_options.cores.size()) {
             settings["cores"] = m_options.cores[i];
--- a/tests/integration/deployment.h
+++ b/tests/integration/deployment.h
@@ -86,6 +86,21 @@
     [[nodiscard]] bool ready(std::size_t node);
     /** @return the index of the leader according to the newest heartbeat in the journal; none if it has resigned. */
     std::optional<std::size_t> leader();
+    /** @return the listener of the node for callers. */
+    [[nodiscard]] Endpoint callers(std::size_t node) const
+    {
+        return m_callers[node];
+    }
+    /** @return the listener of the node for the readiness probe and operators. */
+    [[nodiscard]] Endpoint operators(std::size_t node) const
+    {
+        return m_operatorEndpoints[node];
+    }
+    /** @return the listener of the node for other nodes. */
+    [[nodiscard]] Endpoint peers(std::size_t node) const
+    {
+        return m_peers[node];
+    }
     /** @return the settings file of the node. */
     [[nodiscard]] std::string settingsPath(std::size_t node) const;
     /** @return the log output of the node. */
@@ -116,6 +131,7 @@
     std::string m_directory;
     std::vector<Endpoint> m_callers;
     std::vector<Endpoint> m_operatorEndpoints;
+    std::vector<Endpoint> m_peers;
     Json m_config;
     std::uint64_t m_version = 0;
     std::atomic<unsigned> m_lastId = 0;
