Bound the memory that clients hold on all listeners

Callers saw a process end or refuse work once a few connections sent trailers, chunk extensions or header fields without end, left HTTP/2 streams unfinished or took no answers. The read buffer of a connection had no limit, fields took up to 25 times their bytes, streams were limited one by one, and a connection whose answer was not taken counted as busy.

--- a/packages/connection/http2connection.cpp
+++ b/packages/connection/http2connection.cpp
@@ -71,6 +71,39 @@
     m_session.reset(session);
 }
 
+void Http2Connection::limitMemory(std::shared_ptr<InputBudget> budget)
+{
+    m_memory.emplace(std::move(budget), [weak = weak_from_this(), executor = m_socket.get_executor()] {
+        Asio::post(executor, [weak] {
+            if (const auto self = weak.lock()) {
+                self->close();
+            }
+        });
+    });
+    m_memory->setWaiting();
+}
+
+bool Http2Connection::withinBudget()
+{
+    return !m_memory || m_memory->hold(m_incomingBytes + m_outgoingBytes + m_pending.size());
+}
+
+void Http2Connection::eraseIncoming(std::int32_t stream)
+{
+    if (const auto found = m_incoming.find(stream); found != m_incoming.end()) {
+        m_incomingBytes -= found->second.body.size();
+        m_incoming.erase(found);
+    }
+}
+
+void Http2Connection::eraseOutgoing(std::int32_t stream)
+{
+    if (const auto found = m_outgoing.find(stream); found != m_outgoing.end()) {
+        m_outgoingBytes -= found->second->body.size();
+        m_outgoing.erase(found);
+    }
+}
+
 void Http2Connection::start()
 {
     const std::array<nghttp2_settings_entry, 1> settings {
@@ -105,6 +138,7 @@
 {
     holder = std::make_unique<Outgoing>();
     holder->body = std::move(body);
+    m_outgoingBytes += holder->body.size();
     nghttp2_data_provider provider;
     provider.source.ptr = holder.get();
     provider.read_callback = readOutgoing;
@@ -217,6 +251,9 @@
             break;
         }
         self->flush();
+        if (!self->withinBudget()) {
+            break;
+        }
     }
     self->close();
 }
@@ -239,11 +276,13 @@
 int Http2Connection::dataReceived(nghttp2_session * /*session*/, std::uint8_t /*flags*/, std::int32_t stream,
                                   const std::uint8_t *data, std::size_t size, void *user)
 {
-    Http2Message &message = connectionOf(user).m_incoming[stream];
+    Http2Connection &self = connectionOf(user);
+    Http2Message &message = self.m_incoming[stream];
     if (message.body.size() + size > MAX_BODY_BYTES) {
         return NGHTTP2_ERR_CALLBACK_FAILURE;
     }
     message.body.append(reinterpret_cast<const char *>(data), size);
+    self.m_incomingBytes += size;
     return 0;
 }
 
@@ -263,7 +302,12 @@
         return 0;
     }
     Http2Message message = std::move(found->second);
+    self.m_incomingBytes -= message.body.size();
     self.m_incoming.erase(found);
+    self.m_lastMessageAt = Clock::now();
+    if (self.m_memory) {
+        self.m_memory->setWaiting();
+    }
     if (self.onMessage) {
         self.onMessage(frame->hd.stream_id, std::move(message));
     }
@@ -273,8 +317,8 @@
 int Http2Connection::streamClosed(nghttp2_session * /*session*/, std::int32_t stream, std::uint32_t error, void *user)
 {
     Http2Connection &self = connectionOf(user);
-    self.m_incoming.erase(stream);
-    self.m_outgoing.erase(stream);
+    self.eraseIncoming(stream);
+    self.eraseOutgoing(stream);
     if (error != NGHTTP2_NO_ERROR && self.onStreamFailed) {
         self.onStreamFailed(stream);
     }
--- a/packages/connection/http2connection.h
+++ b/packages/connection/http2connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection/inputbudget.h"
 #include "connection/peersession.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -7,9 +8,11 @@
 
 #include <nghttp2/nghttp2.h>
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 // An HTTP/2 connection between peers. Passes bytes between the socket and nghttp2 and assembles complete messages from
@@ -56,6 +59,14 @@
     void sendAnswer(std::int32_t stream, std::string body);
     void sendPing();
 
+    /** Counts what the peer makes this end hold against @p budget. To be called before start(). */
+    void limitMemory(std::shared_ptr<InputBudget> budget);
+    /** @return when the last message was received. Thread-safe. */
+    [[nodiscard]] TimePoint lastMessageAt() const
+    {
+        return m_lastMessageAt;
+    }
+
     OnMessage onMessage;
     OnStreamFailed onStreamFailed;
     std::function<void()> onPong;
@@ -78,6 +89,9 @@
 
     void open(Http2Side side);
     void flush();
+    [[nodiscard]] bool withinBudget();
+    void eraseIncoming(std::int32_t stream);
+    void eraseOutgoing(std::int32_t stream);
     nghttp2_data_provider makeDataProvider(std::string body, std::unique_ptr<Outgoing> &holder);
     static Asio::awaitable<void> readLoop(std::shared_ptr<Http2Connection> self);
     static Asio::awaitable<void> writeLoop(std::shared_ptr<Http2Connection> self);
@@ -98,7 +112,11 @@
     std::unique_ptr<nghttp2_session, SessionDeleter> m_session;
     std::map<std::int32_t, Http2Message> m_incoming;
     std::map<std::int32_t, std::unique_ptr<Outgoing>> m_outgoing;
-    std::string m_pending; ///< serialized frames not yet written to the socket
+    std::string m_pending;                      ///< serialized frames not yet written to the socket
+    std::optional<InputBudget::Share> m_memory; ///< absent on connections that this end has opened
+    std::atomic<TimePoint> m_lastMessageAt {Clock::now()};
+    std::size_t m_outgoingBytes = 0; ///< of all bodies in m_outgoing
+    std::size_t m_incomingBytes = 0; ///< of all messages in m_incoming
     bool m_writing = false;
     bool m_receiving = false; ///< nghttp2_session_mem_recv() is running
     bool m_closed = false;
--- a/packages/connection/httpserver.cpp
+++ b/packages/connection/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "connection/httpserver.h"
 
 #include "connection/listener.h"
+#include "connection/requestparser.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -11,9 +12,12 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <functional>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 
 namespace Papaya
@@ -30,22 +34,12 @@
 constexpr Millis DISCARD_TIMEOUT {2'000};
 constexpr std::size_t MAX_DISCARDED_BYTES = 16UL * 1024 * 1024;
 constexpr std::size_t FIRST_READ_BYTES = 4096;
-constexpr int MAX_EVICTION_ATTEMPTS = 4; // the chosen connection may have begun a request in the meantime
-
-using Parser = Http::request_parser<Http::string_body>;
-
-HttpRequest toRequest(Parser &parser)
-{
-    auto &message = parser.get();
-    HttpRequest request;
-    request.method = message.method_string();
-    request.target = message.target();
-    for (const auto &field : message) {
-        request.fields.append(field.name_string(), field.value());
-    }
-    request.body = std::move(message.body());
-    return request;
-}
+// Requests in a row that were received together with their predecessor. A client that sends without end and reads
+// nothing would otherwise keep the process busy with work that nobody waits for.
+constexpr unsigned MAX_PIPELINED_REQUESTS = 16;
+constexpr std::size_t MIN_READ_BYTES = 512;
+constexpr std::size_t DISCARD_READ_BYTES = 2048; // held by each refused connection
+constexpr int MAX_EVICTION_ATTEMPTS = 4;         // the chosen connection may have begun a request in the meantime
 
 Http::response<Http::string_body> toMessage(HttpResponse response, unsigned version, bool keepAlive)
 {
@@ -98,6 +92,7 @@
     State(Asio::io_context &io, const Endpoint &address, const HttpLimits &limits, HttpHandler &handler)
         : m_limits(limits)
         , m_handler(handler)
+        , m_budget(limits.budget ? limits.budget : InputBudget::create())
         , m_listener(Listener::open(io, address))
     {
     }
@@ -147,6 +142,8 @@
         Beast::tcp_stream stream;
         std::atomic<TimePoint> waitingSince {Clock::now()}; ///< start of the wait for the client; BUSY while answering
         std::uint64_t id = 0;
+        unsigned pipelined = 0; ///< requests in a row answered without a read from the socket
+        std::optional<InputBudget::Share> memory;
     };
     using ConnectionPtr = std::shared_ptr<Connection>;
 
@@ -175,6 +172,7 @@
         {
             const std::lock_guard lock(m_mutex);
             connection->id = m_nextId++;
+            connection->memory.emplace(m_budget, disconnector(connection));
             m_connections.emplace(connection->id, connection);
         }
         Asio::co_spawn(connection->stream.get_executor(), serve(shared_from_this(), connection), Asio::detached);
@@ -211,6 +209,22 @@
         self.removeConnection(*connection);
     }
 
+    /** @return a function that closes @p connection on its strand. */
+    std::function<void()> disconnector(const ConnectionPtr &connection)
+    {
+        return
+            [state = weak_from_this(), weak = std::weak_ptr(connection), executor = connection->stream.get_executor()] {
+                Asio::post(executor, [state, weak] {
+                    const auto self = state.lock();
+                    const auto open = weak.lock();
+                    if (self && open) {
+                        self->countDrop(HttpDropReason::Evicted);
+                        open->stream.close();
+                    }
+                });
+            };
+    }
+
     void removeConnection(const Connection &connection)
     {
         const std::lock_guard lock(m_mutex);
@@ -225,7 +239,7 @@
     static Asio::awaitable<void> serve(std::shared_ptr<State> self, ConnectionPtr connection)
     {
         try {
-            Beast::flat_buffer buffer;
+            Beast::flat_buffer buffer(2 * self->m_limits.headerBytes); // also limits chunk headers and trailers
             while (co_await self->serveOne(*connection, buffer)) {}
         } catch (const std::exception &) {
             // The answer could not be written. The handler has already counted it.
@@ -240,7 +254,7 @@
     Asio::awaitable<bool> serveOne(Connection &connection, Beast::flat_buffer &buffer)
     {
         Beast::tcp_stream &stream = connection.stream;
-        Parser parser;
+        RequestParser parser;
         parser.header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
         parser.body_limit(m_limits.bodyBytes);
         error_code error;
@@ -249,15 +263,17 @@
         // 1. Wait for the first bytes. An idle connection costs nothing but this read.
         connection.waitingSince = Clock::now();
         if (buffer.size() == 0) {
+            connection.pipelined = 0;
+            connection.memory->hold(buffer.capacity());
+            connection.memory->setWaiting();
             stream.expires_after(m_limits.idleTimeout);
             buffer.commit(co_await stream.async_read_some(buffer.prepare(FIRST_READ_BYTES), token));
         }
-        // 2. Read the rest under the shorter time-outs for a request that has begun. async_read_header() returns only
-        //    once the header is complete, so it cannot be used to wait for the first bytes.
+        // 2. Read the rest under the shorter time-outs for a request that has begun.
         if (!error) {
             connection.waitingSince = Clock::now();
             stream.expires_after(m_limits.headerTimeout);
-            co_await Http::async_read_header(stream, buffer, parser, token);
+            error = co_await parse(connection, buffer, parser, [&parser] { return parser.is_header_done(); });
             countTimeout(error, HttpDropReason::HeaderTimeout);
         }
         LargeBodyReservation reservation(m_largeBodies);
@@ -271,32 +287,80 @@
                 co_return false;
             }
             stream.expires_after(m_limits.bodyTimeout);
-            co_await Http::async_read(stream, buffer, parser, token);
+            parser.eager(true);
+            error = co_await parse(connection, buffer, parser, [&parser] { return parser.is_done(); });
             countTimeout(error, HttpDropReason::BodyTimeout);
         }
         if (error) {
-            if (isParseError(error)) {
+            if (error == boost::system::errc::not_enough_memory) {
+                countDrop(HttpDropReason::LargeBodyLimit);
+                co_await refuse(stream, errorResponse(503, "overloaded", "requests being received use all memory"));
+            } else if (isParseError(error)) {
                 co_await refuse(stream, parseErrorResponse(error));
             }
             co_return false;
         }
         // 3. Answer. The stream has no time-out while the handler runs, since the handler has a deadline of its own.
         connection.waitingSince = BUSY;
+        connection.memory->setServed();
         stream.expires_never();
         const InProgressGuard guard(m_inProgress);
-        const bool keepAlive = parser.get().keep_alive();
-        const unsigned version = parser.get().version();
-        HttpResponse response = co_await answer(toRequest(parser));
+        const bool keepAlive = parser.keep_alive();
+        const unsigned version = parser.version();
+        HttpResponse response = co_await answer(std::move(parser.request()));
         if (response.status == 0) {
             co_return false;
         }
-        const bool keepOpen = keepAlive && !m_draining && response.fields.get("Connection") != "close";
+        ++connection.pipelined;
+        const bool keepOpen = keepAlive && !m_draining && connection.pipelined < MAX_PIPELINED_REQUESTS
+                              && response.fields.get("Connection") != "close";
+        // A client that does not take its answer may be disconnected like one that does not complete its request.
+        connection.waitingSince = Clock::now();
+        connection.memory->setWaiting();
+        connection.memory->hold(buffer.capacity() + response.body.capacity());
         co_await write(stream, std::move(response), version, keepOpen);
         co_return keepOpen;
     }
 
+    /**
+     * Reads and parses until @p isComplete.
+     * @return an error of the connection or of the parser, or not_enough_memory if the memory budget is exceeded
+     */
+    template<typename IsComplete>
+    static Asio::awaitable<error_code> parse(Connection &connection, Beast::flat_buffer &buffer, RequestParser &parser,
+                                             IsComplete isComplete)
+    {
+        error_code error;
+        while (!isComplete()) {
+            if (buffer.size() > 0) {
+                buffer.consume(parser.put(buffer.cdata(), error));
+                if (error && error != Http::error::need_more) {
+                    co_return error;
+                }
+                if (!connection.memory->hold(parser.memoryBytes() + buffer.capacity())) {
+                    co_return make_error_code(boost::system::errc::not_enough_memory);
+                }
+                if (!error) {
+                    continue;
+                }
+            }
+            const std::size_t room = buffer.max_size() - buffer.size();
+            if (room == 0) {
+                co_return Http::error::header_limit;
+            }
+            connection.pipelined = 0;
+            const std::size_t size = std::min(room, std::max(MIN_READ_BYTES, buffer.capacity() - buffer.size()));
+            buffer.commit(co_await connection.stream.async_read_some(buffer.prepare(size),
+                                                                     Asio::redirect_error(Asio::use_awaitable, error)));
+            if (error) {
+                co_return error;
+            }
+        }
+        co_return error_code();
+    }
+
     /** @return the body's declared length in bytes, or the limit if the client declares none. */
-    [[nodiscard]] std::size_t bodyBytesToReserve(const Parser &parser) const
+    [[nodiscard]] std::size_t bodyBytesToReserve(const RequestParser &parser) const
     {
         const auto length = parser.content_length();
         return length ? static_cast<std::size_t>(*length) : m_limits.bodyBytes;
@@ -324,7 +388,7 @@
         error_code error;
         stream.socket().shutdown(Tcp::socket::shutdown_send, error);
         stream.expires_after(DISCARD_TIMEOUT);
-        std::array<char, 16384> buffer {};
+        std::array<char, DISCARD_READ_BYTES> buffer {};
         std::size_t discarded = 0;
         while (!error && discarded < MAX_DISCARDED_BYTES) {
             discarded +=
@@ -405,6 +469,7 @@
 
     const HttpLimits m_limits;
     HttpHandler &m_handler;
+    const std::shared_ptr<InputBudget> m_budget;
     const std::shared_ptr<Listener> m_listener;
     std::atomic<bool> m_draining {false};
     std::atomic<std::size_t> m_inProgress {0};
--- a/packages/connection/httpserver.h
+++ b/packages/connection/httpserver.h
@@ -3,6 +3,7 @@
 #include "base/endpoint.h"
 #include "base/units.h"
 #include "connection/http.h"
+#include "connection/inputbudget.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -37,7 +38,7 @@
     HeaderTimeout,   ///< the header was not received within headerTimeout
     BodyTimeout,     ///< the body was not received within bodyTimeout
     WriteTimeout,    ///< the client did not read the answer within writeTimeout
-    Evicted,         ///< closed while waiting for the client, to admit a new connection
+    Evicted,         ///< closed while waiting for the client, to admit a new connection or free memory
     ConnectionLimit, ///< rejected, since all connections have a request in progress
     LargeBodyLimit,  ///< rejected, since the large bodies in progress would exceed largeBodiesBytes
     Count,
@@ -50,6 +51,8 @@
     std::size_t connections = 4096;
     std::size_t smallBodyBytes = 16 * 1024;          ///< bodies up to this size are always read
     std::size_t largeBodiesBytes = 16 * 1024 * 1024; ///< total of all larger bodies in progress
+    /** Shared by all listeners of a process; null gives the listener a budget of its own. */
+    std::shared_ptr<InputBudget> budget = nullptr;
     Millis idleTimeout {60'000};
     Millis headerTimeout {5'000};
     Millis bodyTimeout {10'000};
--- a/packages/connection/peersession.cpp
+++ b/packages/connection/peersession.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <mutex>
 #include <set>
 
@@ -18,20 +19,15 @@
 using Tcp = Asio::ip::tcp;
 using boost::system::error_code;
 
-namespace
-{
-
-constexpr std::size_t MAX_PEER_CONNECTIONS = 128;
-
-} // namespace
-
 /** The listening socket and its connections. */
 class PeerServer::State : public std::enable_shared_from_this<State>
 {
 public:
-    State(Asio::io_context &io, const Endpoint &address, PeerHandler &handler, PeerTraffic &traffic)
+    State(Asio::io_context &io, const Endpoint &address, PeerHandler &handler, PeerTraffic &traffic,
+          const PeerLimits &limits)
         : m_handler(handler)
         , m_traffic(traffic)
+        , m_limits(limits)
         , m_listener(Listener::open(io, address))
     {
     }
@@ -77,9 +73,12 @@
         {
             const std::lock_guard lock(m_mutex);
             std::erase_if(m_connections, [](const ConnectionRef &ref) { return ref.weak.expired(); });
-            if (m_closed || m_connections.size() >= MAX_PEER_CONNECTIONS) {
+            if (m_closed) {
                 return;
             }
+            while (m_connections.size() >= m_limits.connections) {
+                closeLongestSilent();
+            }
             m_connections.push_back({strand, connection});
         }
         std::weak_ptr<Http2Connection> weak = connection;
@@ -88,11 +87,28 @@
                 open->sendAnswer(stream, self->m_handler.onPeerRequest(message.path, message.body));
             }
         };
+        connection->limitMemory(m_limits.budget);
         Asio::post(strand, [connection] { connection->start(); });
     }
 
+    void closeLongestSilent()
+    {
+        const auto lastMessageAt = [](const ConnectionRef &ref) {
+            const auto open = ref.weak.lock();
+            return open ? open->lastMessageAt() : TimePoint::min();
+        };
+        const auto oldest = std::ranges::min_element(m_connections, {}, lastMessageAt);
+        Asio::post(oldest->strand, [weak = oldest->weak] {
+            if (const auto open = weak.lock()) {
+                open->close();
+            }
+        });
+        m_connections.erase(oldest);
+    }
+
     PeerHandler &m_handler;
     PeerTraffic &m_traffic;
+    const PeerLimits m_limits;
     const std::shared_ptr<Listener> m_listener;
     std::mutex m_mutex;
     bool m_closed = false;
@@ -100,9 +116,9 @@
 };
 
 std::unique_ptr<PeerServer> PeerServer::listen(Asio::io_context &io, const Endpoint &address, PeerHandler &handler,
-                                               PeerTraffic &traffic)
+                                               PeerTraffic &traffic, const PeerLimits &limits)
 {
-    auto state = std::make_shared<State>(io, address, handler, traffic);
+    auto state = std::make_shared<State>(io, address, handler, traffic, limits);
     state->start();
     return std::unique_ptr<PeerServer>(new PeerServer(std::move(state)));
 }
--- a/packages/connection/peersession.h
+++ b/packages/connection/peersession.h
@@ -2,6 +2,7 @@
 
 #include "base/endpoint.h"
 #include "base/units.h"
+#include "connection/inputbudget.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -40,13 +41,19 @@
     std::atomic<std::uint64_t> received {0};
 };
 
+/** Limits on what all accepted sessions take together. */
+struct PeerLimits {
+    std::size_t connections = 128; ///< one more closes the one whose last message is the oldest
+    std::shared_ptr<InputBudget> budget = InputBudget::create();
+};
+
 /** Accepts sessions from peers. */
 class PeerServer
 {
 public:
     /** @throws boost::system::system_error if the address cannot be bound */
     static std::unique_ptr<PeerServer> listen(Asio::io_context &io, const Endpoint &address, PeerHandler &handler,
-                                              PeerTraffic &traffic);
+                                              PeerTraffic &traffic, const PeerLimits &limits = {});
     ~PeerServer();
     PeerServer(const PeerServer &) = delete;
     PeerServer &operator=(const PeerServer &) = delete;
