Bound gossip from unknown instances

Any client of the peers' listener could make up instances, each of which was kept with all of its gossip, or send a document of one byte for each empty map. The 128 instances heard last are kept, and a message is limited to 128 KiB, 100,000 values and 1,000 teams.

--- a/packages/base/codec.cpp
+++ b/packages/base/codec.cpp
@@ -11,41 +11,45 @@
 
 using Json = nlohmann::json;
 
-/** Checks syntax and nesting of a document without building a value; parsing fails beyond MAX_NESTING. */
+/** Checks syntax, nesting and number of values of a document without building a value. */
 class NestingGuard : public nlohmann::json_sax<Json>
 {
 public:
+    explicit NestingGuard(std::size_t maxValues)
+        : m_valuesLeft(maxValues)
+    {
+    }
     bool null() override
     {
-        return true;
+        return countValue();
     }
     bool boolean(bool /*value*/) override
     {
-        return true;
+        return countValue();
     }
     bool number_integer(number_integer_t /*value*/) override
     {
-        return true;
+        return countValue();
     }
     bool number_unsigned(number_unsigned_t /*value*/) override
     {
-        return true;
+        return countValue();
     }
     bool number_float(number_float_t /*value*/, const string_t & /*text*/) override
     {
-        return true;
+        return countValue();
     }
     bool string(string_t & /*value*/) override
     {
-        return true;
+        return countValue();
     }
     bool binary(binary_t & /*value*/) override
     {
-        return true;
+        return countValue();
     }
     bool start_object(std::size_t /*elements*/) override
     {
-        return ++m_depth <= MAX_NESTING;
+        return ++m_depth <= MAX_NESTING && countValue();
     }
     bool key(string_t & /*value*/) override
     {
@@ -58,7 +62,7 @@
     }
     bool start_array(std::size_t /*elements*/) override
     {
-        return ++m_depth <= MAX_NESTING;
+        return ++m_depth <= MAX_NESTING && countValue();
     }
     bool end_array() override
     {
@@ -73,18 +77,32 @@
 
     [[nodiscard]] std::string message() const
     {
-        return m_message.empty() ? "arrays and objects are nested more than 32 levels deep" : m_message;
+        if (!m_message.empty()) {
+            return m_message;
+        }
+        return m_tooMany ? "the document has too many values"
+                         : "arrays and objects are nested more than 32 levels deep";
     }
 
 private:
+    bool countValue()
+    {
+        m_tooMany = m_valuesLeft == 0;
+        m_valuesLeft -= m_tooMany ? 0 : 1;
+        return !m_tooMany;
+    }
+
     int m_depth = 0;
+    std::size_t m_valuesLeft;
+    bool m_tooMany = false;
     std::string m_message;
 };
 
-Result<Json> parse(std::string_view input, Json::input_format_t format, Comments comments)
+Result<Json> parse(std::string_view input, Json::input_format_t format, Comments comments,
+                   std::size_t maxValues = std::numeric_limits<std::size_t>::max())
 {
     const bool skipComments = comments == Comments::Allowed;
-    NestingGuard guard;
+    NestingGuard guard(maxValues);
     if (!Json::sax_parse(input, &guard, format, true, skipComments)) {
         return Error {"malformed", guard.message(), ""};
     }
@@ -101,9 +119,9 @@
     return parse(text, Json::input_format_t::json, comments);
 }
 
-Result<Json> parseCbor(std::string_view bytes)
+Result<Json> parseCbor(std::string_view bytes, std::size_t maxValues)
 {
-    return parse(bytes, Json::input_format_t::cbor, Comments::Refused);
+    return parse(bytes, Json::input_format_t::cbor, Comments::Refused, maxValues);
 }
 
 std::string toCbor(const Json &value)
--- a/packages/base/codec.h
+++ b/packages/base/codec.h
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -26,11 +27,17 @@
  */
 Result<nlohmann::json> parseJson(std::string_view text, Comments comments = Comments::Refused);
 
+/** Most values in a document from a client, each of which takes up to a hundred bytes when it is decoded. */
+constexpr std::size_t MAX_CLIENT_VALUES = 100'000;
+
 /**
  * Parses a CBOR document.
+ * @param bytes the whole document
+ * @param maxValues the largest number of values; CBOR may take one byte for each
  * @return the value, or an error with code "malformed"
  */
-Result<nlohmann::json> parseCbor(std::string_view bytes);
+Result<nlohmann::json> parseCbor(std::string_view bytes,
+                                 std::size_t maxValues = std::numeric_limits<std::size_t>::max());
 
 /** @return @p value as CBOR bytes. */
 std::string toCbor(const nlohmann::json &value);
--- a/packages/process/gossip.cpp
+++ b/packages/process/gossip.cpp
@@ -12,6 +12,7 @@
 using Json = nlohmann::json;
 
 constexpr std::int64_t MAX_COUNT = 10'000'000;
+constexpr std::size_t MAX_TEAMS = 1'000; // deployments have up to 24
 constexpr std::size_t MAX_LEAVING = 1'000;
 
 std::uint64_t readNumber(ObjectReader &reader, const char *key)
@@ -23,7 +24,7 @@
 
 Result<Gossip> Gossip::fromBytes(std::string_view bytes)
 {
-    const auto document = parseCbor(bytes);
+    const auto document = parseCbor(bytes, MAX_CLIENT_VALUES);
     if (!document) {
         return document.errors();
     }
@@ -37,6 +38,9 @@
     gossip.ready = reader.boolean("r", Presence::Required).value_or(false);
     gossip.slotsUsed = static_cast<std::uint32_t>(reader.integer("s", 0, MAX_COUNT, Presence::Required).value_or(0));
     if (const Json *demand = reader.object("d", Presence::Required)) {
+        if (demand->size() > MAX_TEAMS) {
+            return Error {"out-of-range", "must have at most 1000 teams", "d"};
+        }
         ObjectReader teams(*demand, "d", errors);
         for (const auto &[team, count] : demand->items()) {
             const auto number = teams.integer(team.c_str(), 0, MAX_COUNT);
--- a/packages/process/membership.cpp
+++ b/packages/process/membership.cpp
@@ -24,6 +24,8 @@
 constexpr Millis PEER_TIMEOUT {2'500};  // a peer without gossip for longer counts as gone
 constexpr std::size_t MAX_SESSIONS = 6; // opened by one instance; bounds the traffic among dozens of instances
 constexpr std::uint64_t SESSION_RANK_SEED = 1;
+constexpr std::size_t MAX_PEERS = 128; // deployments have up to 97 instances
+constexpr std::size_t MAX_GOSSIP_BYTES = 128UL * 1024;
 constexpr const char *GOSSIP_PATH = "/gossip";
 constexpr const char *CONFIG_PATH = "/config";
 
@@ -43,9 +45,9 @@
 {
 }
 
-void Membership::start(const Endpoint &address)
+void Membership::start(const Endpoint &address, const PeerLimits &limits)
 {
-    m_server = PeerServer::listen(m_io, address, *this, m_traffic);
+    m_server = PeerServer::listen(m_io, address, *this, m_traffic, limits);
     Asio::co_spawn(m_strand, managePeers(*this), Asio::detached);
 }
 
@@ -170,6 +172,9 @@
         return;
     }
     m_lastHeard = Clock::now();
+    if (known == m_peers.end() && m_peers.size() >= MAX_PEERS) {
+        m_peers.erase(std::ranges::min_element(m_peers, {}, [](const auto &peer) { return peer.second.heardAt; }));
+    }
     m_peers[gossip.instance] = {gossip, m_lastHeard};
 }
 
@@ -179,6 +184,9 @@
         m_config.adoptFromPeer(body);
         return m_config.recordText();
     }
+    if (body.size() > MAX_GOSSIP_BYTES) {
+        return "";
+    }
     const auto gossip = Gossip::fromBytes(body);
     if (path != GOSSIP_PATH || !gossip) {
         return "";
--- a/packages/process/membership.h
+++ b/packages/process/membership.h
@@ -37,7 +37,7 @@
      * Listens on @p address and connects to peers.
      * @throws boost::system::system_error if the address cannot be bound
      */
-    void start(const Endpoint &address);
+    void start(const Endpoint &address, const PeerLimits &limits = {});
     void stop();
 
     /** @return peers whose gossip arrived within the peer time-out. */
