Divide the descriptors of a process among its listeners

Callers now get at most half, the operators' and the peers' listeners at most an eighth each. Node settings have callerConnections, as the other mode has.

--- a/packages/dispatch/nodesettings.cpp
+++ b/packages/dispatch/nodesettings.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::int64_t MAX_DRAIN_MS = 600'000;
 constexpr std::int64_t MIN_MINION_DRAIN_MS = 1'000; // entries are read each 400 ms
+constexpr std::int64_t MAX_CONNECTIONS = 100'000;
 constexpr double MIN_CORES = 0.001;
 constexpr double MAX_CORES = 1'000;
 constexpr std::int64_t MAX_ENDED_JOB_RETENTION_MS = 86'400'000;
@@ -72,6 +73,9 @@
     if (const auto cores = root.number("cores", MIN_CORES, MAX_CORES)) {
         settings.milliCores = static_cast<std::uint32_t>(1'000 * *cores);
     }
+    if (const auto connections = root.integer("callerConnections", 1, MAX_CONNECTIONS)) {
+        settings.callerConnections = static_cast<std::size_t>(*connections);
+    }
     if (const auto drain = root.integer("minionDrainMs", MIN_MINION_DRAIN_MS, MAX_DRAIN_MS)) {
         settings.minionDrain = Millis(*drain);
     }
--- a/packages/dispatch/nodesettings.h
+++ b/packages/dispatch/nodesettings.h
@@ -21,10 +21,12 @@
     Endpoint callers; ///< listener of the callers' API
     Endpoint ready;   ///< listener of the balancer's readiness probe, metrics and the operators' API
     Endpoint store;
-    std::optional<Endpoint> peers;      ///< listener for records of other nodes; none are taken without
-    std::optional<Endpoint> oracle;     ///< the admission oracle, if there is one
-    std::optional<Endpoint> machines;   ///< control of machines, if there is one
-    std::uint32_t milliCores = 1'000;   ///< CPU limit of this node, in thousandths of a core; larger nodes lead first
+    std::optional<Endpoint> peers;    ///< listener for records of other nodes; none are taken without
+    std::optional<Endpoint> oracle;   ///< the admission oracle, if there is one
+    std::optional<Endpoint> machines; ///< control of machines, if there is one
+    std::uint32_t milliCores = 1'000; ///< CPU limit of this node, in thousandths of a core; larger nodes lead first
+    /** One more closes the longest idle connection, or is refused if none is idle. */
+    std::size_t callerConnections = 4096;
     Millis minionDrain {2'000};         ///< how long a minion accepts work after it has said that it drains
     Millis maxLease {10'000};           ///< longest lease that a minion keeps; it shortens longer ones
     Millis stopGrace {0};               ///< longest time that a minion takes to stop a run; 0 if unknown
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -8,6 +8,7 @@
 #include "dispatch/operatorapi.h"
 #include "dispatch/stepplanner.h"
 #include "dispatch/topicfollower.h"
+#include "process/listenershares.h"
 #include "process/logging.h"
 #include "steps/candidacy.h"
 #include "steps/epochs.h"
@@ -28,6 +29,7 @@
 namespace
 {
 
+constexpr std::size_t PEER_CONNECTIONS = 512;  // up to 97 nodes relay records over a few connections each
 constexpr Millis JOURNAL_READ_WAIT {300};      // above the planner's heartbeat interval; a dead read ends later by it
 constexpr Millis CONFIG_READ_WAIT {1'200};     // below the time in which a configuration must take effect
 constexpr Millis FOLLOWER_READ_INTERVAL {500}; // nodes that do not lead read in batches, or when asked, to save calls
@@ -102,15 +104,23 @@
                      }})
         , signals(io, SIGTERM, SIGINT, SIGHUP)
         , random(std::random_device {}())
-        , callers(HttpServer::listen(io, settings.callers, HttpLimits {}, jobApi))
-        , readyServer(HttpServer::listen(io, settings.ready, HttpLimits {}, operators))
+        , callers(HttpServer::listen(io, settings.callers, limitsOf(shares.callers), jobApi))
+        , readyServer(HttpServer::listen(io, settings.ready, limitsOf(shares.operators), operators))
     {
         journal.setMinInterval(FOLLOWER_READ_INTERVAL);
         if (settings.peers) {
-            peerServer = HttpServer::listen(io, *settings.peers, HttpLimits {}, relayReceiver);
+            peerServer = HttpServer::listen(io, *settings.peers, limitsOf(shares.peers), relayReceiver);
         }
     }
 
+    [[nodiscard]] HttpLimits limitsOf(std::size_t connections) const
+    {
+        HttpLimits limits;
+        limits.connections = connections;
+        limits.budget = inputBudget;
+        return limits;
+    }
+
     void start()
     {
         startedMs = bootMillis();
@@ -593,6 +603,8 @@
     Asio::io_context &io;
     NodeSettings settings;
     std::string settingsPath;
+    const ListenerShares shares = ListenerShares::ofProcess(settings.callerConnections, PEER_CONNECTIONS);
+    const std::shared_ptr<InputBudget> inputBudget = InputBudget::create();
     Platform platform;
     JobTable jobTable;
     RunTimes times;
--- a/packages/process/instance.cpp
+++ b/packages/process/instance.cpp
@@ -4,6 +4,7 @@
 #include "connection/httpserver.h"
 #include "process/adminapi.h"
 #include "process/callersapi.h"
+#include "process/listenershares.h"
 #include "process/logging.h"
 #include "process/membership.h"
 
@@ -17,8 +18,6 @@
 #include <random>
 #include <thread>
 
-#include <sys/resource.h>
-
 namespace Papaya
 {
 
@@ -33,7 +32,7 @@
 constexpr Millis RESIGN_TIMEOUT {1'500};
 constexpr Millis CLAIMS_FLUSH_TIMEOUT {2'000}; // for claim records that are still to be appended
 constexpr Millis STOP_TIMEOUT {5'000};         // for all loops to end
-constexpr std::size_t ADMIN_CONNECTIONS = 256;
+constexpr std::size_t PEER_CONNECTIONS = 128;
 
 /** @return the time of the start in microseconds, which rises with each start of an instance. */
 Incarnation newIncarnation()
@@ -68,25 +67,11 @@
     return std::make_unique<FairAdmission>();
 }
 
-HttpLimits callersLimits(const Settings &settings)
-{
-    // Callers get at most half of the file descriptors; minions, workers, peers and the platform need the rest.
-    rlimit descriptors {};
-    const bool known = ::getrlimit(RLIMIT_NOFILE, &descriptors) == 0;
-    HttpLimits limits;
-    limits.connections = settings.callerConnections;
-    if (known && descriptors.rlim_cur / 2 < limits.connections) {
-        limits.connections = descriptors.rlim_cur / 2;
-        logEvent(LogLevel::Warning, "fewer-connections",
-                 {{"asked", std::uint64_t(settings.callerConnections)}, {"given", std::uint64_t(limits.connections)}});
-    }
-    return limits;
-}
-
-HttpLimits adminLimits()
+HttpLimits limitsOf(std::size_t connections, const std::shared_ptr<InputBudget> &budget)
 {
     HttpLimits limits;
-    limits.connections = ADMIN_CONNECTIONS;
+    limits.connections = connections;
+    limits.budget = budget;
     return limits;
 }
 
@@ -98,6 +83,7 @@
         : settings(instanceSettings)
         , settingsPath(std::move(path))
         , incarnation(newIncarnation())
+        , shares(ListenerShares::ofProcess(settings.callerConnections, PEER_CONNECTIONS))
         , strand(Asio::make_strand(io))
         , pool(io)
         , log(makeHttpLogService(pool, settings.log))
@@ -121,8 +107,8 @@
         , adminApi(adminContext())
         , signals(io, SIGTERM, SIGINT)
         , reloadSignal(io, SIGHUP)
-        , callersServer(HttpServer::listen(io, settings.callers, callersLimits(settings), callersApi))
-        , adminServer(HttpServer::listen(io, settings.admin, adminLimits(), adminApi))
+        , callersServer(HttpServer::listen(io, settings.callers, limitsOf(shares.callers, inputBudget), callersApi))
+        , adminServer(HttpServer::listen(io, settings.admin, limitsOf(shares.operators, inputBudget), adminApi))
     {
     }
 
@@ -132,7 +118,7 @@
         journal.start();
         claims.start();
         hosts->start();
-        membership.start(settings.peers);
+        membership.start(settings.peers, {shares.peers, inputBudget});
         planner.start();
         addGauges();
         Asio::co_spawn(strand, refreshAdmission(*this), Asio::detached);
@@ -437,6 +423,8 @@
     const std::string settingsPath;
     std::atomic<Millis> drainLimit {settings.drainLimit};
     const Incarnation incarnation;
+    const ListenerShares shares;
+    const std::shared_ptr<InputBudget> inputBudget = InputBudget::create();
     Asio::io_context io;
     Asio::strand<Asio::io_context::executor_type> strand;
     Metrics metrics;
