--- a/tests/integration/clientlimits.cpp
+++ b/tests/integration/clientlimits.cpp
@@ -153,7 +153,6 @@
     /** Checks that the process lives within the bounds and answers. */
     void expectWithinLimits()
     {
-        RecordProperty("VmHWM_MB", memoryMb(pid(), "VmHWM"));
         std::printf("peak memory %zu MB, %zu descriptors\n", memoryMb(pid(), "VmHWM"), descriptors(pid()));
         EXPECT_GT(memoryMb(pid(), "VmHWM"), 0U) << "the process has ended";
         EXPECT_LE(memoryMb(pid(), "VmHWM"), MEMORY_BOUND_MB);
@@ -163,12 +162,6 @@
             return std::all_of(statuses.begin(), statuses.end(), [](int status) { return status / 100 == 2; });
         })) << ::testing::PrintToString(statuses);
     }
-
-private:
-    static void RecordProperty(const std::string &name, std::size_t value)
-    {
-        ::testing::Test::RecordProperty(name, std::to_string(value));
-    }
 };
 
 /** A node in --platform mode, with the listeners callers, ready and peers. */
