Reclaim guaranteed GPUs from long-running and nearly done work

Cause: units of long-running steps, and units that are at least 85 percent done, were never preempted, for nobody.

Change: guaranteed work for which the ordinary search for victims finds nothing searches again, with long-running units of other teams that are not within those teams' guarantees, as far as the disruption budgets of their steps allow. The budgets count tasks that are unavailable for any cause and all stops of the pass. Nearly done units are waited for if they are expected to end in time, and stopped otherwise. Long-running units have a cost above all other victims, so they are stopped only if no other set of victims is sufficient. The ordinary search is unchanged. The log line unit-preempted has the field "reclaimed", and the counter of stops the reason "reclaimed".

--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -435,6 +435,21 @@
         active.interruptions = status.run - std::min(status.run, status.failures + 1);
         active.stopping = assignment->stopping || assignment->outcome.has_value();
         active.preemptible = !assignment->step.longRunning && assignment->percent < NEARLY_DONE_PERCENT;
+        if (assignment->step.longRunning) {
+            active.longRunning = true;
+            active.availableTasks = tasksToLose(*assignment);
+            if (assignment->step.maxUnavailable > 0) {
+                const auto [budget, added] = input.budgets.try_emplace(unit.stepKey());
+                if (added) {
+                    budget->second = {assignment->step.maxUnavailable,
+                                      unavailableTasks(unit.stepKey(), assignment->step)};
+                }
+            }
+        } else if (!active.preemptible) {
+            const QueueName &queue = m_context.jobTable.find(unit.job)->job.queue;
+            const std::int64_t expectedMs = m_context.times.expectedMs(queue, assignment->step.estimate.count());
+            active.remainingMs = remainingMs({now - assignment->startedMs, expectedMs, assignment->percent});
+        }
         input.active.push_back(std::move(active));
     }
     input.stopMs = m_context.stopTime.count();
@@ -495,11 +510,13 @@
     m_nextPass = decided + std::min<Duration>(PASS_BACKOFF_FACTOR * (decided - begun), MAX_PASS_BACKOFF);
     for (const UnitStop &stop : decisions.stops) {
         logEvent(LogLevel::Info, "unit-preempted",
-                 {{"unit", stop.unit.toString()}, {"for", stop.beneficiary.toString()}});
+                 {{"unit", stop.unit.toString()},
+                  {"for", stop.beneficiary.toString()},
+                  {"reclaimed", stop.reclaimed ? "yes" : "no"}});
         const AssignmentPtr &victim = m_assignments.at(stop.unit);
         const auto gpus = victim->need.gpus * static_cast<std::int64_t>(victim->members.size());
         m_headroom.preempted(victim->priority, gpus, bootMillis());
-        stopAssignment(victim, "preempted");
+        stopAssignment(victim, stop.reclaimed ? "reclaimed" : "preempted");
     }
     for (const UnitStart &start : decisions.starts) {
         startUnit(start, ids);
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -215,6 +215,11 @@
     Asio::awaitable<bool> store(WaveProgress progress) override;
     /** @return how many tasks of @p step are not available. */
     [[nodiscard]] std::uint32_t unavailableTasks(const StepKey &step, const StepSpec &spec) const;
+    /**
+     * @return how many tasks a stop of @p assignment may make unavailable. A task counts unless its minion has reported
+     * that it is not available, since a new planner or a lost link knows nothing of it.
+     */
+    [[nodiscard]] std::uint32_t tasksToLose(const Assignment &assignment) const;
 
     // Reports
     void handleReport(MinionLink &link, const MinionReport &report, std::int64_t sentMs);
--- a/packages/dispatch/stepplannershares.cpp
+++ b/packages/dispatch/stepplannershares.cpp
@@ -95,6 +95,16 @@
     return spec.count - std::min(spec.count, availableTasks);
 }
 
+std::uint32_t StepPlanner::tasksToLose(const Assignment &assignment) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(assignment.members.begin(), assignment.members.end(), [&](const Member &member) {
+            const bool answers = m_links.at(member.minion).pollFailures == 0;
+            const bool knownUnavailable = answers && member.lastReportMs && member.percent < AVAILABLE_PERCENT;
+            return member.state == MemberState::Running && !knownUnavailable;
+        }));
+}
+
 MinionWorkload StepPlanner::workloadOn(const MinionId &minion) const
 {
     MinionWorkload work;
--- a/packages/steps/preemption.cpp
+++ b/packages/steps/preemption.cpp
@@ -1,6 +1,7 @@
 #include "steps/preemption.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 
 namespace Papaya
@@ -12,6 +13,7 @@
 constexpr double CORES_PER_GPU = 8;   // weight of a GPU in cores
 constexpr double FIXED_STOP_COST = 1; // core-seconds; so that a stop that loses no work has a cost too
 constexpr double INFEASIBLE_COST = std::numeric_limits<double>::max();
+constexpr double LONG_RUNNING_COST = 1e12; // core-seconds; more than the loss of any other victims together
 
 /**
  * Without a known stop time, only the lost work counts. With it, so does the capacity that stands idle during the stop,
@@ -49,11 +51,14 @@
     }
 }
 
-bool Preemption::mayPreempt(const PreemptionRights &rights, const ActiveUnit &victim) const
+bool Preemption::mayPreempt(const PreemptionRights &rights, const ActiveUnit &victim, const Reclaim *reclaim) const
 {
-    if (!victim.preemptible || victim.stopping) {
+    if (victim.stopping || (!victim.preemptible && reclaim == nullptr)) {
         return false;
     }
+    if (victim.longRunning) {
+        return reclaim != nullptr && reclaim->ledger.mayStop(victim, rights.team);
+    }
     if (victim.priority > rights.priority) {
         return true;
     }
@@ -79,16 +84,39 @@
         if (exceedsKnownBound(request, rack, rights)) {
             continue;
         }
-        auto plan = findOnRack(request, rack, rights, best ? best->cost : rights.limit);
+        auto plan = findOnRack(request, rack, rights, best ? best->cost : rights.limit, nullptr);
+        if (plan && (!best || plan->cost < best->cost)) {
+            best = std::move(plan);
+        }
+    }
+    return best;
+}
+
+std::optional<PreemptionPlan> Preemption::findReclaiming(const PlacementRequest &request,
+                                                         const std::vector<std::size_t> &racks,
+                                                         const PreemptionRights &rights, ReclaimLedger &ledger,
+                                                         std::int64_t awaitedMs)
+{
+    std::optional<PreemptionPlan> best;
+    for (const std::size_t rack : racks) {
+        ReclaimLedger remaining = ledger;
+        Reclaim reclaim {remaining, awaitedMs};
+        auto plan = findOnRack(request, rack, rights, best ? best->cost : rights.limit, &reclaim);
         if (plan && (!best || plan->cost < best->cost)) {
             best = std::move(plan);
         }
     }
+    if (best) {
+        std::copy_if(best->victims.begin(), best->victims.end(), std::inserter(best->awaited, best->awaited.end()),
+                     [&](std::size_t v) {
+                         return isAwaited(m_active[v], {ledger, awaitedMs});
+                     });
+    }
     return best;
 }
 
 std::optional<PreemptionPlan> Preemption::findOnRack(const PlacementRequest &request, std::size_t rack,
-                                                     const PreemptionRights &rights, double limit)
+                                                     const PreemptionRights &rights, double limit, Reclaim *reclaim)
 {
     // 1. Available capacity of each minion: what is free and what is being released.
     const std::vector<std::size_t> &minions = request.group->on(rack);
@@ -108,12 +136,22 @@
                 continue;
             }
             if (!selections[m]) {
-                selections[m] = selectVictims(m, available[m], request.need, rights, result.victims);
+                selections[m] = selectVictims(m, available[m], request.need, rights, result.victims, reclaim);
             }
             if (selections[m]->cost < (best == SIZE_MAX ? INFEASIBLE_COST : selections[best]->cost)) {
                 best = m;
             }
         }
+        if (best != SIZE_MAX && reclaim != nullptr && !selections[best]->victims.empty()) {
+            // Victims that were chosen since may have used up the disruption budgets that the selection needs.
+            VictimSelection current =
+                selectVictims(best, available[best], request.need, rights, result.victims, reclaim);
+            const bool outdated = current.cost > selections[best]->cost;
+            selections[best] = std::move(current);
+            if (outdated) {
+                continue;
+            }
+        }
         // 3. Gives up once the cost exceeds the limit, and records it as a lower bound.
         result.cost = best == SIZE_MAX ? INFEASIBLE_COST : result.cost + selections[best]->cost;
         if (best == SIZE_MAX || result.cost > limit) {
@@ -127,6 +165,9 @@
         const std::vector<std::size_t> victims = selections[best]->victims;
         for (const std::size_t v : victims) {
             result.victims.insert(v);
+            if (reclaim != nullptr && !isAwaited(m_active[v], *reclaim)) {
+                reclaim->ledger.stop(m_active[v]);
+            }
             for (const std::size_t m : m_active[v].minions) {
                 available[m] += m_active[v].need;
                 selections[m].reset();
@@ -140,9 +181,36 @@
     return result;
 }
 
+bool Preemption::isAwaited(const ActiveUnit &victim, const Reclaim &reclaim)
+{
+    return !victim.preemptible && !victim.longRunning && victim.remainingMs <= reclaim.awaitedMs;
+}
+
+double Preemption::costOf(std::size_t v, const Reclaim *reclaim) const
+{
+    if (reclaim == nullptr) {
+        return m_stopCosts[v];
+    }
+    if (isAwaited(m_active[v], *reclaim)) {
+        return 0;
+    }
+    return m_stopCosts[v] + (m_active[v].longRunning ? LONG_RUNNING_COST : 0);
+}
+
+Resources Preemption::heldOn(std::size_t minion, std::size_t v) const
+{
+    Resources held;
+    for (const std::size_t at : m_active[v].minions) {
+        if (at == minion) {
+            held += m_active[v].need;
+        }
+    }
+    return held;
+}
+
 Preemption::VictimSelection Preemption::selectVictims(std::size_t minion, Resources available, const Resources &need,
                                                       const PreemptionRights &rights,
-                                                      const std::set<std::size_t> &victims) const
+                                                      const std::set<std::size_t> &victims, Reclaim *reclaim) const
 {
     VictimSelection selection;
     if (available.covers(need)) {
@@ -150,25 +218,55 @@
     }
     std::vector<std::pair<double, std::size_t>> order;
     for (const std::size_t v : m_activeOn[minion]) {
-        if (!victims.contains(v) && mayPreempt(rights, m_active[v])) {
-            order.emplace_back(m_stopCosts[v], v);
+        if (!victims.contains(v) && mayPreempt(rights, m_active[v], reclaim)) {
+            order.emplace_back(costOf(v, reclaim), v);
         }
     }
     std::sort(order.begin(), order.end());
     for (const auto &[cost, v] : order) {
         const ActiveUnit &victim = m_active[v];
-        for (const std::size_t at : victim.minions) {
-            if (at == minion) {
-                available += victim.need;
+        if (reclaim != nullptr && victim.longRunning) {
+            if (!reclaim->ledger.mayStop(victim, rights.team)) { // with those already selected here
+                continue;
             }
+            reclaim->ledger.stop(victim);
         }
+        available += heldOn(minion, v);
         selection.cost += cost;
         selection.victims.push_back(v);
         if (available.covers(need)) {
-            return selection;
+            break;
+        }
+    }
+    if (reclaim != nullptr) {
+        for (const std::size_t v : selection.victims) {
+            if (m_active[v].longRunning) {
+                reclaim->ledger.spare(m_active[v]);
+            }
+        }
+    }
+    if (!available.covers(need)) {
+        return {INFEASIBLE_COST, {}};
+    }
+    if (reclaim != nullptr) {
+        dropUnneeded(selection, minion, available, need, *reclaim);
+    }
+    return selection;
+}
+
+void Preemption::dropUnneeded(VictimSelection &selection, std::size_t minion, Resources available,
+                              const Resources &need, Reclaim &reclaim) const
+{
+    for (std::size_t i = selection.victims.size(); i-- > 0;) {
+        const std::size_t v = selection.victims[i];
+        Resources without = available;
+        without -= heldOn(minion, v);
+        if (without.covers(need)) {
+            available = without;
+            selection.cost -= costOf(v, &reclaim);
+            selection.victims.erase(selection.victims.begin() + static_cast<std::ptrdiff_t>(i));
         }
     }
-    return {INFEASIBLE_COST, {}};
 }
 
 void Preemption::stop(const PreemptionPlan &plan)
--- a/packages/steps/stepscheduler.cpp
+++ b/packages/steps/stepscheduler.cpp
@@ -56,6 +56,7 @@
         , m_search(m_fleet, input.preferences)
         , m_urgentGpus(urgentGpus(input))
         , m_preemption(m_fleet, input.active, borrowers(), input.stopMs)
+        , m_reclaim(std::move(input.budgets), borrowedGpus(input))
     {
     }
 
@@ -141,6 +142,19 @@
         return teams;
     }
 
+    /** @return the GPUs of urgent work beyond the guarantee that are not being released, by team. */
+    static std::map<TeamName, std::int64_t> borrowedGpus(const PlanInput &input)
+    {
+        std::map<TeamName, std::int64_t> gpus;
+        for (const ActiveUnit &unit : input.active) {
+            if (unit.priority == 0 && !unit.stopping) {
+                const auto place = gpus.try_emplace(unit.team, -input.config.guaranteedGpus(unit.team)).first;
+                place->second += unit.need.gpus * static_cast<std::int64_t>(unit.minions.size());
+            }
+        }
+        return gpus;
+    }
+
     void scheduleStep(const Candidate &candidate)
     {
         const StepProgress &progress = candidate.entry->occurrences[candidate.occurrence].steps[candidate.step];
@@ -202,13 +216,19 @@
         }
         const PreemptionRights rights {candidate.entry->job.priority, candidate.entry->job.team, candidate.guaranteed,
                                        maxPreemptionCost(candidate)};
-        const auto plan = m_preemption.find(request, racks, rights);
+        auto plan = m_preemption.find(request, racks, rights);
+        if (!plan && candidate.guaranteed) {
+            plan = m_preemption.findReclaiming(request, racks, rights, m_reclaim, awaitedMs(*candidate.entry));
+        }
         if (!plan) {
             return false;
         }
         m_preemption.stop(*plan);
         for (const std::size_t v : plan->victims) {
-            m_decisions.stops.push_back({m_input.active[v].key, unit});
+            if (!plan->awaited.contains(v)) {
+                m_reclaim.stop(m_input.active[v]);
+                m_decisions.stops.push_back({m_input.active[v].key, unit, !m_input.active[v].preemptible});
+            }
         }
         // Reserves the capacity, so that no later unit in this pass is placed there.
         allocate(plan->chosen, request.need, placed);
@@ -361,6 +381,14 @@
         }
     }
 
+    /** @return the longest remaining time of a nearly done unit for whose end guaranteed work of @p entry waits. */
+    [[nodiscard]] std::int64_t awaitedMs(const JobEntry &entry) const
+    {
+        const std::int64_t waitedMs =
+            entry.acceptedMs ? m_input.steadyMs - *entry.acceptedMs : m_input.nowMs - entry.job.submittedMs;
+        return longestAwaitedMs(std::max<std::int64_t>(0, waitedMs), m_input.stopMs);
+    }
+
     /** @return the limit of PreemptionRights for one unit of @p candidate, in core-seconds. */
     [[nodiscard]] double maxPreemptionCost(const Candidate &candidate) const
     {
@@ -381,6 +409,7 @@
         m_admittedGroups; ///< a deque, since m_search and m_preemption key their results by group address
     std::map<TeamName, std::int64_t> m_urgentGpus;
     Preemption m_preemption;
+    ReclaimLedger m_reclaim;
     PlanDecisions m_decisions;
     std::map<TeamName, std::int64_t> m_guaranteedDemand;
     std::set<JobId> m_started; ///< jobs of which this pass starts a unit
--- a/packages/steps/stepscheduler.h
+++ b/packages/steps/stepscheduler.h
@@ -23,6 +23,7 @@
 // guarantee, then all other work; within both, work in time before late and late before expired work, then by priority
 // and by submission time. Units that do not fit wait, and units after them may use the free capacity. Urgent work that
 // does not fit preempts other units if it is guaranteed or in time; the capacity that they release is reserved for it.
+// Guaranteed work that still finds no room may reclaim capacity from long-running and nearly done units, see reclaim.h.
 // For a while, less urgent work leaves as many GPUs free as were preempted, see Headroom, and rack-bound work waits for
 // a rack. Such waits by choice are limited: if nothing of a job runs, one unit of it is soon placed wherever it fits,
 // as long as the free capacity holds it twice. For that it may use minions that are otherwise kept from new work, if no
@@ -51,6 +52,7 @@
     std::int64_t stopMs = 0;                        ///< time that a stop takes; 0 if unknown
     std::int64_t reservedGpus = 0; ///< of entirely free minions, which less urgent work leaves to urgent work
     std::vector<const PlacementPreference *> preferences = {}; ///< order minions that have room for a unit
+    std::map<StepKey, DisruptionBudget> budgets = {};          ///< of long-running steps with a disruption budget
 };
 
 /** A query to the admission oracle: which of these minions may run the step? */
@@ -68,7 +70,8 @@
 /** A unit to preempt. */
 struct UnitStop {
     UnitKey unit;
-    UnitKey beneficiary; ///< unit that gets the released capacity
+    UnitKey beneficiary;    ///< unit that gets the released capacity
+    bool reclaimed = false; ///< it is spared unless guaranteed work finds no other room
 };
 
 /** Output of a scheduling pass. */
--- a/tests/unit/stepscheduling.cpp
+++ b/tests/unit/stepscheduling.cpp
@@ -485,6 +485,97 @@
     EXPECT_EQ(owner, decisions.stops[0].beneficiary.job);
 }
 
+/** Minions of 8 GPUs, each filled by one task of a long-running step of team b. Team a has 8 GPUs guaranteed. */
+class LongRunningScenario : public Scenario
+{
+public:
+    LongRunningScenario(std::size_t minionCount, std::uint32_t maxUnavailable)
+        : Scenario(1, minionCount)
+    {
+        StepSpec endless = step(static_cast<std::uint32_t>(minionCount), 8);
+        endless.longRunning = true;
+        endless.maxUnavailable = maxUnavailable;
+        service = submit("batch", endless, 0, "b");
+        for (std::size_t m = 0; m < minionCount; ++m) {
+            run({service, 0, 0, static_cast<std::int32_t>(m)}, {m}, 0);
+            active.back().preemptible = false;
+            active.back().longRunning = true;
+            active.back().availableTasks = 1;
+        }
+    }
+
+    /** Runs a pass while @p unavailable tasks of the service are unavailable. @return the number of stops */
+    std::size_t stops(std::uint32_t unavailable) const
+    {
+        PlanInput input {jobTable, config, times, tickets, minions, active, {}, {}, NOW, NOW};
+        const std::uint32_t maxUnavailable = jobTable.find(service)->job.spec.steps[0].maxUnavailable;
+        input.budgets[{service, 0, 0}] = {maxUnavailable, unavailable};
+        return planSteps(std::move(input)).stops.size();
+    }
+
+    JobId service;
+};
+
+// Guards against a guarantee that is void while long-running work holds its GPUs.
+TEST(Reclaim, StopsLongRunningWorkOfOtherTeamsForAGuaranteeOnly)
+{
+    LongRunningScenario scenario(2, 0);
+    scenario.config.teams = {{TeamName("a"), 16}, {TeamName("b"), 0}, {TeamName("c"), 0}};
+    scenario.submit("urgent", Scenario::step(1, 8), 0, "c");
+    EXPECT_EQ(0U, scenario.stops(0)) << "without a guarantee";
+    scenario.submit("urgent", Scenario::step(2, 8, true), 0, "a");
+    EXPECT_EQ(2U, scenario.stops(0));
+    for (ActiveUnit &unit : scenario.active) {
+        unit.priority = 0;
+    }
+    scenario.config.teams[1].guaranteedGpus = 8;
+    EXPECT_EQ(0U, scenario.stops(0)) << "8 of the other team's GPUs are within its own guarantee";
+    for (ActiveUnit &unit : scenario.active) {
+        unit.team = TeamName("a");
+    }
+    EXPECT_EQ(0U, scenario.stops(0)) << "of the same team";
+}
+
+// Guards against several stops in one pass that each keep to the budget, but not together.
+TEST(Reclaim, KeepsToTheDisruptionBudgetOfAllStopsInAPass)
+{
+    LongRunningScenario scenario(4, 2);
+    scenario.config.teams[0].guaranteedGpus = 32;
+    scenario.submit("urgent", Scenario::step(2, 8, true), 0, "a");
+    EXPECT_EQ(2U, scenario.stops(0));
+    EXPECT_EQ(0U, scenario.stops(1)) << "a gang needs two at once";
+    scenario.submit("urgent", Scenario::step(2, 8), 0, "a");
+    EXPECT_EQ(2U, scenario.stops(0)) << "of two steps";
+    EXPECT_EQ(1U, scenario.stops(1));
+    EXPECT_EQ(0U, scenario.stops(2));
+}
+
+TEST(Reclaim, SparesLongRunningWorkIfOtherVictimsSuffice)
+{
+    LongRunningScenario scenario(2, 0);
+    const JobId batch = scenario.submit("batch", Scenario::step(8, 1), 0, "b");
+    scenario.active.pop_back();
+    scenario.minions[1].free = scenario.minions[1].capacity;
+    for (int i = 0; i < 8; ++i) {
+        scenario.run({batch, 0, 0, i}, {1}, 3'600'000);
+    }
+    scenario.submit("urgent", Scenario::step(1, 8), 0, "a");
+    EXPECT_EQ(8U, scenario.stops(0));
+    scenario.active.back().preemptible = false; // nearly done
+    scenario.active.back().remainingMs = 500;
+    EXPECT_EQ(7U, scenario.stops(0)) << "its end is waited for";
+    scenario.active.back().remainingMs = 60'000;
+    EXPECT_EQ(8U, scenario.stops(0)) << "it would end too late for the guarantee";
+}
+
+TEST(Reclaim, TakesTheLongerEstimateOfTheRemainingTime)
+{
+    EXPECT_EQ(1'000, remainingMs({9'000, 8'000, 90}));
+    EXPECT_EQ(12'000, remainingMs({100, 120'000, 90})) << "run time unknown after a take-over";
+    EXPECT_EQ(0, remainingMs({9'000, 8'000, 100}));
+    EXPECT_EQ(900, longestAwaitedMs(10'000, 900)) << "a stop would take as long";
+}
+
 // Load pattern: demand exceeds capacity for a whole day.
 TEST(StepScheduler, StartsAJobThatCanMeetItsTargetBeforeALateJob)
 {
