Give steps fair turns at the admission oracle

Cause: expired tickets were requested again on minions with room even if the step could not start with them, and the one query in flight was always that of the first step in scheduling order.

Change: an expired ticket is renewed only if a unit of the step would find a place if all minions that the oracle has not refused were admitted. AdmissionTurns decides whose query is next, across passes: steps that were never queried first, then the renewal that was queried longest ago, and every fourth query goes to the step that has waited for the most queries, so that none waits forever. Its entries are dropped with their jobs.

--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -13,6 +13,7 @@
 #include "evacuation/placeevacuations.h"
 #include "evacuation/servicemoves.h"
 #include "reserve/urgentdemand.h"
+#include "steps/admissionturns.h"
 #include "steps/idlejobs.h"
 #include "steps/stepscheduler.h"
 #include "steps/waitreason.h"
@@ -185,7 +186,7 @@
     [[nodiscard]] bool mayRenew() const;
 
     // Admission oracle
-    /** Sends the first of @p queries to the oracle, unless a call is in flight. */
+    /** Sends the one of @p queries whose turn it is to the oracle, unless a call is in flight. */
     void requestAdmission(const std::vector<AdmissionQuery> &queries);
     static Asio::awaitable<void> queryOracle(std::shared_ptr<StepPlanner> self, AdmissionQuery query,
                                              OracleTerms terms);
@@ -348,6 +349,7 @@
     std::uint32_t m_silenceSpells = 0;                      ///< MinionSilence::spell of the last record
     std::map<std::string, std::int64_t> m_unknownRunStopMs; ///< last stop order of each unknown run, by task
     TicketBook m_tickets;
+    AdmissionTurns m_admissionTurns;
     Headroom m_headroom;
     UrgentDemand m_urgentDemand;
     std::set<JobId> m_demandNoted; ///< urgent jobs that m_urgentDemand has counted
--- a/packages/dispatch/stepplanneradvice.cpp
+++ b/packages/dispatch/stepplanneradvice.cpp
@@ -31,10 +31,17 @@
         m_nextOracleQueryMs = bootMillis() + NO_ORACLE_WARNING_INTERVAL_MS;
         return;
     }
-    const JobEntry *entry = m_context.jobTable.find(queries.front().step.job);
+    std::vector<StepKey> steps;
+    steps.reserve(queries.size());
+    for (const AdmissionQuery &query : queries) {
+        steps.push_back(query.step);
+    }
+    const AdmissionQuery &query = queries[m_admissionTurns.next(steps)];
+    m_admissionTurns.queried(query.step);
+    const JobEntry *entry = m_context.jobTable.find(query.step.job);
     const QueueConfig *queue = m_context.config()->queue(entry->job.queue);
     m_oracleQueryInFlight = true;
-    Asio::co_spawn(m_context.io, queryOracle(shared_from_this(), queries.front(), *queue->oracle), Asio::detached);
+    Asio::co_spawn(m_context.io, queryOracle(shared_from_this(), query, *queue->oracle), Asio::detached);
 }
 
 Asio::awaitable<void> StepPlanner::queryOracle(std::shared_ptr<StepPlanner> self, AdmissionQuery query,
--- a/packages/dispatch/stepplannerjournal.cpp
+++ b/packages/dispatch/stepplannerjournal.cpp
@@ -153,6 +153,7 @@
     m_forgetting.erase(job);
     m_endedMs.erase(job);
     m_tickets.forget(job);
+    m_admissionTurns.forget(job);
     m_startedJobs.erase(job);
     m_demandNoted.erase(job);
 }
--- a/packages/steps/stepscheduler.cpp
+++ b/packages/steps/stepscheduler.cpp
@@ -196,10 +196,7 @@
             return false;
         }
         const std::vector<std::size_t> racks = racksToTry(m_fleet, candidate.spec(), feasible);
-        PlacementRequest reserved = request;
-        if (candidate.entry->job.priority > 0 && m_input.reservedGpus > 0) {
-            reserved.maxWholeGpus = std::max<std::int64_t>(0, m_fleet.wholeGpus() - m_input.reservedGpus);
-        }
+        const PlacementRequest reserved = withReserve(candidate, request);
         std::vector<std::size_t> chosen = isHeldBack ? std::vector<std::size_t>() : findOn(racks, reserved);
         if (chosen.empty() && overdue) {
             chosen = findAnywhere(candidate, request, feasible);
@@ -210,7 +207,7 @@
             m_started.insert(unit.job);
             return true;
         }
-        addAdmissionQuery(candidate, overdue);
+        addAdmissionQuery(candidate, request, overdue, isHeldBack);
         if (isHeldBack || !mayPreempt(candidate)) {
             return false;
         }
@@ -337,32 +334,37 @@
 
     /**
      * Adds a query about eligible minions without a valid ticket: first those with free capacity, and among them first
-     * those whose ticket has expired. Left out are minions that are too small for a task, those that the oracle has
-     * refused, and those whose ticket has expired while they have no free capacity.
-     * @param withLastResort true to include minions of last resort
+     * those whose ticket has expired. Left out are minions that are too small for a task and those that the oracle has
+     * refused. A ticket that has expired is renewed only if the step could start with it.
+     * @param request of the unit, which has found no place
+     * @param overdue true to include minions of last resort
+     * @param isHeldBack true if it would start only because it is overdue
      */
-    void addAdmissionQuery(const Candidate &candidate, bool withLastResort)
+    void addAdmissionQuery(const Candidate &candidate, const PlacementRequest &request, bool overdue, bool isHeldBack)
     {
         if (!requiresAdmission(candidate)) {
             return;
         }
-        const StepSpec &step = candidate.spec();
-        const Resources need = countedNeed(step);
         const StepKey key = candidate.stepKey();
         std::vector<std::tuple<bool, bool, std::size_t>> order;
-        for (const std::size_t m : eligibleMinions(candidate, withLastResort).all) {
+        bool expired = false;
+        for (const std::size_t m : eligibleMinions(candidate, overdue).all) {
             const MinionView &minion = m_fleet[m];
             const bool admittedBefore = m_input.tickets.admitted(key, minion.id);
-            const bool fitsNow = minion.free.covers(need);
-            const bool shouldQuery = minion.capacity.covers(need) && !m_input.tickets.refused(key, minion.id)
+            const bool fitsNow = minion.free.covers(request.need);
+            const bool shouldQuery = minion.capacity.covers(request.need) && !m_input.tickets.refused(key, minion.id)
                                      && m_input.tickets.ticket(key, minion.id, m_input.steadyMs).empty();
             if (shouldQuery && (fitsNow || !admittedBefore)) {
                 order.emplace_back(!fitsNow, !admittedBefore, m);
+                expired = expired || admittedBefore;
             }
         }
+        if (expired && !couldStartOnceAdmitted(candidate, request, overdue, isHeldBack)) {
+            std::erase_if(order, [](const auto &item) { return !std::get<1>(item); });
+        }
         std::sort(order.begin(), order.end());
-        const std::size_t members = step.gang ? step.count : 1;
-        const std::size_t maxMinions = std::min(MAX_QUERIED_MINIONS, std::max(MIN_QUERIED_MINIONS, 2 * members));
+        const std::size_t maxMinions =
+            std::min(MAX_QUERIED_MINIONS, std::max(MIN_QUERIED_MINIONS, 2 * request.members));
         AdmissionQuery query {key, {}};
         for (std::size_t i = 0; i < std::min(maxMinions, order.size()); ++i) {
             query.minions.push_back(m_fleet[std::get<2>(order[i])].id);
@@ -372,6 +374,40 @@
         }
     }
 
+    /** @return true if a unit would find a place if every minion that the oracle has not refused were admitted. */
+    bool couldStartOnceAdmitted(const Candidate &candidate, const PlacementRequest &request, bool overdue,
+                                bool isHeldBack)
+    {
+        const StepSpec &step = candidate.spec();
+        const StepKey key = candidate.stepKey();
+        MinionGroup &group = m_admittedGroups.emplace_back();
+        std::size_t members = 0; // with those on minions of last resort, where an overdue unit must fit twice
+        for (const std::size_t m : eligibleMinions(candidate, overdue).all) {
+            if (!m_input.tickets.refused(key, m_fleet[m].id)) {
+                group.add(m, m_fleet.rackOf(m));
+                members += membersThatFit(m_fleet[m].free, request.need, 0);
+            }
+        }
+        PlacementRequest admitted = request;
+        admitted.group = &group;
+        if (overdue && members >= 2 * request.members && !m_search.find(admitted, MinionGroup::ANY_RACK).empty()) {
+            return true;
+        }
+        const std::vector<std::size_t> racks =
+            racksToTry(m_fleet, step, feasibleRacks(m_fleet, group, step, request.need));
+        return !isHeldBack && members >= request.members && !findOn(racks, withReserve(candidate, admitted)).empty();
+    }
+
+    /** @return @p request, limited to what it may take beside the GPUs that are reserved for urgent work. */
+    [[nodiscard]] PlacementRequest withReserve(const Candidate &candidate, const PlacementRequest &request) const
+    {
+        PlacementRequest reserved = request;
+        if (candidate.entry->job.priority > 0 && m_input.reservedGpus > 0) {
+            reserved.maxWholeGpus = std::max<std::int64_t>(0, m_fleet.wholeGpus() - m_input.reservedGpus);
+        }
+        return reserved;
+    }
+
     void allocate(const std::vector<std::size_t> &chosen, const Resources &need,
                   std::map<std::size_t, std::uint32_t> &placed)
     {
--- a/tests/unit/stepservices.cpp
+++ b/tests/unit/stepservices.cpp
@@ -1,3 +1,4 @@
+#include "steps/admissionturns.h"
 #include "steps/fillpace.h"
 #include "steps/stepscheduler.h"
 #include "steps/ticketbook.h"
@@ -152,6 +153,58 @@
     EXPECT_EQ(scenario.minions[1].id, scenario.plan(20'000).admissionQueries.at(0).minions.at(0));
 }
 
+// Guards against queries of steps that wait for room taking the turns of steps that have room.
+TEST(StepsWithAnOracle, RenewTicketsOnlyIfTheyCouldStartWithThem)
+{
+    OracleScenario scenario(3);
+    scenario.minions[0].free = {};
+    const StepKey gang {JobId("gang"), 0, 0};
+    StepJob job = scenario.jobTable.find(STEP.job)->job;
+    job.id = gang.job;
+    job.spec.steps[0].count = 3;
+    job.spec.steps[0].gang = true;
+    scenario.jobTable = JobTable();
+    scenario.jobTable.apply(StepJobSubmitted {job});
+    std::vector<MinionId> all;
+    std::vector<AdmissionTicket> tickets;
+    for (const MinionView &minion : scenario.minions) {
+        all.push_back(minion.id);
+        tickets.push_back({minion.id, "t"});
+    }
+    scenario.tickets.add(gang, all, tickets, 10'000);
+    EXPECT_TRUE(scenario.plan(20'000).admissionQueries.empty()) << "there is room for two of three members";
+    scenario.minions[0].free = scenario.minions[0].capacity;
+    EXPECT_EQ(3U, scenario.plan(20'000).admissionQueries.at(0).minions.size());
+}
+
+// Guards against a step that never gets a query because others need one all the time.
+TEST(AdmissionTurns, PutStepsThatWereNeverQueriedFirstAndLetNoneWaitForever)
+{
+    const StepKey first {JobId("first"), 0, 0};
+    const StepKey second {JobId("second"), 0, 0};
+    AdmissionTurns turns;
+    const auto take = [&turns](const std::vector<StepKey> &steps) {
+        const StepKey chosen = steps[turns.next(steps)];
+        turns.queried(chosen);
+        return chosen;
+    };
+    EXPECT_EQ(first, take({first, second}));
+    EXPECT_EQ(second, take({first, second}));
+    EXPECT_EQ(first, take({first, second}));
+    EXPECT_EQ(second, take({first, second}));
+    // Steps that are new and of higher rank arrive faster than the oracle answers.
+    std::uint64_t waited = 0;
+    for (int i = 0; take({StepKey {JobId("n" + std::to_string(i)), 0, 0}, first}) != first; ++i) {
+        ++waited;
+    }
+    EXPECT_LT(waited, AdmissionTurns::OLDEST_INTERVAL);
+    for (int i = 0; i < 10; ++i) {
+        turns.forget(JobId("n" + std::to_string(i)));
+    }
+    turns.forget(first.job);
+    EXPECT_EQ(1U, turns.size());
+}
+
 UpkeepCandidate candidate(const std::string &name, std::size_t running, std::int64_t lossMs, std::int64_t reservedMs)
 {
     UpkeepCandidate machine;
