Repeat orders to filling tasks that work while a target is exceeded

What callers saw: a serving task stayed over its tail target without end, if an order to a filling task was not answered and was carried out late, after the last order (share 0) had been confirmed. Found by reading.

Cause: paceFills() compares the share with the last confirmed one only, so nothing more was sent.

Measured: FillPace.RepeatsTheOrderWhileATargetIsExceededAndTheFillingTaskWorks passes; it tests a function that is new.

--- a/packages/dispatch/assignment.h
+++ b/packages/dispatch/assignment.h
@@ -33,10 +33,16 @@
     std::int64_t percent = 0;                   ///< completed work, as last reported
     std::optional<std::int64_t> lastProgressMs; ///< start of its unit or last rise of percent, on the minion's clock
     std::optional<std::int64_t> lastReportMs;   ///< on the minion's clock
-    std::int64_t tailMs = 0;                    ///< tail response time, if it is a service task
+    std::int64_t tailMs = 0;                    ///< tail response time of a service task, cores in use of others
     std::optional<int> pacePercent;             ///< last confirmed pace; empty if unknown
+    std::int64_t paceConfirmedMs = 0;           ///< when it was confirmed
     bool paceInFlight = false;                  ///< a pace order is in flight
 
+    /** @return true if the last report shows that it works. */
+    [[nodiscard]] bool works() const
+    {
+        return lastReportMs && (tailMs > 0 || lastProgressMs == lastReportMs);
+    }
     /** @return how long its progress had stalled at the last report, in ms by the minion's clock; 0 before that. */
     [[nodiscard]] std::int64_t stalledMs() const
     {
--- a/packages/dispatch/minioncontrol.h
+++ b/packages/dispatch/minioncontrol.h
@@ -41,7 +41,7 @@
     std::uint32_t run = 0;
     std::string checkpoint; ///< the latest that was saved
     std::int64_t percent = 0;
-    std::int64_t tailMs = 0; ///< tail response time of a service task; undefined for others
+    std::int64_t tailMs = 0; ///< tail response time of a service task; cores in use of others, if reported
 };
 
 /** How a run ended. */
--- a/packages/dispatch/stepplannershares.cpp
+++ b/packages/dispatch/stepplannershares.cpp
@@ -44,7 +44,8 @@
     }
     for (const auto &[assignment, index] : fills) {
         Member &member = assignment->members[index];
-        if (member.pacePercent != link.fillPace.percent() && !member.paceInFlight) {
+        const PacedTask task {member.pacePercent, member.paceConfirmedMs, member.works()};
+        if (!member.paceInFlight && link.fillPace.needsOrder(task, nowMs)) {
             member.paceInFlight = true;
             Asio::co_spawn(m_context.io, paceMember(shared_from_this(), assignment, index, link.fillPace.percent()),
                            Asio::detached);
@@ -71,6 +72,7 @@
     }
     if (answer.outcome == OrderOutcome::Done) {
         member.pacePercent = percent;
+        member.paceConfirmedMs = bootMillis();
     } else {
         member.pacePercent.reset(); // repeated after the next report
     }
--- a/packages/steps/fillpace.cpp
+++ b/packages/steps/fillpace.cpp
@@ -25,8 +25,9 @@
             worstRatio = std::max(worstRatio, double(tail.tailMs) / double(tail.targetMs));
         }
     }
+    m_exceeded = worstRatio > CUT_THRESHOLD;
     const std::int64_t sinceChangeMs = nowMs - m_changedMs;
-    if (worstRatio > CUT_THRESHOLD && m_percent > 0 && sinceChangeMs >= MIN_CUT_INTERVAL_MS) {
+    if (m_exceeded && m_percent > 0 && sinceChangeMs >= MIN_CUT_INTERVAL_MS) {
         const int halved = m_percent / 2;
         m_percent = halved < MIN_PERCENT ? 0 : halved;
         m_changedMs = nowMs;
@@ -36,4 +37,10 @@
     }
 }
 
+bool FillPace::needsOrder(const PacedTask &task, std::int64_t nowMs) const
+{
+    const bool repeat = m_exceeded && task.works && nowMs - task.confirmedMs >= MIN_CUT_INTERVAL_MS;
+    return repeat || task.confirmedPercent != m_percent;
+}
+
 } // namespace Papaya
--- a/tests/unit/stepservices.cpp
+++ b/tests/unit/stepservices.cpp
@@ -65,6 +65,20 @@
     EXPECT_EQ(FillPace::FULL, pace.percent());
 }
 
+// Guards against an unanswered order that is carried out after the last confirmed one, which halted the task.
+TEST(FillPace, RepeatsTheOrderWhileATargetIsExceededAndTheFillingTaskWorks)
+{
+    FillPace pace;
+    lastOverTargetMs(pace, 120, 50, 5'000);
+    ASSERT_EQ(0, pace.percent());
+    EXPECT_TRUE(pace.needsOrder({0, 10'000, true}, 11'000));
+    EXPECT_FALSE(pace.needsOrder({0, 10'900, true}, 11'000)) << "the report may be older than the order";
+    EXPECT_FALSE(pace.needsOrder({0, 10'000, false}, 11'000)) << "it is halted";
+    EXPECT_TRUE(pace.needsOrder({10, 10'000, false}, 11'000));
+    pace.observe({{20, 100}}, 15'000); // raises the share
+    EXPECT_FALSE(pace.needsOrder({pace.percent(), 10'000, true}, 16'000)) << "no target is exceeded";
+}
+
 const StepKey STEP {JobId("job"), 0, 0};
 const MinionId GOOD("good");
 const MinionId BAD("bad");
