Count jobs as waiting until a task may have started

What callers saw: waitingCount left out a job from its first placement on, also if every start of its tasks was refused.

Cause: JobTable::waiting() took a unit with a run number for started; a placement counts the run before its start is ordered.

Change: the record of a unit that waits after starts that were refused or withdrawn says that no run has begun (UnitStatus::neverBegan). The planner sets it only if it is certain: no start was confirmed, no report has listed the run, and it was not adopted or lost with its lease. A placed unit counts as started until its refusal is known. The state of jobs that callers see is unchanged.

--- a/packages/dispatch/assignment.h
+++ b/packages/dispatch/assignment.h
@@ -61,6 +61,7 @@
     std::vector<Member> members;
     std::optional<EndKind> outcome; ///< of the first member that ended, unless a later one succeeded or failed
     bool doneJournaled = false;
+    bool mayHaveBegun = false;   ///< false while it is certain that no member has begun to run
     std::int64_t firstEndMs = 0; ///< when a member was found ended; 0 if none was
     bool stopping = false;
     bool lastResort = false;       ///< placed on a minion that gets no other work
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -93,6 +93,7 @@
 void StepPlanner::adoptUnit(const JobEntry &entry, const UnitKey &unit, const UnitStatus &status)
 {
     const AssignmentPtr assignment = track(entry, unit, status);
+    assignment->mayHaveBegun = true;
     bool partial = false;
     for (Member &member : assignment->members) {
         if (member.state == MemberState::Ended) {
@@ -528,6 +529,7 @@
 {
     UnitStatus status = *m_context.jobTable.find(decision.unit);
     status.state = UnitState::Placed;
+    status.neverBegan = !status.hasBegun();
     ++status.run;
     status.minions.clear();
     for (const std::size_t m : decision.minions) {
--- a/packages/dispatch/stepplannerhealth.cpp
+++ b/packages/dispatch/stepplannerhealth.cpp
@@ -76,6 +76,7 @@
                  {{"unit", assignment->unit.toString()},
                   {"run", std::uint64_t(assignment->run)},
                   {"minion", assignment->members[index].minion.value()}});
+        assignment->mayHaveBegun = true;
         memberEnded(assignment, index, EndKind::Lapsed);
     }
 }
@@ -111,6 +112,7 @@
                  {{"unit", assignment->unit.toString()},
                   {"run", std::uint64_t(assignment->run)},
                   {"minion", assignment->members[index].minion.value()}});
+        assignment->mayHaveBegun = true;
         memberEnded(assignment, index, EndKind::Unknown);
     }
 }
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -234,6 +234,7 @@
     case OrderOutcome::Done:
         if (member.state == MemberState::Ordered) {
             member.state = MemberState::Running;
+            assignment->mayHaveBegun = true;
             member.confirmedMs = now;
             member.pacePercent = FillPace::FULL;
             if (self->m_startedJobs.insert(assignment->unit.job).second) {
--- a/packages/dispatch/stepplannerreports.cpp
+++ b/packages/dispatch/stepplannerreports.cpp
@@ -77,6 +77,7 @@
         }
         return;
     }
+    assignment->mayHaveBegun = true;
     if (!end.checkpoint.empty()) {
         assignment->checkpoint = end.checkpoint;
     }
@@ -134,6 +135,7 @@
             continue;
         }
         listed[running.task] = running.run;
+        assignment->mayHaveBegun = true;
         assignment->members[index].unverifiedUntilMs = 0;
         assignment->percent = std::max(assignment->percent, running.percent);
         Member &member = assignment->members[index];
@@ -274,6 +276,7 @@
     status.state = UnitState::Waiting;
     status.minions.clear();
     status.checkpoint = assignment->checkpoint;
+    status.neverBegan = status.neverBegan && !assignment->mayHaveBegun;
     countFailure(*assignment, status);
     if (status.failures >= entry->job.attempts && !assignment->step.longRunning) {
         status.state = UnitState::Failed;
--- a/packages/steps/jobrecord.cpp
+++ b/packages/steps/jobrecord.cpp
@@ -173,7 +173,8 @@
 
 /**
  * Encodes a unit record as a line of fields: state, run, failures, last failed run, checkpoint, minions. Most records
- * are of units, so they use this compact form instead of CBOR.
+ * are of units, so they use this compact form instead of CBOR. A lone ESCAPE, which toField() never returns, marks a
+ * unit of which no run has begun; earlier versions read it as a minion of a unit that is not placed, and ignore it.
  */
 std::string encodeStatus(const UnitStatus &status)
 {
@@ -185,6 +186,9 @@
     for (const MinionId &minion : status.minions) {
         text += FIELD_SEPARATOR + toField(minion.value());
     }
+    if (status.state == UnitState::Waiting && status.neverBegan) {
+        text += std::string {FIELD_SEPARATOR, ESCAPE};
+    }
     return text;
 }
 
@@ -214,6 +218,10 @@
     }
     status.checkpoint = fromField(takeField(text));
     while (!text.empty()) {
+        if (text.size() == 1 && text.front() == ESCAPE) {
+            status.neverBegan = true;
+            break;
+        }
         status.minions.emplace_back(fromField(takeField(text)));
     }
     return true;
--- a/packages/steps/jobrecord.h
+++ b/packages/steps/jobrecord.h
@@ -28,6 +28,13 @@
     std::string checkpoint;      ///< checkpoint to resume from; empty starts over
     /** Minion of each member, if the unit is placed; empty for a member that has ended while others may run. */
     std::vector<MinionId> minions;
+    bool neverBegan = false; ///< no run is known to have begun, although there were some; stored only while it waits
+
+    /** @return true if a run may have begun; a placed unit counts as begun. */
+    [[nodiscard]] bool hasBegun() const
+    {
+        return run > 0 && !(state == UnitState::Waiting && neverBegan);
+    }
 
     bool operator==(const UnitStatus &) const = default;
 };
--- a/packages/steps/jobtable.cpp
+++ b/packages/steps/jobtable.cpp
@@ -38,6 +38,7 @@
     add(counts.left, !isDone(status, longRunning));
     add(counts.failed, status.state == UnitState::Failed);
     add(counts.started, status.run > 0);
+    add(counts.begun, status.hasBegun());
 }
 
 StepJobState stateOf(const UnitCounts &units, bool cancelled)
@@ -307,7 +308,7 @@
 {
     return static_cast<std::size_t>(std::count_if(m_live.begin(), m_live.end(), [&](const auto &item) {
         const JobEntry &entry = *item.second;
-        return entry.job.queue == queue && entry.units.started == 0 && entry.job.spec.timetable.runs == 0;
+        return entry.job.queue == queue && entry.units.begun == 0 && entry.job.spec.timetable.runs == 0;
     }));
 }
 
--- a/packages/steps/jobtable.h
+++ b/packages/steps/jobtable.h
@@ -28,6 +28,7 @@
     std::uint32_t left = 0;    ///< not done
     std::uint32_t failed = 0;  ///< have failed on all attempts
     std::uint32_t started = 0; ///< have been placed at least once
+    std::uint32_t begun = 0;   ///< of these, units of which a run may have begun
 };
 
 /** A job as its records in the store describe it, which is what callers may be told. */
@@ -131,7 +132,8 @@
         return m_live;
     }
 
-    /** @return how many jobs of @p queue have no timetable and have not started. */
+    /** @return how many jobs of @p queue have no timetable and of which no task has started. A placed task counts as
+     * started until its start is known to have been refused. */
     [[nodiscard]] std::size_t waiting(const QueueName &queue) const;
     /** @return the newest announcement of a planner. */
     [[nodiscard]] const PlannerAnnouncement &planner() const
--- a/tests/integration/stepjobs.cpp
+++ b/tests/integration/stepjobs.cpp
@@ -41,6 +41,21 @@
     }));
 }
 
+// Guards against a job that counts as started from its first placement although every start is refused.
+TEST(StepJobs, CountAsWaitingWhileTheirStartsAreRefused)
+{
+    Deployment deployment({1, 1});
+    deployment.start();
+    deployment.minions.front()->setFaults({.refuseStarts = 1'000});
+    ASSERT_EQ(200, deployment.submit(0, "plan", deployment.newId(), {Deployment::step(1)}).status);
+    ASSERT_TRUE(Cluster::eventually([&] { return deployment.log(0).find("start-refused") != std::string::npos; }));
+    const auto waits = [&] { return deployment.call(0, "GET", "plan", "").body == R"({"waitingCount":1})"; };
+    EXPECT_TRUE(Cluster::eventually(waits, Millis(3'000)));
+    deployment.minions.front()->setFaults({});
+    EXPECT_TRUE(Cluster::eventually(
+        [&] { return deployment.call(0, "GET", "plan", "").body == R"({"waitingCount":0})"; }, Millis(8'000)));
+}
+
 TEST(StepJobs, WithMoreTasksThanMinionsMayRunAtOnceCompleteThemAll)
 {
     Deployment deployment({2, 3});
--- a/tests/unit/jobtable.cpp
+++ b/tests/unit/jobtable.cpp
@@ -108,6 +108,30 @@
     EXPECT_EQ(1'500, jobTable.find(job.id)->dueMs(1));
 }
 
+// Guards against a job that counts as started although its only start was refused.
+TEST(JobTable, CountsAJobAsWaitingUntilARunMayHaveBegun)
+{
+    StepJob job;
+    job.id = JobId("refused");
+    job.queue = QueueName("plan");
+    job.spec.steps.resize(1);
+    JobTable table;
+    table.apply(StepJobSubmitted {job});
+    const auto waitingAfter = [&](UnitState state, std::uint32_t run, bool neverBegan) {
+        UnitStatus status;
+        status.state = state;
+        status.run = run;
+        status.neverBegan = neverBegan;
+        const StoredRecord record = encodeRecord(UnitChanged {{job.id, 0, 0, 0}, status});
+        table.apply(*decodeRecord(record.key, record.value));
+        return table.waiting(job.queue);
+    };
+    EXPECT_EQ(0U, waitingAfter(UnitState::Placed, 1, true));
+    EXPECT_EQ(1U, waitingAfter(UnitState::Waiting, 1, true)) << "refused";
+    EXPECT_EQ(0U, waitingAfter(UnitState::Placed, 2, true));
+    EXPECT_EQ(0U, waitingAfter(UnitState::Waiting, 2, false)) << "stopped after it had begun";
+}
+
 TEST(JobTable, CancelsAJobWhoseCancellationPrecedesItsSubmission)
 {
     JobTable jobTable;
