Count tasks on silent minions as unavailable in the disruption budget

What callers saw: a service could miss one task more than its budget allows: a task on a minion that did not answer counted as available until its lease had expired, up to 7.7 s, so that upkeep took another one down meanwhile.

Cause: unavailableTasks() looked at the last report only, however old.

Change: a task on a minion that does not answer polls is unavailable. It still counts as lost by a stop of its own minion, since it may be running.

--- a/packages/dispatch/stepplannershares.cpp
+++ b/packages/dispatch/stepplannershares.cpp
@@ -90,7 +90,9 @@
     for (; place != m_assignments.end() && place->first.stepKey() == step; ++place) {
         const Assignment &assignment = *place->second;
         for (const Member &member : assignment.members) {
-            const bool available = member.state == MemberState::Running && member.percent >= AVAILABLE_PERCENT;
+            const bool answers = m_links.at(member.minion).pollFailures == 0;
+            const bool available =
+                answers && member.state == MemberState::Running && member.percent >= AVAILABLE_PERCENT;
             availableTasks += available && !assignment.stopping && !m_goingDown.contains(member.minion) ? 1 : 0;
         }
     }
--- a/tests/integration/stepservices.cpp
+++ b/tests/integration/stepservices.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <thread>
 
 // Tests filling (best-effort) tasks beside services, queues with an admission oracle, and maintenance waves.
 
@@ -220,6 +221,35 @@
     }
 }
 
+// Guards against a wave that counts a task on a silent minion as available until its lease has expired.
+TEST(MaintenanceWaves, StopNoTaskWhileAnotherIsOnASilentMinion)
+{
+    Deployment deployment({1, 3});
+    deployment.start();
+    const std::string id = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "urgent", id, {service(2, 1)}, {{"lasts", true}, {"tailMs", 10}}).status);
+    ASSERT_TRUE(deployment.waitForRunCount(id, 2));
+    std::this_thread::sleep_for(Millis(4'500)); // a new planner orders no upkeep for 4 s
+    const std::string silent = deployment.runs.of(id)[0].minion;
+    const std::string other = deployment.runs.of(id)[1].minion;
+    deployment.minion(silent).setFaults({.unresponsive = true});
+    ASSERT_TRUE(Cluster::eventually(
+        [&] { return deployment.log(0).find("minion-silent minion=" + silent) != std::string::npos; }));
+    const Json wave = {{"wave", 5}, {"machines", {"m-" + other}}, {"withinS", 1}, {"maximum", 1}};
+    deployment.store.put("keyed.op", "wave/5", wave.dump());
+    const auto stopped = [&] {
+        const std::vector<TaskRun> runs = deployment.runs.of(id);
+        const auto run = std::find_if(runs.begin(), runs.end(),
+                                      [&](const TaskRun &item) { return item.minion == other && item.endedMs > 0; });
+        return run == runs.end() ? 0 : run->endedMs;
+    };
+    ASSERT_TRUE(Cluster::eventually([&] { return stopped() > 0; }, Millis(30'000)));
+    const std::vector<TaskRun> runs = deployment.runs.of(id);
+    EXPECT_TRUE(std::any_of(runs.begin(), runs.end(), [&](const TaskRun &run) {
+        return run.minion != silent && run.minion != other && run.startedMs < stopped();
+    })) << "stopped before the task of the silent minion was available elsewhere";
+}
+
 TEST(MaintenanceWaves, OfAKilledPlannerAreCompletedByItsSuccessor)
 {
     Deployment deployment({2, 3});
