--- a/tests/unit/stepservices.cpp
+++ b/tests/unit/stepservices.cpp
@@ -198,9 +198,9 @@
     const StepKey second {JobId("second"), 0, 0};
     AdmissionTurns turns;
     const auto take = [&turns](const std::vector<StepKey> &steps) {
-        const StepKey chosen = steps[turns.next(steps)];
-        turns.queried(chosen);
-        return chosen;
+        const std::size_t index = turns.next(steps);
+        turns.queried(steps[index]);
+        return steps[index];
     };
     EXPECT_EQ(first, take({first, second}));
     EXPECT_EQ(second, take({first, second}));
