--- a/packages/dispatch/assignment.h
+++ b/packages/dispatch/assignment.h
@@ -36,8 +36,14 @@
     std::int64_t tailMs = 0;                    ///< tail response time, if it is a service task
     std::int64_t coresInUse = 0;                ///< if it is no service task
     std::optional<int> pacePercent;             ///< last confirmed pace; empty if unknown
+    std::int64_t paceConfirmedMs = 0;           ///< when it was confirmed
     bool paceInFlight = false;                  ///< a pace order is in flight
 
+    /** @return true if the last report shows that it works. */
+    [[nodiscard]] bool works() const
+    {
+        return lastReportMs && (coresInUse > 0 || lastProgressMs == lastReportMs);
+    }
     /** @return how long its progress had stalled at the last report, in ms by the minion's clock; 0 before that. */
     [[nodiscard]] std::int64_t stalledMs() const
     {
@@ -56,6 +62,7 @@
     std::vector<Member> members;
     std::optional<EndKind> outcome; ///< of the first member that ended, unless a later one succeeded or failed
     bool doneJournaled = false;
+    bool mayHaveBegun = false;   ///< false while it is certain that no member has begun to run
     std::int64_t firstEndMs = 0; ///< when a member was found ended; 0 if none was
     bool stopping = false;
     bool lastResort = false;       ///< placed on a minion that gets no other work
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -26,8 +26,8 @@
 constexpr std::int64_t STUCK_CHECK_INTERVAL_MS = 200;
 constexpr std::int64_t MAX_ENTRY_AGE_MS = 600; // from the writing of an entry to its reading
 constexpr std::int64_t FORGET_INTERVAL_MS = 1'000;
-constexpr std::int64_t MINION_RETENTION_MS = 60'000; // after its entry is removed; orders in flight end sooner
-constexpr std::int64_t NEARLY_DONE_PERCENT = 85;     // units with at least this progress are not preempted
+constexpr std::int64_t MINION_RETENTION_MS = 60'000;         // after its entry is removed; orders in flight end sooner
+constexpr std::int64_t NEARLY_DONE_PERCENT = 85;             // units with at least this progress are not preempted
 constexpr std::int64_t MAX_WALL_CLOCK_DIFFERENCE_MS = 2'000; // of a minion's host and a node
 
 } // namespace
@@ -84,6 +84,7 @@
 void StepPlanner::adoptUnit(const JobEntry &entry, const UnitKey &unit, const UnitStatus &status)
 {
     const AssignmentPtr assignment = track(entry, unit, status);
+    assignment->mayHaveBegun = true;
     bool partial = false;
     for (Member &member : assignment->members) {
         if (member.state == MemberState::Ended) {
@@ -435,6 +436,21 @@
         active.lossMs = assignment->lossMs(now);
         active.stopping = assignment->stopping || assignment->outcome.has_value();
         active.preemptible = !assignment->step.longRunning && assignment->percent < NEARLY_DONE_PERCENT;
+        if (assignment->step.longRunning) {
+            active.longRunning = true;
+            active.availableTasks = tasksToLose(*assignment);
+            if (assignment->step.maxUnavailable > 0) {
+                const auto [budget, added] = input.budgets.try_emplace(unit.stepKey());
+                if (added) {
+                    budget->second = {assignment->step.maxUnavailable,
+                                      unavailableTasks(unit.stepKey(), assignment->step)};
+                }
+            }
+        } else if (!active.preemptible) {
+            const QueueName &queue = m_context.jobTable.find(unit.job)->job.queue;
+            const std::int64_t expectedMs = m_context.times.expectedMs(queue, assignment->step.estimate.count());
+            active.remainingMs = remainingMs({now - assignment->startedMs, expectedMs, assignment->percent});
+        }
         input.active.push_back(std::move(active));
     }
     if (m_context.evacuations().everRequested()) {
@@ -490,11 +506,13 @@
     m_nextPass = decided + std::min<Duration>(PASS_BACKOFF_FACTOR * (decided - begun), MAX_PASS_BACKOFF);
     for (const UnitStop &stop : decisions.stops) {
         logEvent(LogLevel::Info, "unit-preempted",
-                 {{"unit", stop.unit.toString()}, {"for", stop.beneficiary.toString()}});
+                 {{"unit", stop.unit.toString()},
+                  {"for", stop.beneficiary.toString()},
+                  {"reclaimed", stop.reclaimed ? "yes" : "no"}});
         const AssignmentPtr &victim = m_assignments.at(stop.unit);
         const auto gpus = victim->need.gpus * static_cast<std::int64_t>(victim->members.size());
         m_headroom.preempted(victim->priority, gpus, bootMillis());
-        stopAssignment(victim, "preempted");
+        stopAssignment(victim, stop.reclaimed ? "reclaimed" : "preempted");
     }
     for (const UnitStart &start : decisions.starts) {
         startUnit(start, ids);
@@ -506,6 +524,7 @@
 {
     UnitStatus status = *m_context.jobTable.find(decision.unit);
     status.state = UnitState::Placed;
+    status.neverBegan = !status.hasBegun();
     ++status.run;
     status.minions.clear();
     for (const std::size_t m : decision.minions) {
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -13,6 +13,7 @@
 #include "evacuation/placeevacuations.h"
 #include "evacuation/servicemoves.h"
 #include "interference/interference.h"
+#include "steps/admissionturns.h"
 #include "steps/idlejobs.h"
 #include "steps/stepscheduler.h"
 #include "steps/succession.h"
@@ -199,7 +200,7 @@
     [[nodiscard]] bool mayRenew() const;
 
     // Admission oracle
-    /** Sends the first of @p queries to the oracle, unless a call is in flight. */
+    /** Sends the one of @p queries whose turn it is to the oracle, unless a call is in flight. */
     void requestAdmission(const std::vector<AdmissionQuery> &queries);
     static Asio::awaitable<void> queryOracle(std::shared_ptr<StepPlanner> self, AdmissionQuery query,
                                              OracleTerms terms);
@@ -239,6 +240,11 @@
     Asio::awaitable<bool> store(WaveProgress progress) override;
     /** @return how many tasks of @p step are not available. */
     [[nodiscard]] std::uint32_t unavailableTasks(const StepKey &step, const StepSpec &spec) const;
+    /**
+     * @return how many tasks a stop of @p assignment may make unavailable. A task counts unless its minion has reported
+     * that it is not available, since a new planner or a lost link knows nothing of it.
+     */
+    [[nodiscard]] std::uint32_t tasksToLose(const Assignment &assignment) const;
 
     // Reports
     void handleReport(MinionLink &link, const MinionReport &report, std::int64_t sentMs);
@@ -375,6 +381,7 @@
     std::uint32_t m_silenceSpells = 0;                      ///< MinionSilence::spell of the last record
     std::map<std::string, std::int64_t> m_unknownRunStopMs; ///< last stop order of each unknown run, by task
     TicketBook m_tickets;
+    AdmissionTurns m_admissionTurns;
     Headroom m_headroom;
     IdleJobs m_idleJobs;
     std::int64_t m_lastPassMs = 0;
--- a/packages/dispatch/stepplannershares.cpp
+++ b/packages/dispatch/stepplannershares.cpp
@@ -56,7 +56,8 @@
     for (const auto &[assignment, index] : fills) {
         Member &member = assignment->members[index];
         const int percent = link.fillPace.percent(assignment->step.image);
-        if (member.pacePercent != percent && !member.paceInFlight) {
+        const PacedTask task {member.pacePercent, member.paceConfirmedMs, member.works(), assignment->step.image};
+        if (!member.paceInFlight && link.fillPace.needsOrder(task, nowMs)) {
             member.paceInFlight = true;
             Asio::co_spawn(m_context.io, paceMember(shared_from_this(), assignment, index, percent), Asio::detached);
         }
@@ -82,6 +83,7 @@
     }
     if (answer.outcome == OrderOutcome::Done) {
         member.pacePercent = percent;
+        member.paceConfirmedMs = bootMillis();
     } else {
         member.pacePercent.reset(); // repeated after the next report
     }
@@ -99,13 +101,25 @@
     for (; place != m_assignments.end() && place->first.stepKey() == step; ++place) {
         const Assignment &assignment = *place->second;
         for (const Member &member : assignment.members) {
-            const bool available = member.state == MemberState::Running && member.percent >= AVAILABLE_PERCENT;
+            const bool answers = m_links.at(member.minion).pollFailures == 0;
+            const bool available =
+                answers && member.state == MemberState::Running && member.percent >= AVAILABLE_PERCENT;
             availableTasks += available && !assignment.stopping && !m_goingDown.contains(member.minion) ? 1 : 0;
         }
     }
     return spec.count - std::min(spec.count, availableTasks);
 }
 
+std::uint32_t StepPlanner::tasksToLose(const Assignment &assignment) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(assignment.members.begin(), assignment.members.end(), [&](const Member &member) {
+            const bool answers = m_links.at(member.minion).pollFailures == 0;
+            const bool knownUnavailable = answers && member.lastReportMs && member.percent < AVAILABLE_PERCENT;
+            return member.state == MemberState::Running && !knownUnavailable;
+        }));
+}
+
 MinionWorkload StepPlanner::workloadOn(const MinionId &minion) const
 {
     MinionWorkload work;
--- a/packages/steps/fillpace.cpp
+++ b/packages/steps/fillpace.cpp
@@ -112,9 +112,10 @@
             worstRatio = std::max(worstRatio, double(tail.tailMs) / double(tail.targetMs));
         }
     }
+    m_exceeded = worstRatio > CUT_THRESHOLD;
     const std::int64_t sinceChangeMs = nowMs - m_changedMs;
     const bool mayCut = m_percent > 0 || !m_own.empty();
-    if (worstRatio > CUT_THRESHOLD && mayCut && sinceChangeMs >= MIN_CUT_INTERVAL_MS) {
+    if (m_exceeded && mayCut && sinceChangeMs >= MIN_CUT_INTERVAL_MS) {
         cut(tails, worstRatio, images);
         m_changedMs = nowMs;
     } else if (worstRatio < RAISE_THRESHOLD && m_percent < FULL && sinceChangeMs >= MIN_RAISE_INTERVAL_MS) {
@@ -132,4 +133,10 @@
     }
 }
 
+bool FillPace::needsOrder(const PacedTask &task, std::int64_t nowMs) const
+{
+    const bool repeat = m_exceeded && task.works && nowMs - task.confirmedMs >= MIN_CUT_INTERVAL_MS;
+    return repeat || task.confirmedPercent != percent(task.image);
+}
+
 } // namespace Papaya
--- a/packages/steps/fillpace.h
+++ b/packages/steps/fillpace.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -27,6 +28,14 @@
     std::map<std::string, double> causes = {};
 };
 
+/** A filling task, and the last order to it. */
+struct PacedTask {
+    std::optional<int> confirmedPercent; ///< last confirmed share; empty if unknown
+    std::int64_t confirmedMs = 0;        ///< when it was confirmed, on a steady clock
+    bool works = false;                  ///< its last report shows progress or cores in use
+    std::string image = {};
+};
+
 /** Controller of the shares of the filling tasks on one minion. */
 class FillPace
 {
@@ -49,6 +58,13 @@
     /** @return the share of filling tasks of @p image in percent, at least the common one; 0 halts them. */
     [[nodiscard]] int percent(const std::string &image) const;
 
+    /**
+     * @return true if percent(task.image) must be ordered for @p task. While a target is exceeded, the order is
+     * repeated as long as the task works: an earlier order that was not answered may have been carried out after the
+     * confirmed one.
+     */
+    [[nodiscard]] bool needsOrder(const PacedTask &task, std::int64_t nowMs) const;
+
 private:
     /** @return the images that may keep their shares in a cut. */
     [[nodiscard]] std::set<std::string> spared(const std::vector<TailLatency> &tails,
@@ -65,6 +81,7 @@
     double m_expectedRatio = 0;       ///< highest ratio after a cut that spared images; 0 if the last one spared none
     bool m_suspectsAll = false;       ///< the tail latency has not fallen after a cut that spared images
     std::int64_t m_changedMs = 0;
+    bool m_exceeded = false; ///< at the last observation
 };
 
 } // namespace Papaya
--- a/packages/steps/stepscheduler.cpp
+++ b/packages/steps/stepscheduler.cpp
@@ -19,6 +19,7 @@
 constexpr std::int64_t CLOCK_SKEW_MARGIN_MS = 20; // clocks of nodes differ; no run may start before it is due
 constexpr double MAX_LOSS_RATIO = 1;              // work that preemption may lose per unit of urgent work
 constexpr double NO_LIMIT = std::numeric_limits<double>::max();
+constexpr std::int64_t STOP_MS = 900; // longest time that a minion of a known deployment takes to stop a run
 constexpr std::int64_t MAX_CHOSEN_WAIT_MS = 1'500; // of a job of which nothing runs; a start takes time as well
 constexpr std::size_t MIN_QUERIED_MINIONS = 30;    // in one oracle call, whose latency grows with their number
 constexpr std::size_t MAX_QUERIED_MINIONS = 100;
@@ -59,6 +60,7 @@
         , m_search(m_fleet, input.preferences)
         , m_urgentGpus(urgentGpus(input))
         , m_preemption(m_fleet, input.active, borrowers())
+        , m_reclaim(std::move(input.budgets), borrowedGpus(input))
     {
     }
 
@@ -144,6 +146,19 @@
         return teams;
     }
 
+    /** @return the GPUs of urgent work beyond the guarantee that are not being released, by team. */
+    static std::map<TeamName, std::int64_t> borrowedGpus(const PlanInput &input)
+    {
+        std::map<TeamName, std::int64_t> gpus;
+        for (const ActiveUnit &unit : input.active) {
+            if (unit.priority == 0 && !unit.stopping) {
+                const auto place = gpus.try_emplace(unit.team, -input.config.guaranteedGpus(unit.team)).first;
+                place->second += unit.need.gpus * static_cast<std::int64_t>(unit.minions.size());
+            }
+        }
+        return gpus;
+    }
+
     void scheduleStep(const Candidate &candidate)
     {
         const StepProgress &progress = candidate.entry->occurrences[candidate.occurrence].steps[candidate.step];
@@ -200,19 +215,25 @@
             m_started.insert(unit.job);
             return true;
         }
-        addAdmissionQuery(candidate, overdue);
+        addAdmissionQuery(candidate, request, overdue, isHeldBack);
         if (isHeldBack || !mayPreempt(candidate)) {
             return false;
         }
         const PreemptionRights rights {candidate.entry->job.priority, candidate.entry->job.team, candidate.guaranteed,
                                        maxPreemptionCost(candidate)};
-        const auto plan = m_preemption.find(request, racks, rights);
+        auto plan = m_preemption.find(request, racks, rights);
+        if (!plan && candidate.guaranteed) {
+            plan = m_preemption.findReclaiming(request, racks, rights, m_reclaim, awaitedMs(*candidate.entry));
+        }
         if (!plan) {
             return false;
         }
         m_preemption.stop(*plan);
         for (const std::size_t v : plan->victims) {
-            m_decisions.stops.push_back({m_input.active[v].key, unit});
+            if (!plan->awaited.contains(v)) {
+                m_reclaim.stop(m_input.active[v]);
+                m_decisions.stops.push_back({m_input.active[v].key, unit, !m_input.active[v].preemptible});
+            }
         }
         // Reserves the capacity, so that no later unit in this pass is placed there.
         allocate(plan->chosen, request.need, placed);
@@ -321,32 +342,37 @@
 
     /**
      * Adds a query about eligible minions without a valid ticket: first those with free capacity, and among them first
-     * those whose ticket has expired. Left out are minions that are too small for a task, those that the oracle has
-     * refused, and those whose ticket has expired while they have no free capacity.
-     * @param withLastResort true to include minions of last resort
+     * those whose ticket has expired. Left out are minions that are too small for a task and those that the oracle has
+     * refused. A ticket that has expired is renewed only if the step could start with it.
+     * @param request of the unit, which has found no place
+     * @param overdue true to include minions of last resort
+     * @param isHeldBack true if it would start only because it is overdue
      */
-    void addAdmissionQuery(const Candidate &candidate, bool withLastResort)
+    void addAdmissionQuery(const Candidate &candidate, const PlacementRequest &request, bool overdue, bool isHeldBack)
     {
         if (!requiresAdmission(candidate)) {
             return;
         }
-        const StepSpec &step = candidate.spec();
-        const Resources need = countedNeed(step);
         const StepKey key = candidate.stepKey();
         std::vector<std::tuple<bool, bool, std::size_t>> order;
-        for (const std::size_t m : eligibleMinions(candidate, withLastResort).all) {
+        bool expired = false;
+        for (const std::size_t m : eligibleMinions(candidate, overdue).all) {
             const MinionView &minion = m_fleet[m];
             const bool admittedBefore = m_input.tickets.admitted(key, minion.id);
-            const bool fitsNow = minion.free.covers(need);
-            const bool shouldQuery = minion.capacity.covers(need) && !m_input.tickets.refused(key, minion.id)
+            const bool fitsNow = minion.free.covers(request.need);
+            const bool shouldQuery = minion.capacity.covers(request.need) && !m_input.tickets.refused(key, minion.id)
                                      && m_input.tickets.ticket(key, minion.id, m_input.steadyMs).empty();
             if (shouldQuery && (fitsNow || !admittedBefore)) {
                 order.emplace_back(!fitsNow, !admittedBefore, m);
+                expired = expired || admittedBefore;
             }
         }
+        if (expired && !couldStartOnceAdmitted(candidate, request, overdue, isHeldBack)) {
+            std::erase_if(order, [](const auto &item) { return !std::get<1>(item); });
+        }
         std::sort(order.begin(), order.end());
-        const std::size_t members = step.gang ? step.count : 1;
-        const std::size_t maxMinions = std::min(MAX_QUERIED_MINIONS, std::max(MIN_QUERIED_MINIONS, 2 * members));
+        const std::size_t maxMinions =
+            std::min(MAX_QUERIED_MINIONS, std::max(MIN_QUERIED_MINIONS, 2 * request.members));
         AdmissionQuery query {key, {}};
         for (std::size_t i = 0; i < std::min(maxMinions, order.size()); ++i) {
             query.minions.push_back(m_fleet[std::get<2>(order[i])].id);
@@ -356,6 +382,30 @@
         }
     }
 
+    /** @return true if a unit would find a place if every minion that the oracle has not refused were admitted. */
+    bool couldStartOnceAdmitted(const Candidate &candidate, const PlacementRequest &request, bool overdue,
+                                bool isHeldBack)
+    {
+        const StepSpec &step = candidate.spec();
+        const StepKey key = candidate.stepKey();
+        MinionGroup &group = m_admittedGroups.emplace_back();
+        std::size_t members = 0; // with those on minions of last resort, where an overdue unit must fit twice
+        for (const std::size_t m : eligibleMinions(candidate, overdue).all) {
+            if (!m_input.tickets.refused(key, m_fleet[m].id)) {
+                group.add(m, m_fleet.rackOf(m));
+                members += membersThatFit(m_fleet[m].free, request.need, 0);
+            }
+        }
+        PlacementRequest admitted = request;
+        admitted.group = &group;
+        if (overdue && members >= 2 * request.members && !m_search.find(admitted, MinionGroup::ANY_RACK).empty()) {
+            return true;
+        }
+        const std::vector<std::size_t> racks =
+            racksToTry(m_fleet, step, feasibleRacks(m_fleet, group, step, request.need));
+        return !isHeldBack && members >= request.members && !findOn(racks, admitted).empty();
+    }
+
     void allocate(const std::vector<std::size_t> &chosen, const Resources &need,
                   std::map<std::size_t, std::uint32_t> &placed)
     {
@@ -365,6 +415,14 @@
         }
     }
 
+    /** @return the longest remaining time of a nearly done unit for whose end guaranteed work of @p entry waits. */
+    [[nodiscard]] std::int64_t awaitedMs(const JobEntry &entry) const
+    {
+        const std::int64_t waitedMs =
+            entry.acceptedMs ? m_input.steadyMs - *entry.acceptedMs : m_input.nowMs - entry.job.submittedMs;
+        return longestAwaitedMs(std::max<std::int64_t>(0, waitedMs), STOP_MS);
+    }
+
     /** @return the limit of PreemptionRights for one unit of @p candidate, in core-seconds. */
     [[nodiscard]] double maxPreemptionCost(const Candidate &candidate) const
     {
@@ -385,6 +443,7 @@
         m_admittedGroups; ///< a deque, since m_search and m_preemption key their results by group address
     std::map<TeamName, std::int64_t> m_urgentGpus;
     Preemption m_preemption;
+    ReclaimLedger m_reclaim;
     PlanDecisions m_decisions;
     std::map<TeamName, std::int64_t> m_guaranteedDemand;
     std::set<JobId> m_started; ///< jobs of which this pass starts a unit
