Learn the speeds of minions, and move stragglers where there is room

Callers saw half of the credit of urgent jobs lost on fleets of which a fifth of the minions is six times slower: run times were learned by queue alone, and nothing told slow minions from fast ones.

MinionSpeeds learns levels of slowness from progress and ends. Urgent work and gangs of four and more tasks go to fast minions; other work avoids minions that are about three times slower. A unit far behind on such a minion is stopped and placed again if it is expected to end sooner elsewhere by a margin and half of the better GPUs stay free. With even speeds nothing is changed.

--- a/packages/dispatch/assignment.h
+++ b/packages/dispatch/assignment.h
@@ -33,6 +33,8 @@
     std::int64_t percent = 0;                   ///< completed work, as last reported
     std::optional<std::int64_t> lastProgressMs; ///< start of its unit or last rise of percent, on the minion's clock
     std::optional<std::int64_t> lastReportMs;   ///< on the minion's clock
+    /** Start of its unit on the minion's clock; empty if unknown, or if the run resumed from a checkpoint. */
+    std::optional<std::int64_t> beganMs;
     std::int64_t tailMs = 0;                    ///< tail response time, if it is a service task
     std::optional<int> pacePercent;             ///< last confirmed pace; empty if unknown
     bool paceInFlight = false;                  ///< a pace order is in flight
--- a/packages/dispatch/operatorapi.cpp
+++ b/packages/dispatch/operatorapi.cpp
@@ -151,6 +151,7 @@
                                                 {"jobs", double(status.jobs)},
                                                 {"jobs_live", double(status.liveJobs)},
                                                 {"minions", double(status.minions)},
+                                                {"minions_slow", double(status.slowMinions)},
                                                 {"places_evacuated", double(status.evacuatedPlaces.size())}};
     HttpResponse response;
     response.fields.set(Field::CONTENT_TYPE, "text/plain; version=0.0.4");
--- a/packages/dispatch/operatorapi.h
+++ b/packages/dispatch/operatorapi.h
@@ -29,7 +29,8 @@
     std::uint64_t journalOffset = 0;
     std::size_t jobs = 0;
     std::size_t liveJobs = 0;
-    std::size_t minions = 0; ///< 0 on a node that does not lead
+    std::size_t minions = 0;     ///< 0 on a node that does not lead
+    std::size_t slowMinions = 0; ///< of these, minions that are known to be very slow
     std::set<PlaceName> evacuatedPlaces;
 };
 
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -168,6 +168,7 @@
         status.jobs = jobTable.size();
         status.liveJobs = jobTable.live().size();
         status.minions = planner ? planner->minionCount() : 0;
+        status.slowMinions = planner ? planner->slowMinionCount() : 0;
         status.evacuatedPlaces = deployment.evacuations().inForce();
         return status;
     }
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -260,6 +260,7 @@
         m_lastStuckCheckMs = now;
         moveStuckRuns();
     }
+    refreshSpeeds(now);
     std::erase_if(m_links, [now](const auto &item) {
         const MinionLink &link = item.second;
         const bool unused = !link.listed && link.placed.empty() && !link.polling;
@@ -414,6 +415,7 @@
         view.usable = view.obstacle.empty();
         view.lastResort = isLastResort(link, now);
         view.cold = link.entry.cold;
+        view.slowness = m_speeds.level(id);
         view.penalty = link.runFailures;
         places[id] = ids.size();
         ids.push_back(id);
@@ -449,6 +451,9 @@
     if (m_context.evacuations().everRequested()) {
         input.preferences.push_back(&m_coldMinions);
     }
+    if (m_speeds.uneven()) {
+        input.preferences.push_back(&m_fastMinions);
+    }
     for (const auto &[unit, until] : m_notBefore) {
         if (now < until) {
             input.heldBack.insert(unit);
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -13,6 +13,8 @@
 #include "evacuation/placeevacuations.h"
 #include "evacuation/servicemoves.h"
 #include "reserve/urgentdemand.h"
+#include "speeds/fastminions.h"
+#include "speeds/stragglers.h"
 #include "steps/idlejobs.h"
 #include "steps/stepscheduler.h"
 #include "steps/waitreason.h"
@@ -123,6 +125,11 @@
     {
         return m_links.size();
     }
+    /** @return how many minions are known to be very slow. */
+    [[nodiscard]] std::size_t slowMinionCount() const
+    {
+        return m_speeds.verySlow();
+    }
     [[nodiscard]] Epoch epoch() const
     {
         return m_epoch;
@@ -265,6 +272,17 @@
     /** Stops runs that make no progress, so that they restart on another minion. */
     void moveStuckRuns();
 
+    // Uneven minions
+    /** Learns from a run that has done @p percent of its work at @p minionMs on the minion's clock. */
+    void observeSpeed(const Assignment &assignment, const Member &member, std::int64_t percent, std::int64_t minionMs);
+    /** @return false if the racks of @p assignment slow it down. */
+    [[nodiscard]] bool runsAtFullSpeed(const Assignment &assignment) const;
+    void refreshSpeeds(std::int64_t nowMs);
+    /** @return the running units with a member on a very slow minion, the most urgent first. */
+    [[nodiscard]] std::vector<SlowUnit> runsOnSlowMinions(std::int64_t nowMs) const;
+    /** Stops units on very slow minions that are expected to end sooner elsewhere. */
+    void rerunStragglers(std::int64_t nowMs);
+
     // Waits
     /** Takes note of work that stands still; logs why and counts it. */
     void noteWaits(std::int64_t nowMs);
@@ -335,6 +353,10 @@
     std::int64_t m_lastForgetMs = 0;
     ColdMinions m_coldMinions;
     std::int64_t m_lastServiceMoveMs = 0;
+    MinionSpeeds m_speeds;
+    FastMinions m_fastMinions;
+    std::int64_t m_lastSpeedsMs = 0;
+    std::set<UnitKey> m_rerunning; ///< units that were stopped as stragglers and do not run anew yet
     std::int64_t m_lastEvacuationsJournalMs = 0;
     ConfigVersion m_journaledConfigVersion;
     std::int64_t m_lastConfigJournalMs = 0;
--- a/packages/dispatch/stepplannerhealth.cpp
+++ b/packages/dispatch/stepplannerhealth.cpp
@@ -142,6 +142,9 @@
         const MinionClock &clock = m_links.at(member.minion).clock;
         if (clock.known()) {
             member.lastProgressMs = clock.at(nowMs);
+            if (assignment.checkpoint.empty()) {
+                member.beganMs = member.lastProgressMs;
+            }
         }
     }
 }
--- a/packages/dispatch/stepplannerreports.cpp
+++ b/packages/dispatch/stepplannerreports.cpp
@@ -80,6 +80,9 @@
     if (!end.checkpoint.empty()) {
         assignment->checkpoint = end.checkpoint;
     }
+    if (end.kind == EndKind::Done && link.clock.known()) {
+        observeSpeed(*assignment, assignment->members[index], 100, link.clock.at(bootMillis()));
+    }
     if (end.kind == EndKind::Failed) {
         m_avoid[assignment->unit].push_back(link.entry.id);
     }
@@ -142,6 +145,7 @@
             member.lastProgressMs = report.clockMs;
         }
         member.lastReportMs = report.clockMs;
+        observeSpeed(*assignment, member, running.percent, report.clockMs);
         member.tailMs = running.tailMs;
         if (!running.checkpoint.empty() && running.checkpoint != assignment->checkpoint) {
             assignment->checkpoint = running.checkpoint;
@@ -184,6 +188,7 @@
     link.endsHandled = link.endsStored = link.endsAcked = 0;
     link.runFailures = 0;
     link.fillPace = FillPace();
+    m_speeds.forget(link.entry.id);
     link.priorLeaseUntilMs = leaseBoundMs();
     // Which of the members the new instance runs is shown by its first report.
     for (const PlacedMember &placed : link.placed) {
@@ -191,6 +196,7 @@
         member.stopAnsweredMs = 0;
         member.percent = 0;
         member.lastProgressMs.reset();
+        member.beganMs.reset();
         member.lastReportMs.reset();
         member.pacePercent.reset();
     }
--- a/packages/steps/minionfleet.h
+++ b/packages/steps/minionfleet.h
@@ -35,6 +35,7 @@
     std::string_view obstacle; ///< why it is not usable, if so
     bool lastResort = false;   ///< accepts new work that has waited too long for a usable minion, though not usable
     bool cold = false;         ///< runs slower for a while after it has started
+    int slowness = 0;          ///< learned level, see MinionSpeeds::level(); 0 if average or unknown
     std::uint32_t penalty = 0; ///< minions with a lower penalty are preferred
 };
 
