--- a/packages/dispatch/operatorapi.cpp
+++ b/packages/dispatch/operatorapi.cpp
@@ -152,6 +152,7 @@
                                                 {"jobs_live", double(status.liveJobs)},
                                                 {"minions", double(status.minions)},
                                                 {"interfering_pairs", double(status.interferingPairs)},
+                                                {"minions_slow", double(status.slowMinions)},
                                                 {"places_evacuated", double(status.evacuatedPlaces.size())}};
     HttpResponse response;
     response.fields.set(Field::CONTENT_TYPE, "text/plain; version=0.0.4");
--- a/packages/dispatch/operatorapi.h
+++ b/packages/dispatch/operatorapi.h
@@ -31,6 +31,7 @@
     std::size_t liveJobs = 0;
     std::size_t minions = 0;          ///< 0 on a node that does not lead
     std::size_t interferingPairs = 0; ///< pairs of images that are known to interfere; 0 on a node that does not lead
+    std::size_t slowMinions = 0;      ///< of these, minions that are known to be very slow
     std::set<PlaceName> evacuatedPlaces;
 };
 
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -174,6 +174,7 @@
         status.liveJobs = jobTable.live().size();
         status.minions = planner ? planner->minionCount() : 0;
         status.interferingPairs = planner ? planner->interferingPairs() : 0;
+        status.slowMinions = planner ? planner->slowMinionCount() : 0;
         status.evacuatedPlaces = deployment.evacuations().inForce();
         return status;
     }
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -26,8 +26,8 @@
 constexpr std::int64_t STUCK_CHECK_INTERVAL_MS = 200;
 constexpr std::int64_t MAX_ENTRY_AGE_MS = 600; // from the writing of an entry to its reading
 constexpr std::int64_t FORGET_INTERVAL_MS = 1'000;
-constexpr std::int64_t MINION_RETENTION_MS = 60'000; // after its entry is removed; orders in flight end sooner
-constexpr std::int64_t NEARLY_DONE_PERCENT = 85;     // units with at least this progress are not preempted
+constexpr std::int64_t MINION_RETENTION_MS = 60'000;         // after its entry is removed; orders in flight end sooner
+constexpr std::int64_t NEARLY_DONE_PERCENT = 85;             // units with at least this progress are not preempted
 constexpr std::int64_t MAX_WALL_CLOCK_DIFFERENCE_MS = 2'000; // of a minion's host and a node
 
 } // namespace
@@ -261,6 +261,7 @@
         m_lastStuckCheckMs = now;
         moveStuckRuns();
     }
+    refreshSpeeds(now);
     std::erase_if(m_links, [now](const auto &item) {
         const MinionLink &link = item.second;
         const bool unused = !link.listed && link.placed.empty() && !link.polling;
@@ -416,6 +417,7 @@
         view.usable = view.obstacle.empty();
         view.lastResort = isLastResort(link, now);
         view.cold = link.entry.cold;
+        view.slowness = m_speeds.level(id);
         view.penalty = link.runFailures;
         places[id] = ids.size();
         ids.push_back(id);
@@ -443,6 +445,9 @@
     if (m_interference.preference().active()) {
         input.preferences.push_back(&m_interference.preference());
     }
+    if (m_speeds.uneven()) {
+        input.preferences.push_back(&m_fastMinions);
+    }
     for (const auto &[unit, until] : m_notBefore) {
         if (now < until) {
             input.heldBack.insert(unit);
