--- a/packages/dispatch/nodesettings.h
+++ b/packages/dispatch/nodesettings.h
@@ -4,6 +4,7 @@
 #include "base/result.h"
 #include "base/strong.h"
 #include "base/units.h"
+#include "speeds/minionspeeds.h"
 
 #include <optional>
 #include <string>
@@ -30,6 +31,7 @@
     Millis minionDrain {2'000};         ///< how long a minion accepts work after it has said that it drains
     Millis maxLease {10'000};           ///< longest lease that a minion keeps; it shortens longer ones
     Millis drainLimit {6'000};          ///< time from SIGTERM to SIGKILL
+    SpeedUse speedUse = SpeedUse::None; ///< of the learned speeds of minions
     Millis endedJobRetention {120'000}; ///< how long the state of an ended job can be queried
 
     /** Parses and validates settings. @return the settings, or every error with its path */
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -184,6 +184,7 @@
         status.liveJobs = jobTable.live().size();
         status.minions = planner ? planner->minionCount() : 0;
         status.interferingPairs = planner ? planner->interferingPairs() : 0;
+        status.slowMinions = planner ? planner->slowMinionCount() : 0;
         status.evacuatedPlaces = deployment.evacuations().inForce();
         return status;
     }
@@ -470,6 +471,7 @@
                                 settings.milliCores,
                                 settings.endedJobRetention,
                                 settings.maxLease,
+                                settings.speedUse,
                                 settings.minionDrain - ARRIVAL_RESERVE,
                                 [this](const char *reason) { loseLeadership(reason); },
                                 succession.before(epoch)},
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -262,6 +262,7 @@
         m_lastStuckCheckMs = now;
         moveStuckRuns();
     }
+    refreshSpeeds(now);
     std::erase_if(m_links, [now](const auto &item) {
         const MinionLink &link = item.second;
         const bool unused = !link.listed && link.placed.empty() && !link.polling;
@@ -417,6 +418,7 @@
         view.usable = view.obstacle.empty();
         view.lastResort = isLastResort(link, now);
         view.cold = link.entry.cold;
+        view.slowness = m_speeds.level(id);
         view.penalty = link.runFailures;
         places[id] = ids.size();
         ids.push_back(id);
@@ -459,6 +461,9 @@
     if (m_interference.preference().active()) {
         input.preferences.push_back(&m_interference.preference());
     }
+    if (m_speeds.uneven()) {
+        input.preferences.push_back(&m_fastMinions);
+    }
     for (const auto &[unit, until] : m_notBefore) {
         if (now < until) {
             input.heldBack.insert(unit);
