--- a/packages/dispatch/assignment.h
+++ b/packages/dispatch/assignment.h
@@ -33,10 +33,19 @@
     std::int64_t percent = 0;                   ///< completed work, as last reported
     std::optional<std::int64_t> lastProgressMs; ///< start of its unit or last rise of percent, on the minion's clock
     std::optional<std::int64_t> lastReportMs;   ///< on the minion's clock
-    std::int64_t tailMs = 0;                    ///< tail response time, if it is a service task
-    std::optional<int> pacePercent;             ///< last confirmed pace; empty if unknown
-    bool paceInFlight = false;                  ///< a pace order is in flight
+    /** Start of its unit on the minion's clock; empty if unknown, or if the run resumed from a checkpoint. */
+    std::optional<std::int64_t> beganMs;
+    std::int64_t tailMs = 0;          ///< tail response time, if it is a service task
+    std::int64_t coresInUse = 0;      ///< if it is no service task
+    std::optional<int> pacePercent;   ///< last confirmed pace; empty if unknown
+    std::int64_t paceConfirmedMs = 0; ///< when it was confirmed
+    bool paceInFlight = false;        ///< a pace order is in flight
 
+    /** @return true if the last report shows that it works. */
+    [[nodiscard]] bool works() const
+    {
+        return lastReportMs && (coresInUse > 0 || lastProgressMs == lastReportMs);
+    }
     /** @return how long its progress had stalled at the last report, in ms by the minion's clock; 0 before that. */
     [[nodiscard]] std::int64_t stalledMs() const
     {
@@ -55,6 +64,7 @@
     std::vector<Member> members;
     std::optional<EndKind> outcome; ///< of the first member that ended, unless a later one succeeded or failed
     bool doneJournaled = false;
+    bool mayHaveBegun = false;   ///< false while it is certain that no member has begun to run
     std::int64_t firstEndMs = 0; ///< when a member was found ended; 0 if none was
     bool stopping = false;
     bool lastResort = false;       ///< placed on a minion that gets no other work
--- a/packages/dispatch/nodesettings.cpp
+++ b/packages/dispatch/nodesettings.cpp
@@ -3,8 +3,11 @@
 #include "base/codec.h"
 #include "base/objectreader.h"
 
+#include <algorithm>
+#include <array>
 #include <fstream>
 #include <sstream>
+#include <utility>
 
 namespace Papaya
 {
@@ -14,8 +17,11 @@
 
 constexpr std::int64_t MAX_DRAIN_MS = 600'000;
 constexpr std::int64_t MIN_MINION_DRAIN_MS = 1'000; // entries are read each 400 ms
+constexpr std::int64_t MAX_CONNECTIONS = 100'000;
 constexpr double MIN_CORES = 0.001;
 constexpr double MAX_CORES = 1'000;
+constexpr std::array<std::pair<std::string_view, SpeedUse>, 3> SPEED_USES {
+    {{"off", SpeedUse::None}, {"place", SpeedUse::Placement}, {"move", SpeedUse::PlacementAndMoves}}};
 constexpr std::int64_t MAX_ENDED_JOB_RETENTION_MS = 86'400'000;
 
 Endpoint readEndpoint(ObjectReader &reader, const char *key, Errors &errors)
@@ -72,6 +78,9 @@
     if (const auto cores = root.number("cores", MIN_CORES, MAX_CORES)) {
         settings.milliCores = static_cast<std::uint32_t>(1'000 * *cores);
     }
+    if (const auto connections = root.integer("callerConnections", 1, MAX_CONNECTIONS)) {
+        settings.callerConnections = static_cast<std::size_t>(*connections);
+    }
     if (const auto drain = root.integer("minionDrainMs", MIN_MINION_DRAIN_MS, MAX_DRAIN_MS)) {
         settings.minionDrain = Millis(*drain);
     }
@@ -84,6 +93,15 @@
     if (const auto retention = root.integer("keepEndedMs", 100, MAX_ENDED_JOB_RETENTION_MS)) {
         settings.endedJobRetention = Millis(*retention);
     }
+    if (const auto use = root.text("minionSpeeds")) {
+        const auto known =
+            std::find_if(SPEED_USES.begin(), SPEED_USES.end(), [&use](const auto &item) { return item.first == *use; });
+        if (known == SPEED_USES.end()) {
+            root.report("wrong-value", "must be off, place or move", "minionSpeeds");
+        } else {
+            settings.speedUse = known->second;
+        }
+    }
     root.refuseUnknownKeys();
     if (!errors.empty()) {
         return errors;
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -5,9 +5,12 @@
 #include "dispatch/boottime.h"
 #include "dispatch/deploymentview.h"
 #include "dispatch/jobapi.h"
+#include "dispatch/leaseterms.h"
 #include "dispatch/operatorapi.h"
+#include "dispatch/renewalinquiry.h"
 #include "dispatch/stepplanner.h"
 #include "dispatch/topicfollower.h"
+#include "process/listenershares.h"
 #include "process/logging.h"
 #include "steps/candidacy.h"
 #include "steps/epochs.h"
@@ -28,6 +31,7 @@
 namespace
 {
 
+constexpr std::size_t PEER_CONNECTIONS = 512;  // up to 97 nodes relay records over a few connections each
 constexpr Millis JOURNAL_READ_WAIT {300};      // above the planner's heartbeat interval; a dead read ends later by it
 constexpr Millis CONFIG_READ_WAIT {1'200};     // below the time in which a configuration must take effect
 constexpr Millis FOLLOWER_READ_INTERVAL {500}; // nodes that do not lead read in batches, or when asked, to save calls
@@ -95,6 +99,8 @@
         , relayReceiver([this](std::vector<StoredRecord> records, TimePoint deadline) {
             return appendRelayed(std::move(records), deadline);
         })
+        , inquiries(
+              settings.node.value(), [this](Epoch epoch) { return renewalsEndedAgo(epoch); }, relayReceiver)
         , operators({*platform.codec, jobApi, jobTable, metrics, [this] { return deployment.config(); },
                      [this] { return status(); },
                      [this](const JobId &job) {
@@ -102,13 +108,22 @@
                      }})
         , signals(io, SIGTERM, SIGINT, SIGHUP)
         , random(std::random_device {}())
-        , callers(HttpServer::listen(io, settings.callers, HttpLimits {}, jobApi))
-        , readyServer(HttpServer::listen(io, settings.ready, HttpLimits {}, operators))
+        , callers(HttpServer::listen(io, settings.callers, limitsOf(shares.callers), jobApi))
+        , readyServer(HttpServer::listen(io, settings.ready, limitsOf(shares.operators), operators))
     {
         journal.setMinInterval(FOLLOWER_READ_INTERVAL);
         if (settings.peers) {
-            peerServer = HttpServer::listen(io, *settings.peers, HttpLimits {}, relayReceiver);
+            peerServer = HttpServer::listen(io, *settings.peers, limitsOf(shares.peers), inquiries);
         }
+        ownLeadership.emplace(bootMillis());
+    }
+
+    [[nodiscard]] HttpLimits limitsOf(std::size_t connections) const
+    {
+        HttpLimits limits;
+        limits.connections = connections;
+        limits.budget = inputBudget;
+        return limits;
     }
 
     void start()
@@ -168,6 +183,8 @@
         status.jobs = jobTable.size();
         status.liveJobs = jobTable.live().size();
         status.minions = planner ? planner->minionCount() : 0;
+        status.interferingPairs = planner ? planner->interferingPairs() : 0;
+        status.slowMinions = planner ? planner->slowMinionCount() : 0;
         status.evacuatedPlaces = deployment.evacuations().inForce();
         return status;
     }
@@ -232,7 +249,8 @@
     static bool isFromPlanner(const JobRecord &record)
     {
         return std::holds_alternative<UnitChanged>(record) || std::holds_alternative<PlannerAnnouncement>(record)
-               || std::holds_alternative<MinionSilence>(record);
+               || std::holds_alternative<MinionSilence>(record) || std::holds_alternative<StepJobForgotten>(record)
+               || std::holds_alternative<StepJobPartForgotten>(record);
     }
 
     void applyRecord(const JobRecord &record)
@@ -240,6 +258,9 @@
         if (isFromPlanner(record)) {
             lastPlannerRecordMs = bootMillis();
         }
+        if (const auto *announced = std::get_if<PlannerAnnouncement>(&record)) {
+            succession.read(*announced, !loading, bootMillis());
+        }
         const bool decided =
             std::holds_alternative<UnitChanged>(record) || std::holds_alternative<WaveProgress>(record);
         if (planner && decided) {
@@ -390,6 +411,7 @@
                   {"previous", jobTable.planner().epoch.value()},
                   {"previous_node", jobTable.planner().node},
                   {"silent_ms", bootMillis() - lastPlannerRecordMs}});
+        ownLeadership->claimBegun(epoch);
         Producer producer {producerName(), epoch, 1};
         AppendOutcome outcome = AppendOutcome::Conflict;
         const std::int64_t silentSinceMs = lastPlannerRecordMs;
@@ -413,6 +435,7 @@
             won = co_await loadMinions();
         }
         if (!won) {
+            ownLeadership->ended(bootMillis());
             journal.setMinInterval(FOLLOWER_READ_INTERVAL);
             metrics.count(StepEvent::Claim, toString(outcome));
             claimBackoff.failed(bootMillis(), static_cast<std::uint32_t>(random() % JITTER_RANGE));
@@ -448,9 +471,42 @@
                                 settings.milliCores,
                                 settings.endedJobRetention,
                                 settings.maxLease,
+                                settings.speedUse,
                                 settings.minionDrain - ARRIVAL_RESERVE,
-                                [this](const char *reason) { loseLeadership(reason); }},
+                                [this](const char *reason) { loseLeadership(reason); },
+                                succession.before(epoch)},
                                claimWriter, statusWriter, epoch, deployment.minions());
+        if (const auto prior = succession.before(epoch)) {
+            Asio::co_spawn(io, seekPriorRenewalsEnd(*this, planner, prior->announced), Asio::detached);
+        }
+    }
+
+    /** Asks the node of the predecessor when that one has ceased to renew leases, as long as it matters. */
+    static Asio::awaitable<void> seekPriorRenewalsEnd(Parts &parts, std::shared_ptr<StepPlanner> successor,
+                                                      PlannerAnnouncement prior)
+    {
+        const auto peer = Endpoint::parse(prior.peers);
+        const bool isOwn = prior.node == parts.settings.node.value();
+        while ((isOwn || peer) && successor->seeksPriorRenewalsEnd()) {
+            std::optional<Millis> ago;
+            if (isOwn) {
+                ago = parts.renewalsEndedAgo(prior.epoch);
+            } else {
+                ago = co_await askForRenewals(parts.peerPool, *peer, prior.node, prior.epoch, INQUIRY_TIMEOUT);
+            }
+            if (ago) {
+                successor->priorRenewalsEnded(bootMillis() - ago->count());
+                co_return;
+            }
+            co_await sleepFor(INQUIRY_INTERVAL);
+        }
+    }
+
+    /** @return how long ago the planner of @p epoch, of this node, has ceased to renew; nothing if it has not. */
+    [[nodiscard]] std::optional<Millis> renewalsEndedAgo(Epoch epoch) const
+    {
+        const auto endMs = ownLeadership ? ownLeadership->renewalsEndMs(epoch) : std::nullopt;
+        return endMs ? std::optional(Millis(bootMillis() - *endMs)) : std::nullopt;
     }
 
     /**
@@ -515,6 +571,7 @@
         logEvent(LogLevel::Warning, "leadership-lost", {{"reason", reason}});
         planner->stop();
         planner.reset();
+        ownLeadership->ended(bootMillis());
         journal.setMinInterval(FOLLOWER_READ_INTERVAL);
         // The job table may contain decisions that were never journaled. If they were, they are read again.
         jobTable.discardUnstored();
@@ -567,6 +624,7 @@
             // The job table is kept, since callers still query this node for a while.
             parts.planner->resign([&parts] {
                 parts.planner.reset();
+                parts.ownLeadership->ended(bootMillis());
                 parts.journal.setMinInterval(FOLLOWER_READ_INTERVAL);
                 parts.jobTable.discardUnstored();
                 parts.journal.reload();
@@ -585,6 +643,8 @@
     static constexpr Millis MIN_RELAY_TIME {300};
     static constexpr Millis MAX_CLAIM_OVERDUE {50}; // a store that answers late may hide the planner's records
     static constexpr Millis CLAIM_TIMEOUT {2'000};
+    static constexpr Millis INQUIRY_TIMEOUT {500};
+    static constexpr Millis INQUIRY_INTERVAL {200}; // a node that is started again answers within about as much
     static constexpr Millis CLAIM_POLL_INTERVAL {5};
     static constexpr int CLAIM_ATTEMPTS = 6;
     static constexpr std::size_t CLAIM_READ_KB = 256;
@@ -592,6 +652,8 @@
     Asio::io_context &io;
     NodeSettings settings;
     std::string settingsPath;
+    const ListenerShares shares = ListenerShares::ofProcess(settings.callerConnections, PEER_CONNECTIONS);
+    const std::shared_ptr<InputBudget> inputBudget = InputBudget::create();
     Platform platform;
     JobTable jobTable;
     RunTimes times;
@@ -608,6 +670,7 @@
     JournalRelay relay;
     JobApi jobApi;
     RelayReceiver relayReceiver;
+    RenewalInquiryReceiver inquiries;
     OperatorApi operators;
     std::shared_ptr<StepPlanner> planner;
     Asio::signal_set signals;
@@ -619,6 +682,8 @@
     bool loading = false; ///< the newest record of each key is being applied
     std::int64_t startedMs = 0;
     std::int64_t lastPlannerRecordMs = 0;
+    Succession succession {RENEWAL_WINDOW_MS};
+    std::optional<OwnLeadership> ownLeadership; ///< empty until the listeners are open
     ClaimBackoff claimBackoff;
     bool claiming = false;
     bool draining = false;
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -26,8 +26,9 @@
 constexpr std::int64_t STUCK_CHECK_INTERVAL_MS = 200;
 constexpr std::int64_t MAX_ENTRY_AGE_MS = 600; // from the writing of an entry to its reading
 constexpr std::int64_t FORGET_INTERVAL_MS = 1'000;
-constexpr std::int64_t MINION_RETENTION_MS = 60'000; // after its entry is removed; orders in flight end sooner
-constexpr std::int64_t NEARLY_DONE_PERCENT = 85;     // units with at least this progress are not preempted
+constexpr std::int64_t MINION_RETENTION_MS = 60'000;         // after its entry is removed; orders in flight end sooner
+constexpr std::int64_t NEARLY_DONE_PERCENT = 85;             // units with at least this progress are not preempted
+constexpr std::int64_t MAX_WALL_CLOCK_DIFFERENCE_MS = 2'000; // of a minion's host and a node
 
 } // namespace
 
@@ -56,6 +57,9 @@
               {"placed", std::uint64_t(planner->m_assignments.size())},
               {"jobs", std::uint64_t(planner->m_context.jobTable.size())}});
     planner->requestPass();
+    if (const auto &prior = planner->m_context.prior; prior && prior->resignedMs) {
+        planner->priorRenewalsEnded(*prior->resignedMs);
+    }
     if (planner->m_context.machines != nullptr) {
         const Context &own = planner->m_context;
         UpkeepController::begin({own.io, *own.machines, std::shared_ptr<FleetAccess>(planner, planner.get()),
@@ -80,6 +84,7 @@
 void StepPlanner::adoptUnit(const JobEntry &entry, const UnitKey &unit, const UnitStatus &status)
 {
     const AssignmentPtr assignment = track(entry, unit, status);
+    assignment->mayHaveBegun = true;
     bool partial = false;
     for (Member &member : assignment->members) {
         if (member.state == MemberState::Ended) {
@@ -186,6 +191,36 @@
     return std::min(unknownEndMs, silence->second.readMs + span);
 }
 
+std::int64_t StepPlanner::provenPriorLeaseEndMs(const MinionLink &link) const
+{
+    const bool proven = m_priorRenewalsEndMs && link.restarts == 0 && link.entry.startTimeMs != 0;
+    const bool precedesWork = std::all_of(link.placed.begin(), link.placed.end(), [&](const PlacedMember &placed) {
+        const JobEntry *entry = m_context.jobTable.find(placed.assignment->unit.job);
+        return entry != nullptr && link.entry.startTimeMs + MAX_WALL_CLOCK_DIFFERENCE_MS < entry->job.submittedMs;
+    });
+    return proven && precedesWork ? std::min(link.priorLeaseUntilMs, *m_priorRenewalsEndMs + LAST_LEASE_SPAN_MS)
+                                  : link.priorLeaseUntilMs;
+}
+
+bool StepPlanner::seeksPriorRenewalsEnd() const
+{
+    return m_leading && m_context.prior && !m_priorRenewalsEndMs && bootMillis() - m_takeoverMs < RENEWAL_WINDOW_MS;
+}
+
+void StepPlanner::priorRenewalsEnded(std::int64_t atMs)
+{
+    if (!seeksPriorRenewalsEnd()) {
+        return;
+    }
+    m_priorRenewalsEndMs = std::max(atMs, m_context.prior->earlierRenewalsEndMs);
+    const std::int64_t now = bootMillis();
+    logEvent(LogLevel::Info, "prior-renewals-ended",
+             {{"epoch", m_context.prior->announced.epoch.value()},
+              {"node", m_context.prior->announced.node},
+              {"ended_ms_ago", now - *m_priorRenewalsEndMs},
+              {"since_takeover_ms", now - m_takeoverMs}});
+}
+
 void StepPlanner::minionUnlisted(const MinionId &id)
 {
     const auto found = m_links.find(id);
@@ -227,6 +262,7 @@
         m_lastStuckCheckMs = now;
         moveStuckRuns();
     }
+    refreshSpeeds(now);
     std::erase_if(m_links, [now](const auto &item) {
         const MinionLink &link = item.second;
         const bool unused = !link.listed && link.placed.empty() && !link.polling;
@@ -242,6 +278,7 @@
     journalConfig(now);
     journalEvacuations(now);
     moveStrandedServices(now);
+    refitInterference(now);
     if (now - m_lastForgetMs >= FORGET_INTERVAL_MS) {
         m_lastForgetMs = now;
         forgetEnded(now);
@@ -381,6 +418,7 @@
         view.usable = view.obstacle.empty();
         view.lastResort = isLastResort(link, now);
         view.cold = link.entry.cold;
+        view.slowness = m_speeds.level(id);
         view.penalty = link.runFailures;
         places[id] = ids.size();
         ids.push_back(id);
@@ -400,11 +438,32 @@
         active.lossMs = assignment->lossMs(now);
         active.stopping = assignment->stopping || assignment->outcome.has_value();
         active.preemptible = !assignment->step.longRunning && assignment->percent < NEARLY_DONE_PERCENT;
+        if (assignment->step.longRunning) {
+            active.longRunning = true;
+            active.availableTasks = tasksToLose(*assignment);
+            if (assignment->step.maxUnavailable > 0) {
+                const auto [budget, added] = input.budgets.try_emplace(unit.stepKey());
+                if (added) {
+                    budget->second = {assignment->step.maxUnavailable,
+                                      unavailableTasks(unit.stepKey(), assignment->step)};
+                }
+            }
+        } else if (!active.preemptible) {
+            const QueueName &queue = m_context.jobTable.find(unit.job)->job.queue;
+            const std::int64_t expectedMs = m_context.times.expectedMs(queue, assignment->step.estimate.count());
+            active.remainingMs = remainingMs({now - assignment->startedMs, expectedMs, assignment->percent});
+        }
         input.active.push_back(std::move(active));
     }
     if (m_context.evacuations().everRequested()) {
         input.preferences.push_back(&m_coldMinions);
     }
+    if (m_interference.preference().active()) {
+        input.preferences.push_back(&m_interference.preference());
+    }
+    if (m_speeds.uneven()) {
+        input.preferences.push_back(&m_fastMinions);
+    }
     for (const auto &[unit, until] : m_notBefore) {
         if (now < until) {
             input.heldBack.insert(unit);
@@ -442,6 +501,7 @@
     }
     const TimePoint begun = Clock::now();
     std::vector<MinionId> ids;
+    updateKeepApart();
     const PlanDecisions decisions = planSteps(planInput(ids));
     const TimePoint decided = Clock::now();
     m_load.passEnded(decided - begun);
@@ -451,11 +511,13 @@
     m_nextPass = decided + std::min<Duration>(PASS_BACKOFF_FACTOR * (decided - begun), MAX_PASS_BACKOFF);
     for (const UnitStop &stop : decisions.stops) {
         logEvent(LogLevel::Info, "unit-preempted",
-                 {{"unit", stop.unit.toString()}, {"for", stop.beneficiary.toString()}});
+                 {{"unit", stop.unit.toString()},
+                  {"for", stop.beneficiary.toString()},
+                  {"reclaimed", stop.reclaimed ? "yes" : "no"}});
         const AssignmentPtr &victim = m_assignments.at(stop.unit);
         const auto gpus = victim->need.gpus * static_cast<std::int64_t>(victim->members.size());
         m_headroom.preempted(victim->priority, gpus, bootMillis());
-        stopAssignment(victim, "preempted");
+        stopAssignment(victim, stop.reclaimed ? "reclaimed" : "preempted");
     }
     for (const UnitStart &start : decisions.starts) {
         startUnit(start, ids);
@@ -467,11 +529,24 @@
 {
     UnitStatus status = *m_context.jobTable.find(decision.unit);
     status.state = UnitState::Placed;
+    status.neverBegan = !status.hasBegun();
     ++status.run;
     status.minions.clear();
     for (const std::size_t m : decision.minions) {
         status.minions.push_back(ids[m]);
     }
+    UnitStatus bare = status;
+    bare.checkpoint.clear();
+    if (!m_writer->fits(encodeRecord(UnitChanged {decision.unit, std::move(bare)}))) {
+        // No record of a gang on so many minions can be stored.
+        logEvent(LogLevel::Error, "unit-too-wide",
+                 {{"unit", decision.unit.toString()}, {"members", std::uint64_t(status.minions.size())}});
+        status.state = UnitState::Failed;
+        status.minions.clear();
+        record(decision.unit, std::move(status));
+        jobChanged(decision.unit.job);
+        return;
+    }
     record(decision.unit, status);
     m_notBefore.erase(decision.unit);
     m_context.metrics.count(StepEvent::Placement, m_context.jobTable.find(decision.unit.job)->job.queue.value());
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -12,8 +12,13 @@
 #include "evacuation/coldminions.h"
 #include "evacuation/placeevacuations.h"
 #include "evacuation/servicemoves.h"
+#include "interference/interference.h"
+#include "speeds/fastminions.h"
+#include "speeds/stragglers.h"
+#include "steps/admissionturns.h"
 #include "steps/idlejobs.h"
 #include "steps/stepscheduler.h"
+#include "steps/succession.h"
 #include "steps/waitreason.h"
 
 #include <boost/asio/io_context.hpp>
@@ -53,6 +58,11 @@
 //    raised the minion's fence, so that no earlier planner grants a lease either, and grants none itself before the
 //    withdrawal is stored. So a successor that finds the record waits only for LAST_LEASE_SPAN_MS from when it read it.
 //    No record is made while another instance may carry out a start late, as its lease has only the minion's limit.
+// 8. The wait for PRIOR_LEASE_SPAN_MS ends LAST_LEASE_SPAN_MS after the last possible renewal if that is proven: the
+//    predecessor has journaled its resignation, or its node says that this planner has ended or runs a new process. The
+//    planners before the predecessor can have renewed for RENEWAL_WINDOW_MS after its first record was read. A lease
+//    that was granted by the clock of a former instance may last longer, so the minion must have been up before all
+//    of its jobs were submitted.
 
 namespace Papaya
 {
@@ -83,8 +93,10 @@
         std::uint32_t milliCores; ///< CPU limit of this node, in thousandths of a core
         Millis endedJobRetention; ///< how long an ended job is kept in the job table
         Millis maxLease;          ///< minions shorten longer leases to this
+        SpeedUse speedUse;        ///< of the learned speeds of minions
         Millis maxViewAge;        ///< of the view on which a start rests when it is sent
         std::function<void(const char *reason)> onLeadershipLost; ///< called once, when leadership is lost
+        std::optional<PriorPlanner> prior;                        ///< the predecessor; empty if it is unknown
     };
 
     /**
@@ -101,6 +113,13 @@
     /** Handles a new or changed entry of a minion. */
     void minionListed(const MinionEntry &entry);
     void minionUnlisted(const MinionId &id);
+    /**
+     * Takes note of evidence that the predecessor has renewed no lease after @p atMs, in bootMillis(). What counts is
+     * that its node has said so, or runs another process.
+     */
+    void priorRenewalsEnded(std::int64_t atMs);
+    /** @return true if evidence of when the predecessor ceased to renew leases can still shorten a wait. */
+    [[nodiscard]] bool seeksPriorRenewalsEnd() const;
     /** Reacts to a change of Context::evacuations. */
     void evacuationsChanged();
     /** Reacts to a submission or cancellation that has already been applied to the job table. */
@@ -119,6 +138,16 @@
     {
         return m_links.size();
     }
+    /** @return how many pairs of images are known to interfere. */
+    [[nodiscard]] std::size_t interferingPairs() const
+    {
+        return m_interference.pairs().size();
+    }
+    /** @return how many minions are known to be very slow. */
+    [[nodiscard]] std::size_t slowMinionCount() const
+    {
+        return m_speeds.verySlow();
+    }
     [[nodiscard]] Epoch epoch() const
     {
         return m_epoch;
@@ -179,7 +208,7 @@
     [[nodiscard]] bool mayRenew() const;
 
     // Admission oracle
-    /** Sends the first of @p queries to the oracle, unless a call is in flight. */
+    /** Sends the one of @p queries whose turn it is to the oracle, unless a call is in flight. */
     void requestAdmission(const std::vector<AdmissionQuery> &queries);
     static Asio::awaitable<void> queryOracle(std::shared_ptr<StepPlanner> self, AdmissionQuery query,
                                              OracleTerms terms);
@@ -189,6 +218,16 @@
     static Asio::awaitable<void> paceMember(std::shared_ptr<StepPlanner> self, AssignmentPtr assignment,
                                             std::size_t index, int percent);
 
+    // Interference between images
+    /** Learns from the latest report of a minion. */
+    void observeInterference(MinionLink &link, std::int64_t nowMs);
+    /** @return the load of each image of filling tasks. */
+    static ImageInterference::Loads fillLoads(const std::vector<PlacedMember> &fills);
+    /** Fits what is known to the observations, and logs the pairs that have become known. */
+    void refitInterference(std::int64_t nowMs);
+    /** Brings the preference for minions without interfering images up to date. */
+    void updateKeepApart();
+
     // Evacuation of failure domains
     /** Stops units of long-running steps in evacuated failure domains, so that they restart elsewhere. */
     void moveStrandedServices(std::int64_t nowMs);
@@ -209,6 +248,11 @@
     Asio::awaitable<bool> store(WaveProgress progress) override;
     /** @return how many tasks of @p step are not available. */
     [[nodiscard]] std::uint32_t unavailableTasks(const StepKey &step, const StepSpec &spec) const;
+    /**
+     * @return how many tasks a stop of @p assignment may make unavailable. A task counts unless its minion has reported
+     * that it is not available, since a new planner or a lost link knows nothing of it.
+     */
+    [[nodiscard]] std::uint32_t tasksToLose(const Assignment &assignment) const;
 
     // Reports
     void handleReport(MinionLink &link, const MinionReport &report, std::int64_t sentMs);
@@ -259,6 +303,17 @@
     /** Stops runs that make no progress, so that they restart on another minion. */
     void moveStuckRuns();
 
+    // Uneven minions
+    /** Learns from a run that has done @p percent of its work at @p minionMs on the minion's clock. */
+    void observeSpeed(const Assignment &assignment, const Member &member, std::int64_t percent, std::int64_t minionMs);
+    /** @return false if the racks of @p assignment slow it down. */
+    [[nodiscard]] bool runsAtFullSpeed(const Assignment &assignment) const;
+    void refreshSpeeds(std::int64_t nowMs);
+    /** @return the running units with a member on a very slow minion, the most urgent first. */
+    [[nodiscard]] std::vector<SlowUnit> runsOnSlowMinions(std::int64_t nowMs) const;
+    /** Stops units on very slow minions that are expected to end sooner elsewhere. */
+    void rerunStragglers(std::int64_t nowMs);
+
     // Waits
     /** Takes note of work that stands still; logs why and counts it. */
     void noteWaits(std::int64_t nowMs);
@@ -283,6 +338,11 @@
     void withdrawSilence(MinionLink &link);
     /** @return the latest end of leases that earlier planners may have granted to @p minion. */
     [[nodiscard]] std::int64_t priorLeaseEndMs(const MinionId &minion) const;
+    /**
+     * @return the latest end of leases that earlier planners may have granted to the minion of @p link, which has not
+     * answered yet, with regard to priorRenewalsEnded()
+     */
+    [[nodiscard]] std::int64_t provenPriorLeaseEndMs(const MinionLink &link) const;
     /** Removes jobs from the job table and the journal once their retention period is over. */
     void forgetEnded(std::int64_t nowMs);
     /** Removes a job whose deletion has been stored. */
@@ -303,7 +363,6 @@
     std::map<UnitKey, std::int64_t> m_notBefore;      ///< earliest time of the next start, by unit
     std::vector<StoredRecord> m_pendingRecords;       ///< to be journaled by the next flush
     std::vector<UnitChanged> m_pendingChanges;        ///< the changes among m_pendingRecords
-    std::vector<JobId> m_pendingDeletions;            ///< jobs that m_pendingRecords delete
     std::vector<MinionId> m_pendingWithdrawals;       ///< minions whose MinionSilence m_pendingRecords withdraw
     /** Ends of one instance of a minion, up to a number, that the next flush stores. */
     struct PendingEnds {
@@ -328,15 +387,24 @@
     std::set<JobId> m_forgetting;            ///< jobs whose deletion has not been stored
     std::int64_t m_lastForgetMs = 0;
     ColdMinions m_coldMinions;
+    Interference m_interference;
+    std::int64_t m_interferenceLinesFromMs = 0; ///< since when m_interferenceLines are counted
+    std::size_t m_interferenceLines = 0;        ///< lines logged on pairs that interfere
     std::int64_t m_lastServiceMoveMs = 0;
+    MinionSpeeds m_speeds;
+    FastMinions m_fastMinions;
+    std::int64_t m_lastSpeedsMs = 0;
+    std::set<UnitKey> m_rerunning; ///< units that were stopped as stragglers and do not run anew yet
     std::int64_t m_lastEvacuationsJournalMs = 0;
     ConfigVersion m_journaledConfigVersion;
     std::int64_t m_lastConfigJournalMs = 0;
     std::int64_t m_lastHeartbeatMs = 0;
     std::int64_t m_takeoverMs = 0;
+    std::optional<std::int64_t> m_priorRenewalsEndMs;       ///< proven latest renewal of a lease by an earlier planner
     std::uint32_t m_silenceSpells = 0;                      ///< MinionSilence::spell of the last record
     std::map<std::string, std::int64_t> m_unknownRunStopMs; ///< last stop order of each unknown run, by task
     TicketBook m_tickets;
+    AdmissionTurns m_admissionTurns;
     Headroom m_headroom;
     IdleJobs m_idleJobs;
     std::int64_t m_lastPassMs = 0;
--- a/packages/dispatch/stepplannerhealth.cpp
+++ b/packages/dispatch/stepplannerhealth.cpp
@@ -64,7 +64,7 @@
     std::vector<PlacedMember> lost;
     for (const auto &[id, link] : m_links) {
         const bool lapsed =
-            link.clock.known() ? link.pollFailures > 0 && link.clock.lapsed(now) : now > link.priorLeaseUntilMs;
+            link.clock.known() ? link.pollFailures > 0 && link.clock.lapsed(now) : now > provenPriorLeaseEndMs(link);
         if (lapsed) {
             std::copy_if(link.placed.begin(), link.placed.end(), std::back_inserter(lost),
                          [now](const PlacedMember &placed) { return now > placed.member().unverifiedUntilMs; });
@@ -76,6 +76,7 @@
                  {{"unit", assignment->unit.toString()},
                   {"run", std::uint64_t(assignment->run)},
                   {"minion", assignment->members[index].minion.value()}});
+        assignment->mayHaveBegun = true;
         memberEnded(assignment, index, EndKind::Lapsed);
     }
 }
@@ -111,6 +112,7 @@
                  {{"unit", assignment->unit.toString()},
                   {"run", std::uint64_t(assignment->run)},
                   {"minion", assignment->members[index].minion.value()}});
+        assignment->mayHaveBegun = true;
         memberEnded(assignment, index, EndKind::Unknown);
     }
 }
@@ -142,6 +144,9 @@
         const MinionClock &clock = m_links.at(member.minion).clock;
         if (clock.known()) {
             member.lastProgressMs = clock.at(nowMs);
+            if (assignment.checkpoint.empty()) {
+                member.beganMs = member.lastProgressMs;
+            }
         }
     }
 }
--- a/packages/dispatch/stepplannerreports.cpp
+++ b/packages/dispatch/stepplannerreports.cpp
@@ -52,6 +52,7 @@
         flushSoon();
     }
     handleRunning(link, report, sentMs);
+    observeInterference(link, bootMillis());
     paceFills(link, bootMillis());
 }
 
@@ -77,9 +78,13 @@
         }
         return;
     }
+    assignment->mayHaveBegun = true;
     if (!end.checkpoint.empty()) {
         assignment->checkpoint = end.checkpoint;
     }
+    if (end.kind == EndKind::Done && link.clock.known()) {
+        observeSpeed(*assignment, assignment->members[index], 100, link.clock.at(bootMillis()));
+    }
     if (end.kind == EndKind::Failed) {
         m_avoid[assignment->unit].push_back(link.entry.id);
     }
@@ -134,6 +139,7 @@
             continue;
         }
         listed[running.task] = running.run;
+        assignment->mayHaveBegun = true;
         assignment->members[index].unverifiedUntilMs = 0;
         assignment->percent = std::max(assignment->percent, running.percent);
         Member &member = assignment->members[index];
@@ -142,12 +148,16 @@
             member.lastProgressMs = report.clockMs;
         }
         member.lastReportMs = report.clockMs;
-        member.tailMs = running.tailMs;
+        (assignment->step.serves() ? member.tailMs : member.coresInUse) = running.load;
+        observeSpeed(*assignment, member, running.percent, report.clockMs);
         if (!running.checkpoint.empty() && running.checkpoint != assignment->checkpoint) {
             assignment->checkpoint = running.checkpoint;
             assignment->checkpointMs = now;
         }
     }
+    if (report.mayHaveMoreEnds) {
+        return; // a member that is not listed may have ended; the next pages show its end once these are acknowledged
+    }
     // A member that is missing from a poll sent after its start or stop was answered does not run.
     std::vector<PlacedMember> missing;
     for (const auto &[assignment, index] : link.placed) {
@@ -184,6 +194,7 @@
     link.endsHandled = link.endsStored = link.endsAcked = 0;
     link.runFailures = 0;
     link.fillPace = FillPace();
+    m_speeds.forget(link.entry.id);
     link.priorLeaseUntilMs = leaseBoundMs();
     // Which of the members the new instance runs is shown by its first report.
     for (const PlacedMember &placed : link.placed) {
@@ -191,6 +202,7 @@
         member.stopAnsweredMs = 0;
         member.percent = 0;
         member.lastProgressMs.reset();
+        member.beganMs.reset();
         member.lastReportMs.reset();
         member.pacePercent.reset();
     }
@@ -274,6 +286,7 @@
     status.state = UnitState::Waiting;
     status.minions.clear();
     status.checkpoint = assignment->checkpoint;
+    status.neverBegan = status.neverBegan && !assignment->mayHaveBegun;
     countFailure(*assignment, status);
     if (status.failures >= entry->job.attempts && !assignment->step.longRunning) {
         status.state = UnitState::Failed;
--- a/packages/dispatch/stepplannershares.cpp
+++ b/packages/dispatch/stepplannershares.cpp
@@ -26,6 +26,7 @@
 void StepPlanner::paceFills(MinionLink &link, std::int64_t nowMs)
 {
     std::vector<TailLatency> tails;
+    std::vector<std::string> serving; // images of the tasks in tails
     std::vector<PlacedMember> fills;
     for (const PlacedMember &placed : link.placed) {
         const StepSpec &step = placed.assignment->step;
@@ -33,21 +34,32 @@
             continue;
         }
         if (step.serves()) {
-            tails.push_back({placed.member().tailMs, step.tailTarget.count()});
+            tails.push_back({placed.member().tailMs, step.tailTarget.count(), {}});
+            serving.push_back(step.image);
         } else if (step.fills) {
             fills.push_back(placed);
         }
     }
     link.shared = !tails.empty() && !fills.empty();
     if (tails.empty() || !fills.empty()) {
-        link.fillPace.observe(tails, nowMs); // without best-effort tasks, tails show nothing of the share's effect
+        const ImageInterference::Loads loads = fillLoads(fills);
+        std::set<std::string> images;
+        for (const auto &item : loads) {
+            images.insert(item.first);
+        }
+        for (std::size_t i = 0; i < tails.size(); ++i) {
+            tails[i].causes = m_interference.causes(serving[i], loads, nowMs);
+        }
+        // Without best-effort tasks, tails show nothing of the share's effect.
+        link.fillPace.observe(tails, nowMs, images);
     }
     for (const auto &[assignment, index] : fills) {
         Member &member = assignment->members[index];
-        if (member.pacePercent != link.fillPace.percent() && !member.paceInFlight) {
+        const int percent = link.fillPace.percent(assignment->step.image);
+        const PacedTask task {member.pacePercent, member.paceConfirmedMs, member.works(), assignment->step.image};
+        if (!member.paceInFlight && link.fillPace.needsOrder(task, nowMs)) {
             member.paceInFlight = true;
-            Asio::co_spawn(m_context.io, paceMember(shared_from_this(), assignment, index, link.fillPace.percent()),
-                           Asio::detached);
+            Asio::co_spawn(m_context.io, paceMember(shared_from_this(), assignment, index, percent), Asio::detached);
         }
     }
 }
@@ -71,6 +83,7 @@
     }
     if (answer.outcome == OrderOutcome::Done) {
         member.pacePercent = percent;
+        member.paceConfirmedMs = bootMillis();
     } else {
         member.pacePercent.reset(); // repeated after the next report
     }
@@ -88,13 +101,25 @@
     for (; place != m_assignments.end() && place->first.stepKey() == step; ++place) {
         const Assignment &assignment = *place->second;
         for (const Member &member : assignment.members) {
-            const bool available = member.state == MemberState::Running && member.percent >= AVAILABLE_PERCENT;
+            const bool answers = m_links.at(member.minion).pollFailures == 0;
+            const bool available =
+                answers && member.state == MemberState::Running && member.percent >= AVAILABLE_PERCENT;
             availableTasks += available && !assignment.stopping && !m_goingDown.contains(member.minion) ? 1 : 0;
         }
     }
     return spec.count - std::min(spec.count, availableTasks);
 }
 
+std::uint32_t StepPlanner::tasksToLose(const Assignment &assignment) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(assignment.members.begin(), assignment.members.end(), [&](const Member &member) {
+            const bool answers = m_links.at(member.minion).pollFailures == 0;
+            const bool knownUnavailable = answers && member.lastReportMs && member.percent < AVAILABLE_PERCENT;
+            return member.state == MemberState::Running && !knownUnavailable;
+        }));
+}
+
 MinionWorkload StepPlanner::workloadOn(const MinionId &minion) const
 {
     MinionWorkload work;
--- a/packages/steps/jobrecord.cpp
+++ b/packages/steps/jobrecord.cpp
@@ -173,7 +173,8 @@
 
 /**
  * Encodes a unit record as a line of fields: state, run, failures, last failed run, checkpoint, minions. Most records
- * are of units, so they use this compact form instead of CBOR.
+ * are of units, so they use this compact form instead of CBOR. A lone ESCAPE, which toField() never returns, marks a
+ * unit of which no run has begun; earlier versions read it as a minion of a unit that is not placed, and ignore it.
  */
 std::string encodeStatus(const UnitStatus &status)
 {
@@ -185,6 +186,9 @@
     for (const MinionId &minion : status.minions) {
         text += FIELD_SEPARATOR + toField(minion.value());
     }
+    if (status.state == UnitState::Waiting && status.neverBegan) {
+        text += std::string {FIELD_SEPARATOR, ESCAPE};
+    }
     return text;
 }
 
@@ -214,6 +218,10 @@
     }
     status.checkpoint = fromField(takeField(text));
     while (!text.empty()) {
+        if (text.size() == 1 && text.front() == ESCAPE) {
+            status.neverBegan = true;
+            break;
+        }
         status.minions.emplace_back(fromField(takeField(text)));
     }
     return true;
@@ -237,6 +245,10 @@
     {
         return {std::string(JOB_PREFIX) + record.job.value(), ""};
     }
+    StoredRecord operator()(const StepJobPartForgotten &record) const
+    {
+        return {std::string(CANCEL_PREFIX) + record.job.value(), ""};
+    }
     StoredRecord operator()(const UnitChanged &record) const
     {
         return {std::string(UNIT_PREFIX) + record.unit.toString(), encodeStatus(record.status)};
@@ -280,16 +292,16 @@
     return std::visit(Encoder {}, record);
 }
 
-std::vector<StoredRecord> encodeForgetting(const JobId &job, const std::vector<UnitKey> &units)
+ForgettingRecords encodeForgetting(const JobId &job, const std::vector<UnitKey> &units)
 {
-    std::vector<StoredRecord> records;
-    records.reserve(units.size() + 2);
+    ForgettingRecords records;
+    records.cancellation = encodeRecord(StepJobCancelled {job});
+    records.units.reserve(units.size());
     for (const UnitKey &unit : units) {
-        records.push_back({std::string(UNIT_PREFIX) + unit.toString(), ""});
+        records.units.push_back({std::string(UNIT_PREFIX) + unit.toString(), ""});
     }
-    records.push_back({std::string(CANCEL_PREFIX) + job.value(), ""});
     // The record of the job is deleted last, so that no node is left with records of its units only.
-    records.push_back(encodeRecord(StepJobForgotten {job}));
+    records.job = {encodeRecord(StepJobPartForgotten {job}), encodeRecord(StepJobForgotten {job})};
     return records;
 }
 
@@ -309,7 +321,9 @@
         }
         if (value.empty() && key.size() > JOB_PREFIX.size() && key != PLANNER_KEY) {
             const std::string_view name = key.substr(JOB_PREFIX.size());
-            return JobRecord(StepJobForgotten {JobId(std::string(name.substr(0, name.find('.'))))});
+            JobId job(std::string(name.substr(0, name.find('.'))));
+            return key.starts_with(JOB_PREFIX) ? JobRecord(StepJobForgotten {std::move(job)})
+                                               : JobRecord(StepJobPartForgotten {std::move(job)});
         }
         if (key.starts_with(UNIT_PREFIX)) {
             UnitChanged record;
--- a/packages/steps/jobrecord.h
+++ b/packages/steps/jobrecord.h
@@ -28,6 +28,13 @@
     std::string checkpoint;      ///< checkpoint to resume from; empty starts over
     /** Minion of each member, if the unit is placed; empty for a member that has ended while others may run. */
     std::vector<MinionId> minions;
+    bool neverBegan = false; ///< no run is known to have begun, although there were some; stored only while it waits
+
+    /** @return true if a run may have begun; a placed unit counts as begun. */
+    [[nodiscard]] bool hasBegun() const
+    {
+        return run > 0 && !(state == UnitState::Waiting && neverBegan);
+    }
 
     bool operator==(const UnitStatus &) const = default;
 };
@@ -47,6 +54,11 @@
     JobId job;
 };
 
+/** A record about a job other than its own has been deleted; the deletion of its own record follows. */
+struct StepJobPartForgotten {
+    JobId job;
+};
+
 /** The state of a unit has changed. */
 struct UnitChanged {
     UnitKey unit;
@@ -87,7 +99,7 @@
 };
 
 using JobRecord = std::variant<StepJobSubmitted, StepJobCancelled, StepJobForgotten, UnitChanged, PlannerAnnouncement,
-                               WaveProgress, ConfigCopied, MinionSilence, EvacuationsCopied>;
+                               WaveProgress, ConfigCopied, MinionSilence, EvacuationsCopied, StepJobPartForgotten>;
 
 /** A record in stored form. An empty value deletes the key. */
 struct StoredRecord {
@@ -98,11 +110,22 @@
 /** @return the stored form of @p record. */
 StoredRecord encodeRecord(const JobRecord &record);
 
+/**
+ * The records that delete the keys of a job. If only some of those about units are stored, a node that loads the
+ * journal then takes the units for waiting. Unless all records are stored atomically, the cancellation comes first.
+ */
+struct ForgettingRecords {
+    StoredRecord cancellation;
+    std::vector<StoredRecord> units; ///< delete the records of units
+    std::vector<StoredRecord> job;   ///< delete the rest; must be stored atomically and last
+};
+
 /** @return the records that delete the keys of @p job and of its @p units. */
-std::vector<StoredRecord> encodeForgetting(const JobId &job, const std::vector<UnitKey> &units);
+ForgettingRecords encodeForgetting(const JobId &job, const std::vector<UnitKey> &units);
 
 /**
- * Decodes the stored form of a record. An empty value of any key of a job decodes as StepJobForgotten.
+ * Decodes the stored form of a record. An empty value of the key of a job decodes as StepJobForgotten, of another key
+ * that belongs to a job as StepJobPartForgotten.
  * @return an error with the code "malformed" if the record does not match the format of this version
  */
 Result<JobRecord> decodeRecord(std::string_view key, std::string_view value);
