Count tasks of unknown state when services move, and reclaim a team's own long-running work

Seen by reading, not by users. A successor that has no report of a unit yet counted none of its tasks as available, so that several units of one service could have been moved at once before the first reports (AVAIL): they count like those that a reclaim stops now. A guarantee is void as well while long-running work of the same team that is not urgent holds its GPUs; that is reclaimed too, and the unit test says so.

--- a/packages/dispatch/stepplannerevacuation.cpp
+++ b/packages/dispatch/stepplannerevacuation.cpp
@@ -16,7 +16,6 @@
 
 constexpr std::int64_t SERVICE_MOVE_INTERVAL_MS = 500;
 constexpr std::int64_t EVACUATIONS_JOURNAL_INTERVAL_MS = 1'000; // minimum between two copies
-constexpr std::int64_t AVAILABLE_PERCENT = 100;
 
 } // namespace
 
@@ -33,12 +32,7 @@
                 return member.state == MemberState::Running && places.contains(m_links.at(member.minion).entry.place);
             });
         if (stranded) {
-            const auto available =
-                std::count_if(assignment->members.begin(), assignment->members.end(), [](const Member &member) {
-                    return member.state == MemberState::Running && member.percent >= AVAILABLE_PERCENT;
-                });
-            units.push_back(
-                {key, static_cast<std::uint32_t>(available), unavailableTasks(key.stepKey(), assignment->step)});
+            units.push_back({key, tasksToLose(*assignment), unavailableTasks(key.stepKey(), assignment->step)});
         }
     }
     return units;
--- a/packages/evacuation/servicemoves.h
+++ b/packages/evacuation/servicemoves.h
@@ -15,7 +15,7 @@
 /** A running unit of a long-running step on a minion that gets no new work. */
 struct StrandedUnit {
     UnitKey unit;
-    std::uint32_t availableTasks = 1; ///< available tasks that its stop would take down
+    std::uint32_t availableTasks = 1; ///< tasks that its stop may make unavailable
     std::uint32_t unavailable = 0;    ///< tasks of its step that are not available
 };
 
--- a/tests/unit/stepscheduling.cpp
+++ b/tests/unit/stepscheduling.cpp
@@ -533,7 +533,11 @@
     for (ActiveUnit &unit : scenario.active) {
         unit.team = TeamName("a");
     }
-    EXPECT_EQ(0U, scenario.stops(0)) << "of the same team";
+    EXPECT_EQ(0U, scenario.stops(0)) << "urgent work of the same team";
+    for (ActiveUnit &unit : scenario.active) {
+        unit.priority = 2;
+    }
+    EXPECT_EQ(2U, scenario.stops(0)) << "a team's own long-running work must not void its guarantee either";
 }
 
 // Guards against several stops in one pass that each keep to the budget, but not together.
