--- a/tests/unit/evacuation.cpp
+++ b/tests/unit/evacuation.cpp
@@ -89,6 +89,7 @@
     std::vector<UnitKey> moves(std::uint32_t unavailable) const
     {
         std::vector<StrandedUnit> units;
+        units.reserve(4);
         for (std::int32_t i = 0; i < 4; ++i) {
             units.push_back({unit(i), 1, unavailable});
         }
