Follow every planner of a series by itself when waiting for leases

Callers: a job whose minion and planner were lost together, and whose next planner ended 1.5 s later, had nothing running for 14.7 s. Both nodes ran again after 3.5 s.

Cause: only the last predecessor was asked when it had ceased to renew leases. Planners before it counted with 8 s from the predecessor's first record, though their nodes could say more. A node that had loaded the newest records only knew no predecessor at all.

Change: Succession keeps every planner whose leases may not have expired, each with the latest time at which it can have renewed: the first record of its successor plus 8 s, or its resignation, or what its node says. Each node is asked. Announcements list the earlier planners, so that a node that has read just the newest one knows them as well. An announcement without the list, or a gap before it, stands for unknown planners with the full 8 s.

Succession.KnowsNoPredecessorIfRecordsMayBeMissing now expects an unknown planner with the full window in place of no answer, which bounds the wait as before.

A node that never returns, or that returns under another address, can still not be asked; the wait of 13.65 s stays there.

--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -422,8 +422,10 @@
                 break;
             }
             std::vector<StoredRecord> records;
+            const std::int64_t now = bootMillis();
             records.push_back(encodeRecord(
-                PlannerAnnouncement {epoch, settings.node.value(), false, settings.milliCores, peersAddress()}));
+                PlannerAnnouncement {epoch, settings.node.value(), false, settings.milliCores, peersAddress(),
+                                     Succession::listed(succession.priorsOfNext(now), now)}));
             outcome = co_await platform.store->append(Topic::Journal, std::move(records), producer, end,
                                                       Clock::now() + CLAIM_TIMEOUT);
         }
@@ -476,26 +478,26 @@
                                 [this](const char *reason) { loseLeadership(reason); },
                                 succession.before(epoch)},
                                claimWriter, statusWriter, epoch, deployment.minions());
-        if (const auto prior = succession.before(epoch)) {
-            Asio::co_spawn(io, seekPriorRenewalsEnd(*this, planner, prior->announced), Asio::detached);
+        for (const PriorPlanner &prior : succession.before(epoch).value_or(std::vector<PriorPlanner>())) {
+            Asio::co_spawn(io, seekPriorRenewalsEnd(*this, planner, prior), Asio::detached);
         }
     }
 
-    /** Asks the node of the predecessor when that one has ceased to renew leases, as long as it matters. */
+    /** Asks the node of an earlier planner when that one has ceased to renew leases, as long as it matters. */
     static Asio::awaitable<void> seekPriorRenewalsEnd(Parts &parts, std::shared_ptr<StepPlanner> successor,
-                                                      PlannerAnnouncement prior)
+                                                      PriorPlanner prior)
     {
         const auto peer = Endpoint::parse(prior.peers);
         const bool isOwn = prior.node == parts.settings.node.value();
-        while ((isOwn || peer) && successor->seeksPriorRenewalsEnd()) {
+        while ((isOwn || peer) && successor->seeksPriorRenewalsEnd(prior.epoch)) {
             std::optional<Millis> ago;
             if (isOwn) {
-                ago = parts.renewalsEndedAgo(prior.epoch);
+                ago = parts.renewalsEndedAgo(prior.epoch); // by an earlier process, or before another planner led
             } else {
                 ago = co_await askForRenewals(parts.peerPool, *peer, prior.node, prior.epoch, INQUIRY_TIMEOUT);
             }
             if (ago) {
-                successor->priorRenewalsEnded(bootMillis() - ago->count());
+                successor->priorRenewalsEnded(prior.epoch, bootMillis() - ago->count());
                 co_return;
             }
             co_await sleepFor(INQUIRY_INTERVAL);
@@ -682,7 +684,7 @@
     bool loading = false; ///< the newest record of each key is being applied
     std::int64_t startedMs = 0;
     std::int64_t lastPlannerRecordMs = 0;
-    Succession succession {RENEWAL_WINDOW_MS};
+    Succession succession {RENEWAL_WINDOW_MS, LAST_LEASE_SPAN_MS};
     std::optional<OwnLeadership> ownLeadership; ///< empty until the listeners are open
     ClaimBackoff claimBackoff;
     bool claiming = false;
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -57,9 +57,6 @@
               {"placed", std::uint64_t(planner->m_assignments.size())},
               {"jobs", std::uint64_t(planner->m_context.jobTable.size())}});
     planner->requestPass();
-    if (const auto &prior = planner->m_context.prior; prior && prior->resignedMs) {
-        planner->priorRenewalsEnded(*prior->resignedMs);
-    }
     if (planner->m_context.machines != nullptr) {
         const Context &own = planner->m_context;
         UpkeepController::begin({own.io, *own.machines, std::shared_ptr<FleetAccess>(planner, planner.get()),
@@ -193,32 +190,45 @@
 
 std::int64_t StepPlanner::provenPriorLeaseEndMs(const MinionLink &link) const
 {
-    const bool proven = m_priorRenewalsEndMs && link.restarts == 0 && link.entry.startTimeMs != 0;
+    const bool bounded = m_context.priors && link.restarts == 0 && link.entry.startTimeMs != 0;
     const bool precedesWork = std::all_of(link.placed.begin(), link.placed.end(), [&](const PlacedMember &placed) {
         const JobEntry *entry = m_context.jobTable.find(placed.assignment->unit.job);
         return entry != nullptr && link.entry.startTimeMs + MAX_WALL_CLOCK_DIFFERENCE_MS < entry->job.submittedMs;
     });
-    return proven && precedesWork ? std::min(link.priorLeaseUntilMs, *m_priorRenewalsEndMs + LAST_LEASE_SPAN_MS)
-                                  : link.priorLeaseUntilMs;
+    if (!bounded || !precedesWork) {
+        return link.priorLeaseUntilMs;
+    }
+    std::int64_t renewalsEndMs = 0;
+    for (const PriorPlanner &prior : *m_context.priors) {
+        renewalsEndMs = std::max(renewalsEndMs, prior.renewalsEndMs);
+    }
+    return std::min(link.priorLeaseUntilMs, renewalsEndMs + LAST_LEASE_SPAN_MS);
 }
 
-bool StepPlanner::seeksPriorRenewalsEnd() const
+bool StepPlanner::seeksPriorRenewalsEnd(Epoch epoch) const
 {
-    return m_leading && m_context.prior && !m_priorRenewalsEndMs && bootMillis() - m_takeoverMs < RENEWAL_WINDOW_MS;
+    return m_leading && m_context.priors
+           && std::any_of(m_context.priors->begin(), m_context.priors->end(), [epoch](const PriorPlanner &prior) {
+                  return prior.epoch == epoch && bootMillis() < prior.renewalsEndMs;
+              });
 }
 
-void StepPlanner::priorRenewalsEnded(std::int64_t atMs)
+void StepPlanner::priorRenewalsEnded(Epoch epoch, std::int64_t atMs)
 {
-    if (!seeksPriorRenewalsEnd()) {
+    if (!m_context.priors) {
         return;
     }
-    m_priorRenewalsEndMs = std::max(atMs, m_context.prior->earlierRenewalsEndMs);
     const std::int64_t now = bootMillis();
-    logEvent(LogLevel::Info, "prior-renewals-ended",
-             {{"epoch", m_context.prior->announced.epoch.value()},
-              {"node", m_context.prior->announced.node},
-              {"ended_ms_ago", now - *m_priorRenewalsEndMs},
-              {"since_takeover_ms", now - m_takeoverMs}});
+    for (PriorPlanner &prior : *m_context.priors) {
+        if (prior.epoch == epoch && atMs < prior.renewalsEndMs) {
+            prior.renewalsEndMs = atMs;
+            logEvent(LogLevel::Info, "prior-renewals-ended",
+                     {{"epoch", epoch.value()},
+                      {"node", prior.node},
+                      {"ended_ms_ago", now - atMs},
+                      {"since_takeover_ms", now - m_takeoverMs}});
+        }
+    }
 }
 
 void StepPlanner::minionUnlisted(const MinionId &id)
@@ -285,8 +295,7 @@
     }
     if (m_writer->idle() && now - std::max(m_lastHeartbeatMs, m_writer->lastStoredMs()) >= HEARTBEAT_INTERVAL_MS) {
         m_lastHeartbeatMs = now;
-        m_pendingRecords.push_back(
-            encodeRecord(PlannerAnnouncement {m_epoch, m_context.node, false, m_context.milliCores, m_context.peers}));
+        m_pendingRecords.push_back(announcement(false));
         flushSoon();
     }
     requestPass();
@@ -299,9 +308,8 @@
     m_leading = false;
     m_context.metrics.setWaiting({});
     const auto self = shared_from_this();
-    m_writer->append(
-        {encodeRecord(PlannerAnnouncement {m_epoch, m_context.node, true, m_context.milliCores, m_context.peers})},
-        TimePoint::max(), [self, done = std::move(done)](AppendOutcome) { done(); });
+    m_writer->append({announcement(true)}, TimePoint::max(),
+                     [self, done = std::move(done)](AppendOutcome) { done(); });
 }
 
 void StepPlanner::stop()
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -58,11 +58,11 @@
 //    raised the minion's fence, so that no earlier planner grants a lease either, and grants none itself before the
 //    withdrawal is stored. So a successor that finds the record waits only for LAST_LEASE_SPAN_MS from when it read it.
 //    No record is made while another instance may carry out a start late, as its lease has only the minion's limit.
-// 8. The wait for PRIOR_LEASE_SPAN_MS ends LAST_LEASE_SPAN_MS after the last possible renewal if that is proven: the
-//    predecessor has journaled its resignation, or its node says that this planner has ended or runs a new process. The
-//    planners before the predecessor can have renewed for RENEWAL_WINDOW_MS after its first record was read. A lease
-//    that was granted by the clock of a former instance may last longer, so the minion must have been up before all
-//    of its jobs were submitted.
+// 8. The wait for PRIOR_LEASE_SPAN_MS ends LAST_LEASE_SPAN_MS after the last possible renewal by any earlier planner. A
+//    planner can have renewed for RENEWAL_WINDOW_MS after the first record of its successor was read, unless an earlier
+//    end is proven: it has journaled its resignation, or its node says that this planner has ended or runs a new
+//    process. A lease that was granted by the clock of a former instance may last longer, so the minion must have been
+//    up before all of its jobs were submitted.
 
 namespace Papaya
 {
@@ -96,7 +96,7 @@
         SpeedUse speedUse;        ///< of the learned speeds of minions
         Millis maxViewAge;        ///< of the view on which a start rests when it is sent
         std::function<void(const char *reason)> onLeadershipLost; ///< called once, when leadership is lost
-        std::optional<PriorPlanner> prior;                        ///< the predecessor; empty if it is unknown
+        std::optional<std::vector<PriorPlanner>> priors;          ///< the earlier planners; empty if they are unknown
     };
 
     /**
@@ -114,12 +114,12 @@
     void minionListed(const MinionEntry &entry);
     void minionUnlisted(const MinionId &id);
     /**
-     * Takes note of evidence that the predecessor has renewed no lease after @p atMs, in bootMillis(). What counts is
-     * that its node has said so, or runs another process.
+     * Takes note of evidence that the earlier planner of @p epoch has renewed no lease after @p atMs, in bootMillis().
+     * What counts is that its node has said so, or runs another process.
      */
-    void priorRenewalsEnded(std::int64_t atMs);
-    /** @return true if evidence of when the predecessor ceased to renew leases can still shorten a wait. */
-    [[nodiscard]] bool seeksPriorRenewalsEnd() const;
+    void priorRenewalsEnded(Epoch epoch, std::int64_t atMs);
+    /** @return true if evidence of when the planner of @p epoch ceased to renew leases can still shorten a wait. */
+    [[nodiscard]] bool seeksPriorRenewalsEnd(Epoch epoch) const;
     /** Reacts to a change of Context::evacuations. */
     void evacuationsChanged();
     /** Reacts to a submission or cancellation that has already been applied to the job table. */
@@ -340,13 +340,15 @@
     [[nodiscard]] std::int64_t priorLeaseEndMs(const MinionId &minion) const;
     /**
      * @return the latest end of leases that earlier planners may have granted to the minion of @p link, which has not
-     * answered yet, with regard to priorRenewalsEnded()
+     * answered yet, with regard to Context::priors
      */
     [[nodiscard]] std::int64_t provenPriorLeaseEndMs(const MinionLink &link) const;
     /** Removes jobs from the job table and the journal once their retention period is over. */
     void forgetEnded(std::int64_t nowMs);
     /** Removes a job whose deletion has been stored. */
     void forget(const JobId &job);
+    /** @return a record that shows that this planner leads, or has @p resigned. */
+    [[nodiscard]] StoredRecord announcement(bool resigned) const;
     void flushSoon();
     void flush();
     void stepDown(const char *reason);
@@ -400,7 +402,6 @@
     std::int64_t m_lastConfigJournalMs = 0;
     std::int64_t m_lastHeartbeatMs = 0;
     std::int64_t m_takeoverMs = 0;
-    std::optional<std::int64_t> m_priorRenewalsEndMs;       ///< proven latest renewal of a lease by an earlier planner
     std::uint32_t m_silenceSpells = 0;                      ///< MinionSilence::spell of the last record
     std::map<std::string, std::int64_t> m_unknownRunStopMs; ///< last stop order of each unknown run, by task
     TicketBook m_tickets;
--- a/packages/dispatch/stepplannerjournal.cpp
+++ b/packages/dispatch/stepplannerjournal.cpp
@@ -177,6 +177,17 @@
     m_startedJobs.erase(job);
 }
 
+StoredRecord StepPlanner::announcement(bool resigned) const
+{
+    PlannerAnnouncement record {m_epoch, m_context.node, resigned, m_context.milliCores, m_context.peers};
+    if (m_context.priors) {
+        std::vector<PriorPlanner> priors = *m_context.priors;
+        Succession::dropExpired(priors, LAST_LEASE_SPAN_MS, bootMillis());
+        record.earlier = Succession::listed(priors, bootMillis());
+    }
+    return encodeRecord(record);
+}
+
 void StepPlanner::flushSoon()
 {
     if (m_flushPosted) {
@@ -228,8 +239,7 @@
     }
     if (m_pendingRecords.empty()) {
         // An append in flight may hold earlier ends of the same minions; a heartbeat record is queued behind it.
-        m_pendingRecords.push_back(
-            encodeRecord(PlannerAnnouncement {m_epoch, m_context.node, false, m_context.milliCores, m_context.peers}));
+        m_pendingRecords.push_back(announcement(false));
     }
     m_writer->append(std::move(m_pendingRecords), TimePoint::max(),
                      [self = shared_from_this(), stored](AppendOutcome outcome) {
--- a/packages/steps/jobrecord.cpp
+++ b/packages/steps/jobrecord.cpp
@@ -280,11 +280,34 @@
     }
     StoredRecord operator()(const PlannerAnnouncement &record) const
     {
-        return {std::string(PLANNER_KEY), toCbor(Json::array({record.epoch.value(), record.node, record.resigned,
-                                                              record.milliCores, record.peers}))};
+        Json row = Json::array({record.epoch.value(), record.node, record.resigned, record.milliCores, record.peers});
+        if (record.earlier) {
+            Json earlier = Json::array();
+            for (const EarlierPlanner &planner : *record.earlier) {
+                earlier.push_back({planner.epoch.value(), planner.node, planner.peers, planner.renewsForMs});
+            }
+            row.push_back(std::move(earlier));
+        }
+        return {std::string(PLANNER_KEY), toCbor(row)};
     }
 };
 
+PlannerAnnouncement announcementOf(const Json &row)
+{
+    constexpr std::size_t EARLIER = 5; // column of the earlier planners
+    PlannerAnnouncement announced {Epoch(row.at(0).get<std::uint64_t>()), row.at(1).get<std::string>(),
+                                   row.at(2).get<bool>(), row.size() > 3 ? row.at(3).get<std::uint32_t>() : 0,
+                                   row.size() > 4 ? row.at(4).get<std::string>() : ""};
+    if (row.size() > EARLIER) {
+        announced.earlier.emplace();
+        for (const Json &planner : row.at(EARLIER)) {
+            announced.earlier->push_back({Epoch(planner.at(0).get<std::uint64_t>()), planner.at(1).get<std::string>(),
+                                          planner.at(2).get<std::string>(), planner.at(3).get<std::int64_t>()});
+        }
+    }
+    return announced;
+}
+
 } // namespace
 
 StoredRecord encodeRecord(const JobRecord &record)
@@ -357,10 +380,7 @@
             return JobRecord(std::move(record));
         }
         if (key == PLANNER_KEY) {
-            return JobRecord(PlannerAnnouncement {Epoch(json->at(0).get<std::uint64_t>()),
-                                                  json->at(1).get<std::string>(), json->at(2).get<bool>(),
-                                                  json->size() > 3 ? json->at(3).get<std::uint32_t>() : 0,
-                                                  json->size() > 4 ? json->at(4).get<std::string>() : ""});
+            return JobRecord(announcementOf(*json));
         }
     } catch (const Json::exception &) {
         return malformed(key);
--- a/packages/steps/jobrecord.h
+++ b/packages/steps/jobrecord.h
@@ -65,6 +65,14 @@
     UnitStatus status;
 };
 
+/** A planner that led before another one, and whose leases may not have expired yet. */
+struct EarlierPlanner {
+    Epoch epoch;
+    std::string node;             ///< empty if it is unknown
+    std::string peers;            ///< as in PlannerAnnouncement
+    std::int64_t renewsForMs = 0; ///< it renews no lease later than this after the record that names it was written
+};
+
 /** A planner has taken over, is alive, or has resigned. */
 struct PlannerAnnouncement {
     Epoch epoch;
@@ -72,6 +80,8 @@
     bool resigned = false;
     std::uint32_t milliCores = 0; ///< processor share of the node in thousandths of a core; 0 if unknown
     std::string peers;            ///< address at which the node takes records of other nodes; empty if it does not
+    /** All earlier planners whose leases may not have expired; nothing if the writer does not list them. */
+    std::optional<std::vector<EarlierPlanner>> earlier = std::nullopt;
 };
 
 /**
--- a/packages/steps/succession.h
+++ b/packages/steps/succession.h
@@ -5,26 +5,38 @@
 #include <algorithm>
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <vector>
 
 // Evidence of when earlier planners have ceased to renew leases. All times are in one steady clock, in milliseconds.
+//
+// A planner renews leases for a limited time after its last stored record, and the first record of its successor proves
+// that it can store no more. Its own node can prove an earlier end. Several planners may end in series within that
+// time, so that each of them is followed by itself. A planner announces those before it, for nodes that have read only
+// the newest record of each key.
 
 namespace Papaya
 {
 
-/** The planner that led before the present one, as the journal shows it. */
+/** A planner that led before the present one. */
 struct PriorPlanner {
-    PlannerAnnouncement announced;
-    std::int64_t earlierRenewalsEndMs = 0;  ///< no planner before it renews a lease later
-    std::optional<std::int64_t> resignedMs; ///< when its resignation was read, which it writes after its last renewal
+    Epoch epoch;
+    std::string node;               ///< empty if it is unknown
+    std::string peers;              ///< where its node can be asked; empty if it cannot
+    std::int64_t renewalsEndMs = 0; ///< it renews no lease later
 };
 
 /** Follows who leads in the journal. */
 class Succession
 {
 public:
-    /** @param renewalWindowMs how long a planner renews leases after its last record */
-    explicit Succession(std::int64_t renewalWindowMs)
+    /**
+     * @param renewalWindowMs how long a planner renews leases after its last record
+     * @param leaseSpanMs how long a lease may last after its renewal
+     */
+    Succession(std::int64_t renewalWindowMs, std::int64_t leaseSpanMs)
         : m_renewalWindowMs(renewalWindowMs)
+        , m_leaseSpanMs(leaseSpanMs)
     {
     }
 
@@ -34,16 +46,20 @@
      */
     void read(const PlannerAnnouncement &announced, bool gapless, std::int64_t nowMs)
     {
+        if (announced.epoch < m_present.epoch) {
+            return;
+        }
         if (announced.epoch > m_present.epoch) {
-            // The first record of the present planner proves that those before it can store nothing more.
-            m_prior.reset();
-            if (gapless && m_present.epoch.value() != 0) {
-                m_prior = PriorPlanner {m_present, m_presentSinceMs + m_renewalWindowMs, m_resignedMs};
+            const bool isPresentKnown = gapless && m_present.epoch.value() != 0;
+            std::vector<PriorPlanner> known = isPresentKnown ? priorsOfNext(nowMs) : std::vector<PriorPlanner>();
+            if (announced.earlier) {
+                m_priors = announcedPriors(*announced.earlier, known, nowMs);
+            } else if (isPresentKnown) {
+                m_priors = std::move(known);
+            } else {
+                m_priors = {unknownPrior(nowMs)};
             }
-            m_presentSinceMs = nowMs;
             m_resignedMs.reset();
-        } else if (announced.epoch < m_present.epoch) {
-            return;
         }
         m_present = announced;
         if (announced.resigned && !m_resignedMs) {
@@ -51,18 +67,76 @@
         }
     }
 
-    /** @return the planner that led before the one with @p epoch; nothing if another one leads or it is unknown. */
-    [[nodiscard]] std::optional<PriorPlanner> before(Epoch epoch) const
+    /**
+     * @return all planners before the one with @p epoch whose leases had not expired when its first record was read;
+     * nothing if another one leads
+     */
+    [[nodiscard]] std::optional<std::vector<PriorPlanner>> before(Epoch epoch) const
+    {
+        return m_present.epoch == epoch ? std::optional(m_priors) : std::nullopt;
+    }
+
+    /** @return all planners before one that takes over at @p nowMs whose leases may not have expired by then. */
+    [[nodiscard]] std::vector<PriorPlanner> priorsOfNext(std::int64_t nowMs) const
+    {
+        if (m_present.epoch.value() == 0) {
+            return {unknownPrior(nowMs)};
+        }
+        std::vector<PriorPlanner> priors = m_priors;
+        priors.push_back(
+            {m_present.epoch, m_present.node, m_present.peers, m_resignedMs.value_or(nowMs + m_renewalWindowMs)});
+        dropExpired(priors, m_leaseSpanMs, nowMs);
+        return priors;
+    }
+
+    /** Drops planners whose leases have expired at @p nowMs. */
+    static void dropExpired(std::vector<PriorPlanner> &priors, std::int64_t leaseSpanMs, std::int64_t nowMs)
     {
-        return m_present.epoch == epoch ? m_prior : std::nullopt;
+        std::erase_if(priors, [=](const PriorPlanner &prior) { return prior.renewalsEndMs + leaseSpanMs < nowMs; });
+    }
+
+    /** @return the form in which a record that is written at @p nowMs lists @p priors. */
+    static std::vector<EarlierPlanner> listed(const std::vector<PriorPlanner> &priors, std::int64_t nowMs)
+    {
+        std::vector<EarlierPlanner> earlier;
+        earlier.reserve(priors.size());
+        for (const PriorPlanner &prior : priors) {
+            const std::int64_t renewsForMs = std::max<std::int64_t>(0, prior.renewalsEndMs - nowMs);
+            earlier.push_back({prior.epoch, prior.node, prior.peers, renewsForMs});
+        }
+        return earlier;
     }
 
 private:
+    /** @return a stand-in for all planners whose records may be missing before one that was read at @p nowMs. */
+    [[nodiscard]] PriorPlanner unknownPrior(std::int64_t nowMs) const
+    {
+        return {Epoch(0), "", "", nowMs + m_renewalWindowMs};
+    }
+
+    /** @return the planners that a record lists which was read at @p nowMs, with the tighter bounds of @p known. */
+    static std::vector<PriorPlanner> announcedPriors(const std::vector<EarlierPlanner> &earlier,
+                                                     const std::vector<PriorPlanner> &known, std::int64_t nowMs)
+    {
+        std::vector<PriorPlanner> priors;
+        priors.reserve(earlier.size());
+        for (const EarlierPlanner &planner : earlier) {
+            PriorPlanner &prior = priors.emplace_back(
+                PriorPlanner {planner.epoch, planner.node, planner.peers, nowMs + planner.renewsForMs});
+            for (const PriorPlanner &own : known) {
+                if (own.epoch == prior.epoch && own.node == prior.node) {
+                    prior.renewalsEndMs = std::min(prior.renewalsEndMs, own.renewalsEndMs);
+                }
+            }
+        }
+        return priors;
+    }
+
     std::int64_t m_renewalWindowMs;
+    std::int64_t m_leaseSpanMs;
     PlannerAnnouncement m_present;
-    std::int64_t m_presentSinceMs = 0; ///< when the first record of m_present was read
-    std::optional<std::int64_t> m_resignedMs;
-    std::optional<PriorPlanner> m_prior;
+    std::vector<PriorPlanner> m_priors;       ///< the planners before m_present
+    std::optional<std::int64_t> m_resignedMs; ///< when the resignation of m_present was read
 };
 
 /** What a process knows of the epochs that it has claimed itself. */
--- a/tests/integration/silentminions.cpp
+++ b/tests/integration/silentminions.cpp
@@ -50,7 +50,12 @@
         return Cluster::eventually(again, Millis(25'000)) ? deployment.runs.of(job).back().startedMs : 0;
     }
 
-    Deployment deployment {{2, 2}};
+    explicit SilentMinion(std::size_t nodes = 2)
+        : deployment({nodes, 2})
+    {
+    }
+
+    Deployment deployment;
     std::string job;
     std::string name; ///< of the minion with the task
     std::size_t leader = 0;
@@ -91,6 +96,31 @@
     EXPECT_EQ("lapsed", minion.deployment.runs.of(minion.job).front().how);
 }
 
+// Guards against a wait for leases that one of two planners which ended in series might have renewed for some time,
+// although the nodes of both say that their processes have ended.
+TEST(SilentMinion, IsWaitedForForOneLeaseOnceTheNodesOfTwoPredecessorsInSeriesRunAgain)
+{
+    SilentMinion minion(3);
+    minion.start();
+    Deployment &deployment = minion.deployment;
+    std::this_thread::sleep_for(Millis(8'000)); // a planner before the first one could renew leases for as long
+    minion.setSilent(true);
+    deployment.nodes[minion.leader]->kill();
+    const auto hasSuccessor = [&] { return deployment.leader() && *deployment.leader() != minion.leader; };
+    ASSERT_TRUE(Cluster::eventually(hasSuccessor, Millis(5'000)));
+    const std::size_t second = *deployment.leader();
+    deployment.nodes[second]->kill();
+    const std::int64_t killedMs = nowMs();
+    std::this_thread::sleep_for(Millis(1'500));
+    deployment.startNode(minion.leader);
+    deployment.startNode(second);
+    const std::int64_t startedMs = minion.secondStartMs();
+    ASSERT_GT(startedMs, 0);
+    EXPECT_LT(startedMs - killedMs, 1'500 + 5'650 + 2'000); // until the restart, one lease, and some time to begin
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+    EXPECT_EQ("lapsed", deployment.runs.of(minion.job).front().how);
+}
+
 // Guards against a second run of a task whose minion was silent for a while, got leases again, and cannot be reached by
 // the planner that takes over.
 TEST(SilentMinion, ThatGotLeasesAgainIsWaitedForFromTheTakeOver)
--- a/tests/unit/jobtable.cpp
+++ b/tests/unit/jobtable.cpp
@@ -176,6 +176,8 @@
     checkRoundTrip(change);
     const StoredRecord stored = encodeRecord(change);
     RC_ASSERT(std::get<UnitChanged>(*decodeRecord(stored.key, stored.value)).status == change.status);
+    const std::vector<EarlierPlanner> earlier {{Epoch(3), "node-2", "b:2", 900}};
+    checkRoundTrip(PlannerAnnouncement {Epoch(4), "node-1", false, 500, "a:1", earlier});
     checkRoundTrip(PlannerAnnouncement {Epoch(*rc::gen::inRange<std::uint64_t>(0, 1ULL << 50)), "node-1",
                                         *rc::gen::arbitrary<bool>(), 500, "10.0.0.1:7000"});
 }
--- a/tests/unit/succession.cpp
+++ b/tests/unit/succession.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+#include <vector>
+
 // Tests what counts as evidence of when an earlier planner has ceased to renew leases. Each case that is not allowed
 // would let a successor start a task that may still run.
 
@@ -12,34 +15,64 @@
 {
 
 constexpr std::int64_t WINDOW_MS = 8'000;
+constexpr std::int64_t LEASE_SPAN_MS = 5'650;
 
 PlannerAnnouncement announcement(std::uint64_t epoch, bool resigned = false)
 {
-    return {Epoch(epoch), "node-" + std::to_string(epoch), resigned, 0, ""};
+    return {Epoch(epoch), "node-" + std::to_string(epoch), resigned, 0, "peer-" + std::to_string(epoch)};
+}
+
+/** @return the planners before the one of @p epoch, as "epoch:end of its renewals". */
+std::vector<std::string> priors(const Succession &succession, std::uint64_t epoch)
+{
+    std::vector<std::string> lines;
+    for (const PriorPlanner &prior : succession.before(Epoch(epoch)).value_or(std::vector<PriorPlanner>())) {
+        EXPECT_EQ(prior.epoch.value() == 0 ? "" : "node-" + std::to_string(prior.epoch.value()), prior.node);
+        EXPECT_EQ(prior.node.empty(), prior.peers.empty());
+        lines.push_back(std::to_string(prior.epoch.value()) + ":" + std::to_string(prior.renewalsEndMs));
+    }
+    return lines;
 }
 
+using Lines = std::vector<std::string>;
+
 TEST(Succession, CountsOnPlannersBeforeThePredecessorToRenewForTheirWindow)
 {
-    Succession succession(WINDOW_MS);
+    Succession succession(WINDOW_MS, LEASE_SPAN_MS);
     succession.read(announcement(1), true, 1'000);
     succession.read(announcement(2), true, 2'000);
     succession.read(announcement(2, true), true, 2'500);
     succession.read(announcement(1), true, 2'600); // late
     succession.read(announcement(3), true, 3'000);
-    const auto prior = succession.before(Epoch(3));
-    ASSERT_TRUE(prior);
-    EXPECT_EQ("node-2", prior->announced.node);
-    EXPECT_EQ(2'000 + WINDOW_MS, prior->earlierRenewalsEndMs);
-    EXPECT_EQ(2'500, prior->resignedMs);
+    EXPECT_EQ(Lines({"0:9000", "1:10000", "2:2500"}), priors(succession, 3));
     EXPECT_FALSE(succession.before(Epoch(2)));
 }
 
 TEST(Succession, KnowsNoPredecessorIfRecordsMayBeMissing)
 {
-    Succession succession(WINDOW_MS);
+    Succession succession(WINDOW_MS, LEASE_SPAN_MS);
     succession.read(announcement(1), true, 1'000);
     succession.read(announcement(3), false, 3'000);
-    EXPECT_FALSE(succession.before(Epoch(3)));
+    EXPECT_EQ(Lines({"0:11000"}), priors(succession, 3));
+}
+
+// Guards against a successor that counts on each planner of a series but the last to renew for its full window, as it
+// knows none of them by name.
+TEST(Succession, KnowsAllPlannersOfASeriesFromTheNewestRecord)
+{
+    Succession first(WINDOW_MS, LEASE_SPAN_MS);
+    first.read(announcement(1), true, 1'000);
+    first.read(announcement(2), true, 20'000);
+    PlannerAnnouncement third = announcement(3);
+    third.earlier = Succession::listed(first.priorsOfNext(21'000), 21'000);
+    Succession loaded(WINDOW_MS, LEASE_SPAN_MS);
+    loaded.read(third, false, 50'000);
+    EXPECT_EQ(Lines({"1:57000", "2:58000"}), priors(loaded, 3)); // counted from when the record was read
+    Succession followed = first;
+    followed.read(third, true, 21'500);
+    EXPECT_EQ(Lines({"1:28000", "2:29500"}), priors(followed, 3));
+    followed.read(announcement(4), true, 40'000); // all leases of the first two have expired
+    EXPECT_EQ(Lines({"3:48000"}), priors(followed, 4));
 }
 
 TEST(OwnLeadership, EndsWithThePlannerOrWithTheProcessThatHadClaimedTheEpoch)
