Bound the starts under way, and the calls to a minion in flight

Cause: a pass placed up to 256 units of each step as soon as the orders of the last one had left, however many of these had no answer yet, and all on the one or two minions that fitted best. By planner-load, 10,000 starts a second were ordered to one minion, whose polls listed 15,000 tasks and took longer than their time-out (minion-silent). Starts ended in time-outs by the thousand (start-refused no-answer), were stopped and placed again, each stop with calls and polls of its own. The event loop lagged by 100 to 370 ms, so that reads of the store and heartbeats came late: other nodes claimed the role, and storeHealth() took the store for lost. 51,965 to 65,863 starts were ordered for 50,006 tasks.

Change: - StartWindow limits the starts that are decided and not confirmed, by step and in all, with a share kept for steps that have none under way. - A minion has at most 32 start orders and 32 stop orders in flight; what waits holds up no other minion. Stops in doubt share a confirming poll, and answered ones are repeated less often. - Tasks beyond 250 on a minion are spread over the others. - After a report of many tasks, the next poll waits for as long as its handling took for each minion polled.

--- a/packages/dispatch/minionlink.h
+++ b/packages/dispatch/minionlink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection/callslots.h"
 #include "dispatch/assignment.h"
 #include "dispatch/leaseterms.h"
 #include "dispatch/minioncontrol.h"
@@ -8,6 +9,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <vector>
 
@@ -27,6 +29,9 @@
 
 /** The planner's state of one minion. */
 struct MinionLink {
+    /** Start orders, and stop orders, to one minion that are in flight. A minion takes them one by one. */
+    static constexpr std::size_t MAX_ORDERS_IN_FLIGHT = 32;
+
     MinionEntry entry;
     MinionClock clock;
     bool listed = true;           ///< its entry is in the minions topic
@@ -57,6 +62,13 @@
     std::int64_t leavesAtMs = 0;        ///< earliest departure, while draining
     FillPace fillPace;                  ///< throttling of best-effort tasks
     bool shared = false;                ///< runs best-effort tasks beside services
+    std::size_t startsInFlight = 0;     ///< start orders that wait for a connection or for an answer
+    std::deque<std::shared_ptr<Assignment>> waitingStarts; ///< wait until fewer start orders are in flight
+    /** For the calls that stop runs. */
+    std::shared_ptr<CallSlots> stopSlots = CallSlots::create(MAX_ORDERS_IN_FLIGHT);
+    Millis pollPause {0};      ///< before the next poll
+    bool confirming = false;   ///< polls are made to confirm that runs are absent
+    bool confirmAgain = false; ///< another one is needed, as the last began too early
     /** When a report was last used to learn interference. */
     std::int64_t interferenceSeenMs = 0;
     /** Latest end of leases of earlier planners or by a former clock of the minion; unused after the first answer. */
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -281,6 +281,9 @@
     for (auto &[id, link] : m_links) {
         ensurePolling(link);
     }
+    for (auto &[id, link] : m_links) {
+        resumeStarts(link); // a start that has left the queue without an order frees no place by itself
+    }
     sendQueuedStarts();
     noteWaits(now);
     recordSilences(now);
@@ -308,8 +311,7 @@
     m_leading = false;
     m_context.metrics.setWaiting({});
     const auto self = shared_from_this();
-    m_writer->append({announcement(true)}, TimePoint::max(),
-                     [self, done = std::move(done)](AppendOutcome) { done(); });
+    m_writer->append({announcement(true)}, TimePoint::max(), [self, done = std::move(done)](AppendOutcome) { done(); });
 }
 
 void StepPlanner::stop()
@@ -428,6 +430,7 @@
         view.cold = link.entry.cold;
         view.slowness = m_speeds.level(id);
         view.penalty = link.runFailures;
+        view.tasks = static_cast<std::uint32_t>(link.placed.size());
         places[id] = ids.size();
         ids.push_back(id);
         input.minions.push_back(std::move(view));
@@ -443,6 +446,12 @@
                 active.minions.push_back(places.at(member.minion));
             }
         }
+        if (!assignment->stopping) {
+            const auto starting =
+                std::count_if(assignment->members.begin(), assignment->members.end(),
+                              [](const Member &member) { return member.state == MemberState::Ordered; });
+            input.startWindow.add(unit.stepKey(), static_cast<std::size_t>(starting));
+        }
         active.lossMs = assignment->lossMs(now);
         active.stopping = assignment->stopping || assignment->outcome.has_value();
         active.preemptible = !assignment->step.longRunning && assignment->percent < NEARLY_DONE_PERCENT;
@@ -511,6 +520,7 @@
     std::vector<MinionId> ids;
     updateKeepApart();
     const PlanDecisions decisions = planSteps(planInput(ids));
+    m_windowFull = decisions.windowFull;
     const TimePoint decided = Clock::now();
     m_load.passEnded(decided - begun);
     m_lastPassMs = bootMillis();
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -182,6 +182,10 @@
     void sendQueuedStartsSoon();
     /** @return why the order to start @p member must not be sent, or null if it may be. */
     [[nodiscard]] const char *obstacleTo(const Assignment &assignment, const Member &member) const;
+    /** @return a minion of @p assignment with as many start orders in flight as it may have; null if there is none. */
+    MinionLink *saturatedMinion(const Assignment &assignment);
+    /** Lets the starts that wait for the minion of @p link go on as far as it may have more orders in flight. */
+    void resumeStarts(MinionLink &link);
     /** Called when a start order is about to leave. @return false if it must not */
     bool releaseStart(const AssignmentPtr &assignment, std::size_t index);
     /** Gives up a unit of which no start order has been sent. */
@@ -195,10 +199,18 @@
                                                    std::size_t index);
     static Asio::awaitable<void> stopMember(std::shared_ptr<StepPlanner> self, AssignmentPtr assignment,
                                             std::size_t index);
+    /** Sends the order to stop a member in its turn. @return true if the minion has answered that it does */
+    static Asio::awaitable<bool> orderStop(std::shared_ptr<StepPlanner> self, AssignmentPtr assignment,
+                                           std::size_t index, std::string task);
     static Asio::awaitable<void> stopUnknownRun(std::shared_ptr<StepPlanner> self, MinionId minion, std::string task,
                                                 std::uint32_t run);
+    /** Has a poll begin that confirms whether runs whose stops were answered are absent; one for all of them. */
+    void confirmStop(MinionLink &link);
+    static Asio::awaitable<void> confirmStops(std::shared_ptr<StepPlanner> self, MinionId id);
     static Asio::awaitable<void> pollLoop(std::shared_ptr<StepPlanner> self, MinionId id);
     Asio::awaitable<bool> pollOnce(MinionId id);
+    /** @return how long the next poll of a minion waits after @p report, which took @p handling. */
+    [[nodiscard]] Millis pollPause(const MinionReport &report, Duration handling) const;
     void ensurePolling(MinionLink &link);
     /**
      * @return true if @p fence is that of orders to the present instance of @p minion. If it is refused, another
@@ -377,6 +389,7 @@
     std::deque<AssignmentPtr> m_startQueue; ///< journaled units whose start has not been ordered
     std::size_t m_unsentStarts = 0;         ///< start orders that wait for a connection or for their turn
     bool m_sendPosted = false;
+    bool m_windowFull = false; ///< the last pass has left units waiting until starts under way are confirmed
     bool m_flushPosted = false;
     bool m_passPosted = false;
     Asio::steady_timer m_passTimer;
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -32,6 +32,11 @@
 constexpr Millis JOURNAL_WAIT_LIMIT {400}; // so that the journal does not delay a renewal
 constexpr Millis JOURNAL_POLL_INTERVAL {10};
 constexpr Millis STOP_RETRY_INTERVAL {300};
+constexpr Millis MAX_STOP_RETRY_INTERVAL {2'400}; // after stops that were answered
+// After a report of many tasks, the next poll of the minion waits for as long as its handling has taken for each minion
+// that is polled, so that polls leave time for everything else.
+constexpr std::size_t TASKS_OF_LONG_REPORT = 100;
+constexpr Millis MAX_POLL_PAUSE {400};           // well below the time in which leases are renewed
 constexpr Millis STOP_CONFIRM_DELAY {250};       // a minion takes up to 200 ms to stop a run
 constexpr std::int64_t REFUSED_BACKOFF_MS = 500; // after a refused start
 constexpr std::int64_t UNHEALTHY_BACKOFF_MS = 2'000;
@@ -107,6 +112,10 @@
             withdraw(assignment, obstacle);
             continue;
         }
+        if (MinionLink *saturated = saturatedMinion(*assignment)) {
+            saturated->waitingStarts.push_back(assignment);
+            continue;
+        }
         const std::int64_t now = bootMillis();
         const Freshness freshness = m_context.freshness();
         logEvent(LogLevel::Info, "unit-ordered",
@@ -117,6 +126,7 @@
                   {"journal_age_ms", now - freshness.journalAsOfMs}});
         m_unsentStarts += assignment->members.size();
         for (std::size_t i = 0; i < assignment->members.size(); ++i) {
+            ++m_links.at(assignment->members[i].minion).startsInFlight;
             Asio::co_spawn(m_context.io, startMember(shared_from_this(), assignment, i), Asio::detached);
         }
     }
@@ -125,6 +135,28 @@
     }
 }
 
+MinionLink *StepPlanner::saturatedMinion(const Assignment &assignment)
+{
+    for (const Member &member : assignment.members) {
+        MinionLink &link = m_links.at(member.minion);
+        if (link.startsInFlight >= MinionLink::MAX_ORDERS_IN_FLIGHT) {
+            return &link;
+        }
+    }
+    return nullptr;
+}
+
+void StepPlanner::resumeStarts(MinionLink &link)
+{
+    const std::size_t room =
+        MinionLink::MAX_ORDERS_IN_FLIGHT - std::min(MinionLink::MAX_ORDERS_IN_FLIGHT, link.startsInFlight);
+    const auto count = static_cast<std::ptrdiff_t>(std::min(room, link.waitingStarts.size()));
+    const auto end = link.waitingStarts.begin() + count;
+    m_startQueue.insert(m_startQueue.begin(), link.waitingStarts.begin(), end);
+    link.waitingStarts.erase(link.waitingStarts.begin(), end);
+    sendQueuedStartsSoon();
+}
+
 bool StepPlanner::releaseStart(const AssignmentPtr &assignment, std::size_t index)
 {
     Member &member = assignment->members[index];
@@ -213,6 +245,12 @@
     if (!self->m_leading) {
         co_return;
     }
+    MinionLink &link = self->m_links.at(member.minion);
+    --link.startsInFlight;
+    self->resumeStarts(link);
+    if (self->m_windowFull) {
+        self->requestPass();
+    }
     member.orderedMs = bootMillis();
     if (!member.sent) {
         --self->m_unsentStarts;
@@ -220,7 +258,6 @@
     } else if (answer.outcome == OrderOutcome::Withdrawn) {
         answer.outcome = OrderOutcome::NoAnswer; // the first attempt was sent
     }
-    MinionLink &link = self->m_links.at(member.minion);
     if (answer.outcome != OrderOutcome::Done) {
         self->m_context.metrics.count(StepEvent::StartRefusal, toString(answer.outcome));
         logEvent(LogLevel::Info, "start-refused",
@@ -288,40 +325,82 @@
         co_return;
     }
     const std::string task = assignment->unit.taskName(static_cast<std::uint32_t>(index));
+    Millis interval = STOP_RETRY_INTERVAL;
     while (self->m_leading && member.state != MemberState::Ended) {
         MinionLink &link = self->m_links.at(member.minion);
         if (!link.listed && !link.clock.known()) {
             co_await sleepFor(STOP_RETRY_INTERVAL); // its address is unknown
             continue;
         }
-        ++self->m_load.counts.orders;
-        const Epoch fence = link.fence;
-        const OrderAnswer answer =
-            co_await self->m_context.minionControl.stop(link.entry, task, assignment->run, fence, ORDER_TIMEOUT);
+        const bool answered = co_await orderStop(self, assignment, index, task);
         if (!self->m_leading) {
             co_return;
         }
-        if (answer.outcome == OrderOutcome::Fenced && self->hasFence(member.minion, fence)) {
-            self->stepDown("fenced-by-minion");
-            co_return;
-        }
-        if (answer.outcome == OrderOutcome::Done) {
+        if (answered) {
             const bool inDoubt = member.state == MemberState::Ordered;
             member.stopAnsweredMs = bootMillis();
             co_await sleepFor(STOP_CONFIRM_DELAY);
             // The long poll lists the end. A run that was never started has no end, so that another poll is needed to
             // confirm its absence.
             if (inDoubt && member.state != MemberState::Ended && self->m_leading) {
-                co_await self->pollOnce(member.minion);
+                self->confirmStop(self->m_links.at(member.minion));
             }
         }
-        co_await sleepFor(STOP_RETRY_INTERVAL);
+        co_await sleepFor(interval);
+        // A minion that has answered needs the order once more only if it has restarted.
+        const bool settled = answered && member.state == MemberState::Running;
+        interval = settled ? std::min(2 * interval, MAX_STOP_RETRY_INTERVAL) : STOP_RETRY_INTERVAL;
+    }
+}
+
+Asio::awaitable<bool> StepPlanner::orderStop(std::shared_ptr<StepPlanner> self, AssignmentPtr assignment,
+                                             std::size_t index, std::string task)
+{
+    const Member &member = assignment->members[index];
+    const std::shared_ptr<CallSlots> slots = self->m_links.at(member.minion).stopSlots;
+    const CallSlots::Permit permit = co_await slots->acquire();
+    if (!self->m_leading || member.state == MemberState::Ended) {
+        co_return false;
+    }
+    const MinionLink &link = self->m_links.at(member.minion);
+    ++self->m_load.counts.orders;
+    const Epoch fence = link.fence;
+    const OrderAnswer answer =
+        co_await self->m_context.minionControl.stop(link.entry, task, assignment->run, fence, ORDER_TIMEOUT);
+    if (self->m_leading && answer.outcome == OrderOutcome::Fenced && self->hasFence(member.minion, fence)) {
+        self->stepDown("fenced-by-minion");
+    }
+    co_return answer.outcome == OrderOutcome::Done;
+}
+
+void StepPlanner::confirmStop(MinionLink &link)
+{
+    link.confirmAgain = true;
+    if (!link.confirming) {
+        link.confirming = true;
+        Asio::co_spawn(m_context.io, confirmStops(shared_from_this(), link.entry.id), Asio::detached);
+    }
+}
+
+Asio::awaitable<void> StepPlanner::confirmStops(std::shared_ptr<StepPlanner> self, MinionId id)
+{
+    while (self->m_leading && self->m_links.at(id).confirmAgain) {
+        self->m_links.at(id).confirmAgain = false;
+        co_await self->pollOnce(id);
+    }
+    if (self->m_leading) {
+        self->m_links.at(id).confirming = false;
     }
 }
 
 Asio::awaitable<void> StepPlanner::stopUnknownRun(std::shared_ptr<StepPlanner> self, MinionId minion, std::string task,
                                                   std::uint32_t run)
 {
+    const std::shared_ptr<CallSlots> slots = self->m_links.at(minion).stopSlots;
+    const CallSlots::Permit permit = co_await slots->acquire();
+    if (!self->m_leading || !self->m_links.contains(minion)) {
+        co_return;
+    }
     const MinionLink &link = self->m_links.at(minion);
     const MinionEntry entry = link.entry;
     const OrderAnswer answer = co_await self->m_context.minionControl.stop(entry, task, run, link.fence, ORDER_TIMEOUT);
@@ -356,6 +435,9 @@
         if (answered ? !link.awaitsReport(bootMillis()) : (link.placed.empty() && !link.listed)) {
             break;
         }
+        if (answered && link.pollPause > Millis(0)) {
+            co_await sleepFor(link.pollPause);
+        }
         if (!answered) {
             co_await sleepFor(POLL_RETRY_INTERVAL);
         } else if (link.endsAcked < link.endsHandled) {
@@ -377,6 +459,17 @@
     co_await self->pollOnce(id);
 }
 
+Millis StepPlanner::pollPause(const MinionReport &report, Duration handling) const
+{
+    // More ends wait behind a full page, and the minion lists fewer tasks once they are acknowledged.
+    if (report.running.size() < TASKS_OF_LONG_REPORT || report.mayHaveMoreEnds) {
+        return Millis(0);
+    }
+    const auto polled =
+        std::count_if(m_links.begin(), m_links.end(), [](const auto &item) { return item.second.polling; });
+    return std::min(std::chrono::duration_cast<Millis>(handling * polled), MAX_POLL_PAUSE);
+}
+
 Asio::awaitable<bool> StepPlanner::pollOnce(MinionId id)
 {
     MinionLink *link = &m_links.at(id);
@@ -450,7 +543,9 @@
         link->fenceRaised = order.fence == link->fence; // not if this answer has shown a restart
         requestPass();
     }
+    const TimePoint received = Clock::now();
     handleReport(*link, answer.report, sent);
+    link->pollPause = pollPause(answer.report, Clock::now() - received);
     co_return true;
 }
 
--- a/packages/steps/minionfleet.cpp
+++ b/packages/steps/minionfleet.cpp
@@ -100,6 +100,7 @@
 void MinionFleet::allocate(std::size_t minion, const Resources &need)
 {
     m_minions[minion].free -= need;
+    ++m_minions[minion].tasks;
     if (m_minions[minion].usable) {
         m_free -= need;
     }
--- a/packages/steps/minionfleet.h
+++ b/packages/steps/minionfleet.h
@@ -37,6 +37,7 @@
     bool cold = false;         ///< runs slower for a while after it has started
     int slowness = 0;          ///< learned level, see MinionSpeeds::level(); 0 if average or unknown
     std::uint32_t penalty = 0; ///< minions with a lower penalty are preferred
+    std::uint32_t tasks = 0;   ///< allocated to it
 };
 
 /** @return true if @p minion belongs to @p service and has the label that @p step requires, usable or not. */
--- a/packages/steps/placementsearch.cpp
+++ b/packages/steps/placementsearch.cpp
@@ -9,14 +9,20 @@
 {
 
 // Weights of the terms of a placement score. Each term outweighs all that follow: a minion of last resort, a minion on
-// which the unit has failed or got stuck, the penalty of the minion, the cost by the preferences, the GPUs that stay
-// free, and the fraction of its memory that stays free. The fraction of its cores that stays free has weight 1.
-constexpr double LAST_RESORT_SCORE = 1e10;
-constexpr double AVOIDED_SCORE = 1e8;
-constexpr double PENALTY_SCORE = 1e6;
+// which the unit has failed or got stuck, the penalty of the minion, the number of its tasks if that is high, the cost
+// by the preferences, the GPUs that stay free, and the fraction of its memory that stays free. The fraction of its
+// cores that stays free has weight 1.
+constexpr double LAST_RESORT_SCORE = 1e11;
+constexpr double AVOIDED_SCORE = 1e9;
+constexpr double PENALTY_SCORE = 1e7;
+constexpr double CROWD_SCORE = 1e6;
 constexpr double PREFERENCE_SCORE = 1e5;
 constexpr double GPU_SCORE = 100;
 constexpr double MEMORY_SCORE = 10;
+// Each poll of a minion lists all of its tasks. In steps of this many, tasks are spread over minions rather than
+// packed.
+constexpr std::uint32_t TASKS_OF_CROWD = 250;
+constexpr std::uint32_t MAX_CROWDS = 9;
 
 double shareOf(std::int64_t left, std::int64_t capacity)
 {
@@ -41,7 +47,7 @@
     const bool avoided = request.avoid != nullptr
                          && std::find(request.avoid->begin(), request.avoid->end(), minion.id) != request.avoid->end();
     double score = (minion.usable ? 0 : LAST_RESORT_SCORE) + (avoided ? AVOIDED_SCORE : 0);
-    score += PENALTY_SCORE * minion.penalty;
+    score += PENALTY_SCORE * minion.penalty + CROWD_SCORE * std::min(minion.tasks / TASKS_OF_CROWD, MAX_CROWDS);
     if (request.job != nullptr && request.step != nullptr) {
         for (const PlacementPreference *preference : m_preferences) {
             score += PREFERENCE_SCORE * preference->cost(*request.job, *request.step, minion);
--- a/packages/steps/stepscheduler.cpp
+++ b/packages/steps/stepscheduler.cpp
@@ -13,9 +13,6 @@
 namespace
 {
 
-// Units of a step that one pass starts. The next pass waits until the orders of one are sent, so that those of a job of
-// 50,000 tasks would delay all other jobs, and the pass itself the heartbeats. Usual steps have up to 230 units.
-constexpr std::size_t MAX_STARTS_OF_STEP = 256;
 constexpr std::int64_t CLOCK_SKEW_MARGIN_MS = 20; // clocks of nodes differ; no run may start before it is due
 constexpr double MAX_LOSS_RATIO = 1;              // work that preemption may lose per unit of urgent work
 constexpr double NO_LIMIT = std::numeric_limits<double>::max();
@@ -173,7 +170,6 @@
         request.job = &candidate.entry->job;
         request.step = &step;
         const std::vector<std::size_t> feasible = feasibleRacks(m_fleet, *request.group, step, request.need);
-        std::size_t begun = 0;
         for (std::size_t i = 0; i < progress.units.size(); ++i) {
             const UnitKey unit = candidate.unit(i);
             if (progress.units[i].state != UnitState::Waiting || m_input.heldBack.contains(unit)) {
@@ -181,13 +177,16 @@
             }
             const auto avoided = m_input.avoid.find(unit);
             request.avoid = avoided == m_input.avoid.end() ? nullptr : &avoided->second;
+            if (!m_input.startWindow.admits(candidate.stepKey())) {
+                m_decisions.windowFull = true;
+                return;
+            }
             const bool advanced = scheduleUnit(candidate, unit, request, feasible, placed);
             if (!advanced && !step.longRunning) { // units of a long-running step may be overdue by themselves
                 return;                           // the other units of the step have the same needs
             }
-            begun += advanced ? 1 : 0;
-            if (begun == MAX_STARTS_OF_STEP) {
-                return;
+            if (advanced) {
+                m_input.startWindow.add(candidate.stepKey(), request.members);
             }
         }
     }
--- a/packages/steps/stepscheduler.h
+++ b/packages/steps/stepscheduler.h
@@ -7,6 +7,7 @@
 #include "steps/placementpreference.h"
 #include "steps/preemption.h"
 #include "steps/runtimes.h"
+#include "steps/startwindow.h"
 #include "steps/ticketbook.h"
 #include "steps/timeliness.h"
 
@@ -25,9 +26,9 @@
 // does not fit preempts other units if it is guaranteed or in time; the capacity that they release is reserved for it.
 // Guaranteed work that still finds no room may reclaim capacity from long-running and nearly done units, see reclaim.h.
 // For a while, less urgent work leaves as many GPUs free as were preempted, see Headroom, and rack-bound work waits for
-// a rack. Such waits by choice are limited: if nothing of a job runs, one unit of it is soon placed wherever it fits,
-// as long as the free capacity holds it twice. For that it may use minions that are otherwise kept from new work, if no
-// other has room.
+// a rack. The starts under way are limited as well, see StartWindow. Such waits by choice are limited: if nothing of a
+// job runs, one unit of it is soon placed wherever it fits, as long as the free capacity holds it twice. For that it
+// may use minions that are otherwise kept from new work, if no other has room.
 //
 // If its queue has an admission oracle, a step starts only on minions that the oracle has admitted. For a unit that
 // finds no capacity on these, the pass returns a query about further minions.
@@ -51,6 +52,7 @@
     const IdleJobs *idleJobs = nullptr;             ///< since when jobs stand still; null if unknown
     std::vector<const PlacementPreference *> preferences = {}; ///< order minions that have room for a unit
     std::map<StepKey, DisruptionBudget> budgets = {};          ///< of long-running steps with a disruption budget
+    StartWindow startWindow = {};                              ///< the starts that are under way before the pass
 };
 
 /** A query to the admission oracle: which of these minions may run the step? */
@@ -77,6 +79,7 @@
     std::vector<UnitStart> starts;
     std::vector<UnitStop> stops;
     std::vector<AdmissionQuery> admissionQueries; ///< in scheduling order
+    bool windowFull = false; ///< a unit has waited for the confirmation of starts that are under way
 };
 
 /** @return the resources reserved on a minion for a task of @p step; no cores for a filling task. */
--- a/tests/unit/stepscheduling.cpp
+++ b/tests/unit/stepscheduling.cpp
@@ -119,9 +119,10 @@
         }
     }
 
-    PlanDecisions plan() const
+    PlanDecisions plan(const StartWindow &underWay = {}) const
     {
         PlanInput input {jobTable, config, times, tickets, minions, active, {}, {}, NOW, NOW};
+        input.startWindow = underWay;
         return planSteps(std::move(input));
     }
 
@@ -148,6 +149,55 @@
     int jobs = 0;
 };
 
+// Guards against starts that are decided faster than minions answer, and against small jobs that wait for large ones.
+TEST(StepScheduler, LeavesTasksOfALargeJobWaitingWhileItsStartsAreUnderWay)
+{
+    Scenario setup;
+    StepSpec tiny;
+    tiny.count = 2'000;
+    tiny.need = {1, 1, 0};
+    const JobId large = setup.submit("urgent", tiny, 1'000);
+    tiny.count = 1;
+    const JobId small = setup.submit("batch", tiny);
+    const PlanDecisions first = setup.plan();
+    EXPECT_TRUE(first.windowFull);
+    ASSERT_EQ(StartWindow::MAX_OF_STEP + 1, first.starts.size());
+    EXPECT_EQ(small, first.starts.back().unit.job);
+    StartWindow underWay;
+    underWay.add({large, 0, 0}, StartWindow::MAX_OF_STEP);
+    const PlanDecisions second = setup.plan(underWay);
+    ASSERT_EQ(1U, second.starts.size());
+    EXPECT_EQ(small, second.starts.front().unit.job);
+}
+
+TEST(StartWindow, KeepsRoomForStepsThatHaveNoStartUnderWay)
+{
+    StartWindow window;
+    const auto step = [](std::uint32_t number) { return StepKey {JobId("job"), 0, number}; };
+    for (std::uint32_t i = 0; i < 4; ++i) {
+        window.add(step(i), StartWindow::MAX_OF_STEP);
+    }
+    EXPECT_FALSE(window.admits(step(0)));
+    window.add(step(4), 1);
+    EXPECT_FALSE(window.admits(step(4)));
+    EXPECT_TRUE(window.admits(step(5)));
+    window.add(step(5), StartWindow::MAX_OF_BUSY_STEPS); // a gang of any size
+    EXPECT_FALSE(window.admits(step(6)));
+}
+
+// Guards against polls that list thousands of tasks each, as small tasks were all packed on one minion.
+TEST(StepScheduler, SpreadsManySmallTasksOverTheMinions)
+{
+    Scenario setup;
+    StepSpec tiny;
+    tiny.count = 1;
+    tiny.need = {1, 1, 0};
+    setup.submit("batch", tiny);
+    const std::size_t packed = setup.plan().starts.front().minions.front();
+    setup.minions[packed].tasks = 250;
+    EXPECT_NE(packed, setup.plan().starts.front().minions.front());
+}
+
 TEST(StepScheduler, PlacesAGangWholeOrNotAtAll)
 {
     Scenario scenario(1, 2);
