Put kinds of steps that the oracle admits before those that it refuses

Cause: every step that had never been queried came before all others in scheduling order, so that a small job waited for the first query of each gang submitted before it; the oracle answers one at a time. A step that had no room at all was queried as well.

Change: among first queries, steps that could start now if admitted come first, then kinds of steps (queue, members, need) of which fewer queries in a row have led to no start. The log line "advice" says whether the step could start.

The oracle's stand-in now makes one decision at a time, as the platform's does. AdmissionTurns.PutStepsThatWereNeverQueriedFirst... has the same checks as before, with requests in place of keys.

All queries still come from the planner's node.

--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -575,6 +575,7 @@
             return isLastResort(m_links.at(member.minion), assignment->decidedMs);
         });
     m_idleJobs.started(decision.unit);
+    m_admissionTurns.started(decision.unit.stepKey());
     m_pendingStarts.push_back(assignment);
     logEvent(LogLevel::Info, "unit-placed",
              {{"unit", decision.unit.toString()},
--- a/packages/dispatch/stepplanneradvice.cpp
+++ b/packages/dispatch/stepplanneradvice.cpp
@@ -27,18 +27,18 @@
         return;
     }
     if (m_context.oracle == nullptr) {
-        logEvent(LogLevel::Warning, "no-oracle", {{"step", queries.front().step.toString()}});
+        logEvent(LogLevel::Warning, "no-oracle", {{"step", queries.front().request.step.toString()}});
         m_nextOracleQueryMs = bootMillis() + NO_ORACLE_WARNING_INTERVAL_MS;
         return;
     }
-    std::vector<StepKey> steps;
-    steps.reserve(queries.size());
+    std::vector<AdmissionRequest> requests;
+    requests.reserve(queries.size());
     for (const AdmissionQuery &query : queries) {
-        steps.push_back(query.step);
+        requests.push_back(query.request);
     }
-    const AdmissionQuery &query = queries[m_admissionTurns.next(steps)];
-    m_admissionTurns.queried(query.step);
-    const JobEntry *entry = m_context.jobTable.find(query.step.job);
+    const AdmissionQuery &query = queries[m_admissionTurns.next(requests)];
+    m_admissionTurns.queried(query.request);
+    const JobEntry *entry = m_context.jobTable.find(query.request.step.job);
     const QueueConfig *queue = m_context.config()->queue(entry->job.queue);
     m_oracleQueryInFlight = true;
     Asio::co_spawn(m_context.io, queryOracle(shared_from_this(), query, *queue->oracle), Asio::detached);
@@ -49,14 +49,15 @@
 {
     const std::int64_t sent = bootMillis();
     const Millis timeout = terms.decision + terms.perMinion * query.minions.size() + ORACLE_TIMEOUT_MARGIN;
-    const OracleAnswer answer = co_await self->m_context.oracle->query(query.step, query.minions, timeout);
+    const OracleAnswer answer = co_await self->m_context.oracle->query(query.request.step, query.minions, timeout);
     self->m_oracleQueryInFlight = false;
     if (!self->m_leading) {
         co_return;
     }
     const std::int64_t now = bootMillis();
     logEvent(LogLevel::Info, "advice",
-             {{"step", query.step.toString()},
+             {{"step", query.request.step.toString()},
+              {"could_start", query.request.couldStart ? "yes" : "no"},
               {"asked", std::uint64_t(query.minions.size())},
               {"admitted", std::uint64_t(answer.admitted.size())},
               {"answered", answer.answered ? "yes" : "no"},
@@ -68,7 +69,7 @@
                                 : terms.validFor.count() > 0 ? terms.validFor
                                                              : DEFAULT_TICKET_VALIDITY;
         const std::int64_t decided = sent + terms.decision.count();
-        self->m_tickets.add(query.step, query.minions, answer.admitted, decided + validity.count());
+        self->m_tickets.add(query.request.step, query.minions, answer.admitted, decided + validity.count());
     } else {
         self->m_nextOracleQueryMs = now + ORACLE_RETRY_INTERVAL_MS;
     }
--- a/packages/steps/stepscheduler.cpp
+++ b/packages/steps/stepscheduler.cpp
@@ -366,13 +366,19 @@
                 expired = expired || admittedBefore;
             }
         }
-        if (expired && !couldStartOnceAdmitted(candidate, request, overdue, isHeldBack)) {
+        if (order.empty()) {
+            return;
+        }
+        const bool couldStart = couldStartOnceAdmitted(candidate, request, overdue, isHeldBack);
+        if (expired && !couldStart) {
             std::erase_if(order, [](const auto &item) { return !std::get<1>(item); });
         }
         std::sort(order.begin(), order.end());
         const std::size_t maxMinions =
             std::min(MAX_QUERIED_MINIONS, std::max(MIN_QUERIED_MINIONS, 2 * request.members));
-        AdmissionQuery query {key, {}};
+        const Resources &need = request.need;
+        const AdmissionKind kind {candidate.entry->job.queue, request.members, need.cores, need.memoryMb, need.gpus};
+        AdmissionQuery query {{key, kind, couldStart}, {}};
         for (std::size_t i = 0; i < std::min(maxMinions, order.size()); ++i) {
             query.minions.push_back(m_fleet[std::get<2>(order[i])].id);
         }
--- a/packages/steps/stepscheduler.h
+++ b/packages/steps/stepscheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "steps/admissionturns.h"
 #include "steps/deploymentconfig.h"
 #include "steps/headroom.h"
 #include "steps/idlejobs.h"
@@ -57,7 +58,7 @@
 
 /** A query to the admission oracle: which of these minions may run the step? */
 struct AdmissionQuery {
-    StepKey step;
+    AdmissionRequest request;
     std::vector<MinionId> minions;
 };
 
--- a/tests/integration/stepservices.cpp
+++ b/tests/integration/stepservices.cpp
@@ -17,6 +17,7 @@
 {
 
 using Standins::MachineOrder;
+using Standins::nowMs;
 using Standins::TaskRun;
 
 constexpr std::int64_t OVER_TARGET_LIMIT_MS = 4'000; // longest time that tail latency may exceed its target
@@ -163,6 +164,34 @@
     EXPECT_TRUE(deployment.waitForState("advised", advised, "completed"));
 }
 
+// Guards against small jobs that wait until the oracle has answered the first queries of all gangs before them.
+TEST(AdvisedQueue, KeepsNoSmallJobWaitingBehindTheFirstQueriesOfManyGangs)
+{
+    constexpr int GANGS = 60;
+    constexpr int SMALL_JOBS = 5;
+    constexpr std::int64_t MAX_WAIT_MS = 3'000; // a job may have nothing running for no longer
+    Deployment deployment({2, 4});
+    deployment.start();
+    deployment.oracle.admit({"i-0", "i-1", "i-2", "i-3"});
+    deployment.oracle.setDecisionTime(Millis(150));
+    deployment.addAdvisedQueue(3'000);
+    const Json gang = Deployment::step(3, {}, {{"gang", true}, {"estimateMs", 3'600'000}}); // in time for hours
+    for (int i = 0; i < GANGS; ++i) {
+        const std::string id = deployment.newId();
+        deployment.oracle.refuse(id);
+        ASSERT_TRUE(Cluster::eventually([&] { return deployment.submit(0, "advised", id, {gang}).status == 200; }));
+    }
+    std::this_thread::sleep_for(Millis(1'500));
+    for (int i = 0; i < SMALL_JOBS; ++i) {
+        const std::string small = deployment.newId();
+        const std::int64_t submittedMs = nowMs();
+        ASSERT_EQ(200, deployment.submit(0, "advised", small, {Deployment::step(1)}).status);
+        ASSERT_TRUE(Cluster::eventually([&] { return !deployment.runs.of(small).empty(); }, Millis(20'000)));
+        EXPECT_LT(deployment.runs.of(small).front().startedMs - submittedMs, MAX_WAIT_MS);
+    }
+    EXPECT_LT(deployment.oracle.calls(), std::size_t(GANGS)) << "the gangs have been queried before the small jobs";
+}
+
 /** Writes the operator's record that requests @p wave for all machines of @p deployment. */
 void requestWave(Deployment &deployment, int wave, std::int64_t withinS, int maximum)
 {
--- a/tests/standins/platformservicestandins.cpp
+++ b/tests/standins/platformservicestandins.cpp
@@ -13,8 +13,6 @@
 namespace
 {
 
-constexpr Millis DECISION_TIME {20};
-
 /** @return the ticket without its last part, the time of expiry in milliseconds since the Unix epoch. */
 std::string ticketPrefix(const std::string &step, const std::string &minion)
 {
@@ -36,6 +34,18 @@
     m_admitted = std::move(minions);
 }
 
+void PlatformOracleStandin::refuse(const std::string &job)
+{
+    const std::lock_guard lock(m_mutex);
+    m_refusedJobs.insert(job);
+}
+
+void PlatformOracleStandin::setDecisionTime(Millis time)
+{
+    const std::lock_guard lock(m_mutex);
+    m_decisionTime = time;
+}
+
 void PlatformOracleStandin::setValidity(std::int64_t validMs)
 {
     const std::lock_guard lock(m_mutex);
@@ -70,7 +80,13 @@
 Asio::awaitable<HttpResponse> PlatformOracleStandin::serve(HttpRequest request)
 {
     const Json body = bodyOf(request);
-    co_await sleepFor(DECISION_TIME);
+    Millis wait {0};
+    {
+        const std::lock_guard lock(m_mutex);
+        m_freeAtMs = std::max(m_freeAtMs, nowMs()) + m_decisionTime.count();
+        wait = Millis(m_freeAtMs - nowMs());
+    }
+    co_await sleepFor(wait);
     const std::lock_guard lock(m_mutex);
     if (m_silent) {
         co_return noAnswer();
@@ -80,11 +96,13 @@
     }
     ++m_calls;
     m_maxMinionsPerCall = std::max(m_maxMinionsPerCall, body.at("workers").size());
+    const std::string step = body.at("step");
+    const bool refused = m_refusedJobs.contains(step.substr(0, step.find('.')));
     Json good = Json::array();
     for (const Json &worker : body.at("workers")) {
         const std::string id = worker;
-        if (m_admitted.contains(id)) {
-            good.push_back({id, ticketPrefix(body.at("step"), id) + std::to_string(nowMs() + m_validMs)});
+        if (!refused && m_admitted.contains(id)) {
+            good.push_back({id, ticketPrefix(step, id) + std::to_string(nowMs() + m_validMs)});
         }
     }
     co_return jsonAnswer(200, {{"good", good}, {"validMs", m_validMs}});
--- a/tests/standins/platformservicestandins.h
+++ b/tests/standins/platformservicestandins.h
@@ -19,6 +19,10 @@
 public:
     /** Admits every step on @p minions and on no others. */
     void admit(std::set<std::string> minions);
+    /** Admits the steps of @p job nowhere. */
+    void refuse(const std::string &job);
+    /** Sets the time that a decision takes; one is made at a time. */
+    void setDecisionTime(Millis time);
     /** Sets the validity of new tickets, in milliseconds. */
     void setValidity(std::int64_t validMs);
     /** Answers every call with 429 while @p busy; answers no call while @p silent, which takes precedence. */
@@ -37,6 +41,9 @@
 private:
     mutable std::mutex m_mutex;
     std::set<std::string> m_admitted;
+    std::set<std::string> m_refusedJobs;
+    Millis m_decisionTime {20};
+    std::int64_t m_freeAtMs = 0; ///< when the calls so far will have been decided
     std::int64_t m_validMs = 3'000;
     bool m_busy = false;
     bool m_silent = false;
--- a/tests/unit/stepscheduling.cpp
+++ b/tests/unit/stepscheduling.cpp
@@ -426,7 +426,7 @@
     EXPECT_TRUE(decisions.starts.empty());
     ASSERT_EQ(1U, decisions.admissionQueries.size());
     const AdmissionQuery &query = decisions.admissionQueries[0];
-    scenario.tickets.add(query.step, query.minions, {{query.minions.at(0), "ticket"}}, NOW + 1'000);
+    scenario.tickets.add(query.request.step, query.minions, {{query.minions.at(0), "ticket"}}, NOW + 1'000);
     EXPECT_EQ(1U, scenario.planAfterWaiting(OVERDUE_MS).starts.size());
 }
 
--- a/tests/unit/stepservices.cpp
+++ b/tests/unit/stepservices.cpp
@@ -146,7 +146,7 @@
     const PlanDecisions decisions = scenario.plan(1'000);
     EXPECT_TRUE(decisions.starts.empty());
     ASSERT_EQ(1U, decisions.admissionQueries.size());
-    EXPECT_EQ(STEP, decisions.admissionQueries[0].step);
+    EXPECT_EQ(STEP, decisions.admissionQueries[0].request.step);
     EXPECT_EQ(30U, decisions.admissionQueries[0].minions.size());
 }
 
@@ -191,34 +191,79 @@
     EXPECT_EQ(3U, scenario.plan(20'000).admissionQueries.at(0).minions.size());
 }
 
+AdmissionRequest admissionRequest(const std::string &job, std::size_t members = 1, bool couldStart = true)
+{
+    return {{JobId(job), 0, 0}, {QueueName("advised"), members, 1, 1, 1}, couldStart};
+}
+
+/** @return the job whose step is queried next, which takes its turn. */
+std::string take(AdmissionTurns &turns, const std::vector<AdmissionRequest> &requests)
+{
+    const std::size_t index = turns.next(requests);
+    turns.queried(requests[index]);
+    return requests[index].step.job.value();
+}
+
 // Guards against a step that never gets a query because others need one all the time.
 TEST(AdmissionTurns, PutStepsThatWereNeverQueriedFirstAndLetNoneWaitForever)
 {
-    const StepKey first {JobId("first"), 0, 0};
-    const StepKey second {JobId("second"), 0, 0};
+    const AdmissionRequest first = admissionRequest("first");
+    const AdmissionRequest second = admissionRequest("second");
     AdmissionTurns turns;
-    const auto take = [&turns](const std::vector<StepKey> &steps) {
-        const std::size_t index = turns.next(steps);
-        turns.queried(steps[index]);
-        return steps[index];
-    };
-    EXPECT_EQ(first, take({first, second}));
-    EXPECT_EQ(second, take({first, second}));
-    EXPECT_EQ(first, take({first, second}));
-    EXPECT_EQ(second, take({first, second}));
+    EXPECT_EQ("first", take(turns, {first, second}));
+    EXPECT_EQ("second", take(turns, {first, second}));
+    EXPECT_EQ("first", take(turns, {first, second}));
+    EXPECT_EQ("second", take(turns, {first, second}));
     // Steps that are new and of higher rank arrive faster than the oracle answers.
     std::uint64_t waited = 0;
-    for (int i = 0; take({StepKey {JobId("n" + std::to_string(i)), 0, 0}, first}) != first; ++i) {
+    for (int i = 0; take(turns, {admissionRequest("n" + std::to_string(i)), first}) != "first"; ++i) {
         ++waited;
     }
     EXPECT_LT(waited, AdmissionTurns::OLDEST_INTERVAL);
     for (int i = 0; i < 10; ++i) {
         turns.forget(JobId("n" + std::to_string(i)));
     }
-    turns.forget(first.job);
+    turns.forget(JobId("first"));
     EXPECT_EQ(1U, turns.size());
 }
 
+// Guards against small jobs that wait until the oracle has answered the first queries of all like gangs before them, of
+// which none can start.
+TEST(AdmissionTurns, PutAKindOfStepThatTheOracleAdmitsBeforeOnesThatItDoesNot)
+{
+    constexpr int GANGS = 80;
+    AdmissionTurns turns;
+    std::vector<AdmissionRequest> waiting;
+    for (int i = 0; i < GANGS; ++i) {
+        waiting.push_back(admissionRequest("gang" + std::to_string(i), 5));
+    }
+    std::uint64_t queries = 0;
+    const auto takeFirst = [&](std::vector<AdmissionRequest> &from) {
+        const std::string job = take(turns, from);
+        std::erase_if(from, [&job](const AdmissionRequest &request) { return request.step.job.value() == job; });
+        ++queries;
+        return job;
+    };
+    for (int i = 0; i < GANGS / 2; ++i) {
+        takeFirst(waiting);
+    }
+    queries = 0;
+    for (int i = 0; i < 12; ++i) {
+        const std::string small = "small" + std::to_string(i);
+        waiting.push_back(admissionRequest(small));
+        while (takeFirst(waiting) != small) {}
+        turns.started({JobId(small), 0, 0});
+    }
+    EXPECT_LE(queries, 12 * AdmissionTurns::OLDEST_INTERVAL / (AdmissionTurns::OLDEST_INTERVAL - 1) + 1);
+}
+
+// Guards against steps that could start at once and wait for the first queries of steps that could not.
+TEST(AdmissionTurns, PutStepsThatCouldStartBeforeOthers)
+{
+    AdmissionTurns turns;
+    EXPECT_EQ("fits", take(turns, {admissionRequest("full", 1, false), admissionRequest("fits")}));
+}
+
 UpkeepCandidate candidate(const std::string &name, std::size_t running, std::int64_t lossMs, std::int64_t reservedMs)
 {
     UpkeepCandidate machine;
