Settle a start in doubt by any poll after the first answered stop

Cause: an unanswered start is settled by a poll that was sent after a stop was answered.

Change: the first answered stop counts, since a minion rejects the run from then on; a restart of the minion clears it as before. The polls that confirm stops no longer wait for ends.

--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -208,7 +208,12 @@
     void confirmStop(MinionLink &link);
     static Asio::awaitable<void> confirmStops(std::shared_ptr<StepPlanner> self, MinionId id);
     static Asio::awaitable<void> pollLoop(std::shared_ptr<StepPlanner> self, MinionId id);
-    Asio::awaitable<bool> pollOnce(MinionId id);
+    /** Whether a poll may wait for the end of a run. */
+    enum class PollKind {
+        Waiting,
+        Immediate,
+    };
+    Asio::awaitable<bool> pollOnce(MinionId id, PollKind kind = PollKind::Waiting);
     /** @return how long the next poll of a minion waits after @p report, which took @p handling. */
     [[nodiscard]] Millis pollPause(const MinionReport &report, Duration handling) const;
     void ensurePolling(MinionLink &link);
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -338,7 +338,8 @@
         }
         if (answered) {
             const bool inDoubt = member.state == MemberState::Ordered;
-            member.stopAnsweredMs = bootMillis();
+            // The first answer counts, as the order is repeated while a poll that confirms it is in flight.
+            member.stopAnsweredMs = member.stopAnsweredMs > 0 ? member.stopAnsweredMs : bootMillis();
             co_await sleepFor(STOP_CONFIRM_DELAY);
             // The long poll lists the end. A run that was never started has no end, so that another poll is needed to
             // confirm its absence.
@@ -386,7 +387,7 @@
 {
     while (self->m_leading && self->m_links.at(id).confirmAgain) {
         self->m_links.at(id).confirmAgain = false;
-        co_await self->pollOnce(id);
+        co_await self->pollOnce(id, PollKind::Immediate);
     }
     if (self->m_leading) {
         self->m_links.at(id).confirming = false;
@@ -470,7 +471,7 @@
     return std::min(std::chrono::duration_cast<Millis>(handling * polled), MAX_POLL_PAUSE);
 }
 
-Asio::awaitable<bool> StepPlanner::pollOnce(MinionId id)
+Asio::awaitable<bool> StepPlanner::pollOnce(MinionId id, PollKind kind)
 {
     MinionLink *link = &m_links.at(id);
     const std::int64_t sent = bootMillis();
@@ -487,7 +488,8 @@
         order.leaseUntilMs = link->clock.grant(sent, LEASE_MS);
     }
     const bool upToDate = link->fenceRaised && link->pollFailures == 0 && link->endsStored == link->endsHandled;
-    const bool mayWait = upToDate && (!link->placed.empty() || sent < link->lateStartsUntilMs);
+    const bool mayWait =
+        kind == PollKind::Waiting && upToDate && (!link->placed.empty() || sent < link->lateStartsUntilMs);
     const Millis steadyWait = link->shared ? SHARED_POLL_WAIT : POLL_WAIT;
     const Millis longWait = hasQuietRun(*link) ? std::min(WATCH_POLL_WAIT, steadyWait) : steadyWait;
     order.wait = mayWait ? longWait : Millis(0);
--- a/tests/integration/stepjobs.cpp
+++ b/tests/integration/stepjobs.cpp
@@ -201,6 +201,26 @@
     EXPECT_TRUE(deployment.runs.doubled().empty());
 }
 
+// Guards against a start in doubt that no poll settles, as each stop order sets back the time from which a poll counts
+// while the minion's long polls last.
+TEST(StepJobs, WhoseStartIsInDoubtRunAgainWhileTheirMinionRunsOtherTasks)
+{
+    Deployment deployment({2, 1});
+    deployment.start();
+    const std::string other = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", other, Deployment::step(1), {{"workMs", 30'000}}).status);
+    ASSERT_TRUE(deployment.waitForRunCount(other, 1));
+    Standins::PlatformMinionFaults late;
+    late.lateStarts = 2; // a start order without an answer is sent twice
+    late.lateMs = 20'000;
+    deployment.minions.front()->setFaults(late);
+    const std::string id = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", id, Deployment::step(1)).status);
+    // Two orders time out after 0.7 s each; after that, a job may have nothing running for 3 s.
+    EXPECT_TRUE(deployment.waitForState("plan", id, "completed", Millis(1'400 + 3'000)));
+    EXPECT_EQ(1U, deployment.runs.of(id).size());
+}
+
 TEST(StepJobs, WhoseStartCallsTakeEffectLateCompleteEachTaskOnce)
 {
     Deployment deployment;
