Look once at the units of a job that has ended

Callers: 10,000 tasks of a cancelled job ran on for up to 4.4 s beside load, where 3 s and the time of a stop are allowed.

Cause: each end of a unit of a job that has ended went over all units of the job to stop them, 10,000 times 10,000.

Change: a job's units are stopped once, when it is first seen to have ended; no unit of it starts after that.

--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -250,7 +250,8 @@
 void StepPlanner::jobChanged(const JobId &id)
 {
     const JobEntry *entry = m_context.jobTable.find(id);
-    if (entry != nullptr && !entry->live()) {
+    // A job that has ended starts no unit, so that one look at its units is enough; each end of a unit calls this.
+    if (entry != nullptr && !entry->live() && m_stoppedJobs.insert(id).second) {
         const UnitKey first {id, 0, 0, UnitKey::GANG}; // sorts before all other units of the job
         for (auto place = m_assignments.lower_bound(first); place != m_assignments.end(); ++place) {
             if (place->first.job != id) {
@@ -545,6 +546,9 @@
 
 void StepPlanner::startUnit(const UnitStart &decision, const std::vector<MinionId> &ids)
 {
+    if (!m_context.jobTable.find(decision.unit.job)->live()) {
+        return; // ended by another decision of the pass
+    }
     UnitStatus status = *m_context.jobTable.find(decision.unit);
     status.state = UnitState::Placed;
     status.neverBegan = !status.hasBegun();
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -401,6 +401,7 @@
     TimePoint m_nextPass; ///< earliest start of the next scheduling pass
     PlannerLoad m_load;
     std::int64_t m_lastStuckCheckMs = 0;
+    std::set<JobId> m_stoppedJobs;           ///< ended jobs whose units have been stopped
     std::set<JobId> m_startedJobs;           ///< jobs of which this planner has started a task
     std::map<JobId, std::int64_t> m_endedMs; ///< when each job was first found ended
     std::set<MinionId> m_withdrawn;          ///< minions without a link whose MinionSilence was withdrawn
--- a/packages/dispatch/stepplannerjournal.cpp
+++ b/packages/dispatch/stepplannerjournal.cpp
@@ -175,6 +175,7 @@
     m_tickets.forget(job);
     m_admissionTurns.forget(job);
     m_startedJobs.erase(job);
+    m_stoppedJobs.erase(job);
 }
 
 StoredRecord StepPlanner::announcement(bool resigned) const
