Count runs that are still to be stopped against limits and room

Cause: a pass counted the units that the job table shows as placed. A run that a minion lists and this planner has not placed there, or a run that is being stopped since an earlier one was found done, took neither room nor a place under antiAffinity while it ran on.

Change: reports keep such runs as strays until they are listed no longer; their minion is polled until then, and passes count them against the limit of their step on a minion and against its room.

StepScheduler.CountsTasksThatAreStillToBeStoppedAgainstTheLimitOfAMinion uses a new field of the input and was not seen red on the old code.

--- a/packages/dispatch/minionlink.h
+++ b/packages/dispatch/minionlink.h
@@ -62,6 +62,7 @@
     std::int64_t leavesAtMs = 0;        ///< earliest departure, while draining
     FillPace fillPace;                  ///< throttling of best-effort tasks
     bool shared = false;                ///< runs best-effort tasks beside services
+    std::vector<UnitKey> strays;        ///< tasks that its last report lists as running, but that are not placed on it
     std::size_t startsInFlight = 0;     ///< start orders that wait for a connection or for an answer
     std::deque<std::shared_ptr<Assignment>> waitingStarts; ///< wait until fewer start orders are in flight
     /** For the calls that stop runs. */
@@ -110,7 +111,8 @@
     /** @return true if a report of the minion is needed at @p nowMs. */
     [[nodiscard]] bool awaitsReport(std::int64_t nowMs) const
     {
-        return !placed.empty() || !fenceRaised || endsAcked < endsHandled || nowMs < lateStartsUntilMs;
+        return !placed.empty() || !strays.empty() || !fenceRaised || endsAcked < endsHandled
+               || nowMs < lateStartsUntilMs;
     }
 
     void remove(const Assignment &assignment, std::size_t index)
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -425,6 +425,13 @@
         view.free = link.entry.capacity;
         view.free -= link.used;
         view.releasing = link.stopping;
+        for (const UnitKey &stray : link.strays) {
+            const JobEntry *entry = m_context.jobTable.find(stray.job);
+            if (entry != nullptr && stray.step < entry->job.spec.steps.size()) {
+                view.free -= countedNeed(entry->job.spec.steps[stray.step]);
+                ++input.strays[stray.stepKey()][id];
+            }
+        }
         view.obstacle = obstacleOn(link, now);
         view.usable = view.obstacle.empty();
         view.lastResort = isLastResort(link, now);
@@ -453,6 +460,11 @@
                               [](const Member &member) { return member.state == MemberState::Ordered; });
             input.startWindow.add(unit.stepKey(), static_cast<std::size_t>(starting));
         }
+        if (m_context.jobTable.find(unit)->state != UnitState::Placed) {
+            for (const std::size_t place : active.minions) {
+                ++input.strays[unit.stepKey()][ids[place]]; // done in an earlier run, and being stopped
+            }
+        }
         active.lossMs = assignment->lossMs(now);
         active.stopping = assignment->stopping || assignment->outcome.has_value();
         active.preemptible = !assignment->step.longRunning && assignment->percent < NEARLY_DONE_PERCENT;
--- a/packages/dispatch/stepplannerreports.cpp
+++ b/packages/dispatch/stepplannerreports.cpp
@@ -125,10 +125,14 @@
 {
     const std::int64_t now = bootMillis();
     std::map<std::string, std::uint32_t> listed;
+    link.strays.clear();
     for (const RunningTask &running : report.running) {
         std::size_t index = 0;
         const AssignmentPtr assignment = findTask(running.task, running.run, index);
         if (!assignment || assignment->members[index].minion != link.entry.id) {
+            if (UnitKey stray; UnitKey::parse(running.task, stray)) {
+                link.strays.push_back(stray);
+            }
             std::int64_t &last = m_unknownRunStopMs[running.task];
             if (now - last >= UNKNOWN_RUN_STOP_INTERVAL_MS) {
                 last = now;
@@ -193,6 +197,7 @@
     link.fenceRaised = false;
     link.endsHandled = link.endsStored = link.endsAcked = 0;
     link.runFailures = 0;
+    link.strays.clear();
     link.fillPace = FillPace();
     m_speeds.forget(link.entry.id);
     link.priorLeaseUntilMs = leaseBoundMs();
--- a/packages/steps/stepscheduler.cpp
+++ b/packages/steps/stepscheduler.cpp
@@ -303,6 +303,13 @@
         if (candidate.spec().maxPerMinion == 0) {
             return placed;
         }
+        if (const auto strays = m_input.strays.find(candidate.stepKey()); strays != m_input.strays.end()) {
+            for (const auto &[minion, tasks] : strays->second) {
+                if (const std::size_t m = m_fleet.indexOf(minion); m != SIZE_MAX) {
+                    placed[m] += tasks;
+                }
+            }
+        }
         for (const UnitStatus &unit : progress.units) {
             if (unit.state != UnitState::Placed) {
                 continue; // the status of a finished unit still names its minions
--- a/packages/steps/stepscheduler.h
+++ b/packages/steps/stepscheduler.h
@@ -53,7 +53,9 @@
     const IdleJobs *idleJobs = nullptr;             ///< since when jobs stand still; null if unknown
     std::vector<const PlacementPreference *> preferences = {}; ///< order minions that have room for a unit
     std::map<StepKey, DisruptionBudget> budgets = {};          ///< of long-running steps with a disruption budget
-    StartWindow startWindow = {};                              ///< the starts that are under way before the pass
+    /** How many tasks of a step run on a minion beside those of its placed units, until they have been stopped. */
+    std::map<StepKey, std::map<MinionId, std::uint32_t>> strays = {};
+    StartWindow startWindow = {}; ///< the starts that are under way before the pass
 };
 
 /** A query to the admission oracle: which of these minions may run the step? */
--- a/tests/unit/stepscheduling.cpp
+++ b/tests/unit/stepscheduling.cpp
@@ -225,6 +225,21 @@
     EXPECT_EQ((std::vector<std::size_t> {0, 1}), scenario.plan().starts.at(0).minions);
 }
 
+// Guards against a task that is placed beside another one of its step which an earlier planner has started.
+TEST(StepScheduler, CountsTasksThatAreStillToBeStoppedAgainstTheLimitOfAMinion)
+{
+    Scenario scenario(1, 1);
+    StepSpec step = Scenario::step(1, 0);
+    step.maxPerMinion = 1;
+    const JobId id = scenario.submit("plan", step);
+    PlanInput input {
+        scenario.jobTable, scenario.config, scenario.times, scenario.tickets, scenario.minions, {}, {}, {}, NOW, NOW};
+    PlanInput other = input;
+    input.strays[{id, 0, 0}][scenario.minions[0].id] = 1;
+    EXPECT_TRUE(planSteps(std::move(input)).starts.empty());
+    EXPECT_EQ(1U, planSteps(std::move(other)).starts.size());
+}
+
 TEST(StepScheduler, CountsNoFinishedTaskAgainstTheLimitOfAMinion)
 {
     Scenario scenario(1, 2);
