Play large jobs in the soak

A new round submits one of 600 to 1,500 tasks every 2.5 s beside the jobs and faults of the other rounds, and cancels a third of them.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -20,6 +20,7 @@
 // (default 2); SOAK_NODES and SOAK_MINIONS, size of the deployment (default 3 and 8); SOAK_KINDS, numbers of FaultKind
 // separated by commas (default as the test has it); SOAK_KEEP, a folder in which the logs of a round that broke a
 // promise are kept.
+// For rounds with large jobs: SOAK_LARGE_SEEDS, "first-last" (default "51-51"); SOAK_LARGE_INTERVAL_MS (default 2500).
 // For rounds with calm phases: SOAK_CALM_SEEDS and SOAK_GONE_SEEDS, "first-last" (default "1-1" and "21-21");
 // SOAK_CYCLES, how often each phase comes (default 2); SOAK_FAULT_SECONDS and SOAK_CALM_SECONDS, lengths of the phases
 // (default 8 and 9); SOAK_PLANNED, 1 if planned work goes on in calm phases and does not count as a fault (default 0).
@@ -71,9 +72,11 @@
 class Callers
 {
 public:
-    Callers(Deployment &deployment, std::uint32_t racks, std::uint32_t seed)
+    /** @param largeInterval time between two large jobs; 0 for none */
+    Callers(Deployment &deployment, std::uint32_t racks, std::uint32_t seed, Millis largeInterval)
         : m_deployment(deployment)
         , m_racks(racks)
+        , m_largeInterval(largeInterval)
         , m_submitter([this, seed] { submitLoop(seed); })
         , m_querier([this, seed] { queryLoop(seed + 1); })
     {
@@ -105,9 +108,13 @@
     {
         std::mt19937 random(seed);
         JobMaker jobs(seed * JOB_SEED, static_cast<std::uint32_t>(m_deployment.minions.size()), m_racks);
+        JobMaker largeJobs(seed * JOB_SEED, static_cast<std::uint32_t>(m_deployment.minions.size()), m_racks);
+        TimePoint nextLarge = Clock::now();
         while (!m_settling) {
             const std::string id = m_deployment.newId();
-            const SoakJob job = jobs.next(Standins::nowMs());
+            const bool large = m_largeInterval > Millis(0) && Clock::now() >= nextLarge;
+            nextLarge = large ? Clock::now() + m_largeInterval : nextLarge;
+            const SoakJob job = large ? largeJobs.nextLarge() : jobs.next(Standins::nowMs());
             m_view.add(id, job.shape);
             submit(random() % m_deployment.nodes.size(), id, job);
             if (job.cancelAfter) {
@@ -196,6 +203,7 @@
 
     Deployment &m_deployment;
     std::uint32_t m_racks;
+    Millis m_largeInterval;
     CallersView m_view;
     std::mutex m_cancelLock;
     std::multimap<TimePoint, std::string> m_cancels; ///< jobs to cancel, by time
@@ -252,9 +260,10 @@
  * Plays a round of @p length.
  * @param kinds the faults to choose from unless SOAK_KINDS is set
  * @param minions their number unless SOAK_MINIONS is set
+ * @param largeInterval time between two large jobs; 0 for none
  */
 void playRound(std::uint32_t seed, Millis length, const ChaosPhases &phases, const std::vector<FaultKind> &kinds,
-               std::size_t minions = 8)
+               std::size_t minions = 8, Millis largeInterval = Millis(0))
 {
     DeploymentOptions options {std::stoul(variable("SOAK_NODES", "3")),
                                std::stoul(variable("SOAK_MINIONS", std::to_string(minions)))};
@@ -266,7 +275,7 @@
     deployment.start();
     deployment.configure(addTenants);
     const auto racks = static_cast<std::uint32_t>((options.minions + MINIONS_PER_RACK - 1) / MINIONS_PER_RACK);
-    Callers callers(deployment, racks, seed);
+    Callers callers(deployment, racks, seed, largeInterval);
     Chaos chaos(deployment, seed, static_cast<unsigned>(numberOf("SOAK_LANES", 2)), chosenKinds(kinds), phases);
     std::this_thread::sleep_for(length);
     chaos.end();
@@ -302,6 +311,16 @@
     }
 }
 
+// Load pattern: jobs of a thousand tiny tasks, some of them cancelled, beside faults and small jobs.
+TEST(Soak, KeepsThePromisesBesideLargeJobs)
+{
+    const Millis interval(numberOf("SOAK_LARGE_INTERVAL_MS", 2'500));
+    const auto [first, last] = seedsOf("SOAK_LARGE_SEEDS", "51-51");
+    for (std::uint32_t seed = first; seed <= last; ++seed) {
+        playRound(seed, Millis(1'000 * numberOf("SOAK_SECONDS", 15)), {}, Chaos::usualKinds(), 8, interval);
+    }
+}
+
 /** @return the phases of a round with calm phases. */
 ChaosPhases calmPhases()
 {
--- a/tests/soak/soakjobs.cpp
+++ b/tests/soak/soakjobs.cpp
@@ -187,4 +187,20 @@
     return draft.job;
 }
 
+SoakJob JobMaker::nextLarge()
+{
+    Draft draft;
+    JobShape &shape = draft.job.shape;
+    shape.kind = "large";
+    shape.queue = QUEUES[number(0, 2)];
+    shape.tenant = TENANTS[number(0, 2)];
+    draft.taskSpec["workMs"] = number(100, 600);
+    if (oneIn(3)) {
+        draft.job.cancelAfter = Millis(number(300, 3'000));
+    }
+    draft.add({number(600, 1'500), {1, 2, 0}});
+    draft.job.body = Json({{"taskSpec", draft.taskSpec.dump()}, {"steps", draft.steps}}).dump();
+    return draft.job;
+}
+
 } // namespace Papaya::Testing
--- a/tests/soak/soakjobs.h
+++ b/tests/soak/soakjobs.h
@@ -74,6 +74,8 @@
 
     /** @param nowMs milliseconds since 1970 */
     SoakJob next(std::int64_t nowMs);
+    /** @return a job of many tasks that use next to nothing; some are cancelled after a while. */
+    SoakJob nextLarge();
 
 private:
     /** @return a number from @p low to @p high. */
