--- a/packages/dispatch/plannerload.cpp
+++ b/packages/dispatch/plannerload.cpp
@@ -45,6 +45,7 @@
               {"orders", std::uint64_t(counts.orders)},
               {"polls", std::uint64_t(counts.polls)},
               {"deferred", std::uint64_t(counts.deferrals)},
+              {"window_full", std::uint64_t(counts.fullWindows)},
               {"loop_lag_ms", m_worstLagMs},
               {"minions_age_ms", m_worstMinionsAgeMs},
               {"journal_age_ms", m_worstJournalAgeMs}});
--- a/packages/dispatch/plannerload.h
+++ b/packages/dispatch/plannerload.h
@@ -24,6 +24,7 @@
         std::uint32_t orders = 0;       ///< start and stop calls to minions
         std::uint32_t polls = 0;        ///< polls of minions
         std::uint32_t deferrals = 0;    ///< passes and starts that waited for a current view
+        std::uint32_t fullWindows = 0;  ///< passes that left units waiting for the confirmation of earlier starts
         std::int64_t passMs = 0;        ///< total duration of the passes
         std::int64_t longestPassMs = 0; ///< duration of the longest pass
     };
--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -534,6 +534,7 @@
     updateKeepApart();
     const PlanDecisions decisions = planSteps(planInput(ids));
     m_windowFull = decisions.windowFull;
+    m_load.counts.fullWindows += decisions.windowFull ? 1 : 0;
     const TimePoint decided = Clock::now();
     m_load.passEnded(decided - begun);
     m_lastPassMs = bootMillis();
