--- a/packages/steps/succession.h
+++ b/packages/steps/succession.h
@@ -150,17 +150,21 @@
     {
     }
 
-    /** To be called before the claim of @p epoch is sent. */
+    /** To be called before the claim of @p epoch is sent, once the planner of an earlier claim renews nothing more. */
     void claimBegun(Epoch epoch)
     {
-        m_firstClaimed = m_firstClaimed.value_or(epoch);
-        m_active = true;
+        m_claims.push_back({epoch, std::nullopt});
+        if (m_claims.size() > MAX_CLAIMS) {
+            m_claims.erase(m_claims.begin() + 1);
+        }
     }
     /** To be called once the claim has failed, or the planner that it has led to renews nothing more. */
     void ended(std::int64_t nowMs)
     {
-        m_active = false;
         m_endedMs = nowMs;
+        if (!m_claims.empty()) {
+            m_claims.back().endedMs = nowMs;
+        }
     }
     /**
      * @return when the planner of @p epoch, which a process of this node has claimed, has ceased to renew leases at the
@@ -169,15 +173,26 @@
      */
     [[nodiscard]] std::optional<std::int64_t> renewalsEndMs(Epoch epoch) const
     {
-        if (!m_firstClaimed || epoch < *m_firstClaimed) {
+        if (m_claims.empty() || epoch < m_claims.front().epoch) {
             return m_listeningSinceMs;
         }
-        return m_active ? std::nullopt : std::optional(m_endedMs);
+        const auto claim = std::find_if(m_claims.begin(), m_claims.end(),
+                                        [epoch](const Claim &candidate) { return candidate.epoch == epoch; });
+        if (claim != m_claims.end()) {
+            return claim->endedMs;
+        }
+        return m_claims.back().endedMs ? std::optional(m_endedMs) : std::nullopt; // one that is no longer known
     }
 
 private:
-    std::optional<Epoch> m_firstClaimed;
-    bool m_active = false; ///< a claim is under way, or its planner leads
+    static constexpr std::size_t MAX_CLAIMS = 32; ///< known at a time: the first, and the latest
+
+    struct Claim {
+        Epoch epoch;
+        std::optional<std::int64_t> endedMs; ///< empty while it is under way or its planner leads
+    };
+
+    std::vector<Claim> m_claims;
     std::int64_t m_endedMs;
     std::int64_t m_listeningSinceMs;
 };
