Count on no lease from planners that had recorded a minion as silent

Callers: with more planners in series, a job on a minion that is gone stood still for 13.7 s after its first planner's node ran again, and longer with each further planner.

Cause: a shorter wait needs the start time of the minion, which only its entry gave, and the entry of a minion that is gone is removed. And every earlier planner counted, also those that had recorded the minion as silent and so had granted it no lease.

Change: MinionSilence carries the start time of the minion's last entry. Planners from the one that recorded the silence on do not count for that minion.

--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -190,17 +190,24 @@
 
 std::int64_t StepPlanner::provenPriorLeaseEndMs(const MinionLink &link) const
 {
-    const bool bounded = m_context.priors && link.restarts == 0 && link.entry.startTimeMs != 0;
+    const auto &silences = m_context.jobTable.silences();
+    const auto silence = silences.find(link.entry.id);
+    // The entry of a minion that is gone is removed, but a planner that has recorded its silence had read it.
+    const std::int64_t recordedMs = silence == silences.end() ? 0 : silence->second.startTimeMs;
+    const std::int64_t startTimeMs = link.entry.startTimeMs != 0 ? link.entry.startTimeMs : recordedMs;
     const bool precedesWork = std::all_of(link.placed.begin(), link.placed.end(), [&](const PlacedMember &placed) {
         const JobEntry *entry = m_context.jobTable.find(placed.assignment->unit.job);
-        return entry != nullptr && link.entry.startTimeMs + MAX_WALL_CLOCK_DIFFERENCE_MS < entry->job.submittedMs;
+        return entry != nullptr && startTimeMs + MAX_WALL_CLOCK_DIFFERENCE_MS < entry->job.submittedMs;
     });
-    if (!bounded || !precedesWork) {
+    if (!m_context.priors || link.restarts > 0 || startTimeMs == 0 || !precedesWork) {
         return link.priorLeaseUntilMs;
     }
     std::int64_t renewalsEndMs = 0;
     for (const PriorPlanner &prior : *m_context.priors) {
-        renewalsEndMs = std::max(renewalsEndMs, prior.renewalsEndMs);
+        // The planner that has recorded the silence has not reached the minion, and none after it has granted a lease.
+        const bool grantsNone =
+            silence != silences.end() && silence->second.spell == 0 && prior.epoch >= silence->second.since;
+        renewalsEndMs = std::max(renewalsEndMs, grantsNone ? 0 : prior.renewalsEndMs);
     }
     return std::min(link.priorLeaseUntilMs, renewalsEndMs + LAST_LEASE_SPAN_MS);
 }
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -61,8 +61,9 @@
 // 8. The wait for PRIOR_LEASE_SPAN_MS ends LAST_LEASE_SPAN_MS after the last possible renewal by any earlier planner. A
 //    planner can have renewed for RENEWAL_WINDOW_MS after the first record of its successor was read, unless an earlier
 //    end is proven: it has journaled its resignation, or its node says that this planner has ended or runs a new
-//    process. A lease that was granted by the clock of a former instance may last longer, so the minion must have been
-//    up before all of its jobs were submitted.
+//    process. Planners from the one that has recorded the minion as silent on count only if they have reached it. A
+//    lease that was granted by the clock of a former instance may last longer, so the minion must have been up before
+//    all of its jobs were submitted, by its entry or by the record of its silence.
 
 namespace Papaya
 {
--- a/packages/dispatch/stepplannerjournal.cpp
+++ b/packages/dispatch/stepplannerjournal.cpp
@@ -71,7 +71,7 @@
 void StepPlanner::recordSilence(MinionLink &link, std::uint32_t spell)
 {
     link.silenceRecorded = true;
-    m_pendingRecords.push_back(encodeRecord(MinionSilence {link.entry.id, m_epoch, spell}));
+    m_pendingRecords.push_back(encodeRecord(MinionSilence {link.entry.id, m_epoch, spell, link.entry.startTimeMs}));
     flushSoon();
 }
 
--- a/packages/steps/jobrecord.cpp
+++ b/packages/steps/jobrecord.cpp
@@ -264,6 +264,9 @@
             // Earlier versions cannot tell one spell from the next, so they must not be able to read the record.
             value = SPELL_MARK + std::to_string(record.spell) + FIELD_SEPARATOR + value;
         }
+        if (record.since && record.startTimeMs > 0) {
+            value += FIELD_SEPARATOR + std::to_string(record.startTimeMs);
+        }
         return {std::string(SILENCE_PREFIX) + record.minion.value(), std::move(value)};
     }
     StoredRecord operator()(const ConfigCopied &record) const
@@ -338,7 +341,8 @@
                     value.remove_prefix(1);
                     record.spell = static_cast<std::uint32_t>(std::stoul(std::string(takeField(value))));
                 }
-                record.since = Epoch(std::stoull(std::string(value)));
+                record.since = Epoch(std::stoull(std::string(takeField(value))));
+                record.startTimeMs = value.empty() ? 0 : std::stoll(std::string(value));
             }
             return JobRecord(std::move(record));
         }
--- a/packages/steps/jobrecord.h
+++ b/packages/steps/jobrecord.h
@@ -96,6 +96,7 @@
      * and no lease of the minion lasts longer from then on than one that is granted then.
      */
     std::uint32_t spell = 0;
+    std::int64_t startTimeMs = 0; ///< MinionEntry::startTimeMs of its last entry; 0 if unknown
 };
 
 /** Copy of the operator's configuration in force, for nodes that cannot read the original. */
--- a/packages/steps/jobtable.cpp
+++ b/packages/steps/jobtable.cpp
@@ -254,7 +254,7 @@
         m_silences.erase(record.minion);
         return;
     }
-    const SilenceSeen read {*record.since, record.spell, steadyMs};
+    const SilenceSeen read {*record.since, record.spell, steadyMs, record.startTimeMs};
     SilenceSeen &seen = m_silences.try_emplace(record.minion, read).first->second;
     if (!seen.isSameRecord(read)) {
         seen = read;
--- a/packages/steps/jobtable.h
+++ b/packages/steps/jobtable.h
@@ -73,9 +73,10 @@
 
 /** A MinionSilence in force. */
 struct SilenceSeen {
-    Epoch since;             ///< epoch of the planner that has recorded it
-    std::uint32_t spell = 0; ///< MinionSilence::spell
-    std::int64_t readMs = 0; ///< when this node has read it, by its steady clock
+    Epoch since;                  ///< epoch of the planner that has recorded it
+    std::uint32_t spell = 0;      ///< MinionSilence::spell
+    std::int64_t readMs = 0;      ///< when this node has read it, by its steady clock
+    std::int64_t startTimeMs = 0; ///< MinionSilence::startTimeMs
 
     [[nodiscard]] bool isSameRecord(const SilenceSeen &other) const
     {
--- a/tests/integration/silentminions.cpp
+++ b/tests/integration/silentminions.cpp
@@ -121,6 +121,30 @@
     EXPECT_EQ("lapsed", deployment.runs.of(minion.job).front().how);
 }
 
+// Guards against a wait for leases of a minion whose entry has been removed: a planner that took over after that knew
+// neither how long the minion had been up nor that no planner since the first one had reached it.
+TEST(SilentMinion, WhoseEntryIsRemovedIsWaitedForForOneLeaseAlsoByALaterPlanner)
+{
+    SilentMinion minion(3);
+    minion.start();
+    Deployment &deployment = minion.deployment;
+    std::this_thread::sleep_for(Millis(8'000)); // a planner before the first one could renew leases for as long
+    minion.setSilent(true);
+    deployment.nodes[minion.leader]->kill();
+    ASSERT_TRUE(Cluster::eventually([&] { return minion.isRecorded(); }, Millis(6'000)));
+    deployment.store.put("keyed.servers", minion.name, "");
+    deployment.startNode(minion.leader);
+    const std::int64_t againMs = nowMs();
+    const std::size_t second = *deployment.leader();
+    ASSERT_NE(minion.leader, second);
+    deployment.nodes[second]->kill(); // and does not come back
+    const std::int64_t startedMs = minion.secondStartMs();
+    ASSERT_GT(startedMs, 0);
+    EXPECT_LT(startedMs - againMs, 5'650 + 2'000); // one lease, and some time to begin
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+    EXPECT_EQ("lapsed", deployment.runs.of(minion.job).front().how);
+}
+
 // Guards against a second run of a task whose minion was silent for a while, got leases again, and cannot be reached by
 // the planner that takes over.
 TEST(SilentMinion, ThatGotLeasesAgainIsWaitedForFromTheTakeOver)
--- a/tests/unit/jobtable.cpp
+++ b/tests/unit/jobtable.cpp
@@ -171,6 +171,8 @@
     checkRoundTrip(StepJobCancelled {job.id});
     checkRoundTrip(MinionSilence {MinionId("i 1"), Epoch(*rc::gen::inRange<std::uint64_t>(0, 1ULL << 50))});
     checkRoundTrip(MinionSilence {MinionId("i-2"), std::nullopt});
+    const std::int64_t startTimeMs = *rc::gen::inRange<std::int64_t>(0, 1LL << 41);
+    checkRoundTrip(MinionSilence {MinionId("i-4"), Epoch(7), *rc::gen::inRange(0U, 2U), startTimeMs});
     checkRoundTrip(MinionSilence {MinionId("i-3"), Epoch(7), *rc::gen::inRange(1U, 1U << 31)});
     const UnitChanged change {{job.id, 3, 1, *rc::gen::inRange(-1, 9)}, *statuses()};
     checkRoundTrip(change);
