--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -467,7 +467,8 @@
                               [](const Member &member) { return member.state == MemberState::Ordered; });
             input.startWindow.add(unit.stepKey(), static_cast<std::size_t>(starting));
         }
-        if (m_context.jobTable.find(unit)->state != UnitState::Placed) {
+        const UnitStatus *status = m_context.jobTable.find(unit);
+        if (status != nullptr && status->state != UnitState::Placed) {
             for (const std::size_t place : active.minions) {
                 ++input.strays[unit.stepKey()][ids[place]]; // done in an earlier run, and being stopped
             }
--- a/tests/integration/largejobs.cpp
+++ b/tests/integration/largejobs.cpp
@@ -55,10 +55,11 @@
         EXPECT_TRUE(tasks.insert(run.task).second) << run.task << " has run " << run.run;
     }
     EXPECT_EQ(STEPS * TASKS_OF_STEP + SMALL_JOBS, tasks.size());
-    for (const auto &[id, submittedMs] : small) {
-        const auto run = std::find_if(all.begin(), all.end(), [&](const TaskRun &r) { return r.task.starts_with(id); });
-        ASSERT_NE(all.end(), run) << id;
-        EXPECT_LT(run->startedMs - submittedMs, MAX_WAIT_MS) << id;
+    for (const auto &job : small) {
+        const auto run =
+            std::find_if(all.begin(), all.end(), [&job](const TaskRun &r) { return r.task.starts_with(job.first); });
+        ASSERT_NE(all.end(), run) << job.first;
+        EXPECT_LT(run->startedMs - job.second, MAX_WAIT_MS) << job.first;
     }
 }
 
--- a/tests/integration/silentminions.cpp
+++ b/tests/integration/silentminions.cpp
@@ -38,6 +38,14 @@
         deployment.minion(name).setFaults(faults);
     }
 
+    /** Makes the minion silent and kills the planner, once planners before it can have renewed no lease for a while. */
+    void loseWithPlanner()
+    {
+        std::this_thread::sleep_for(Millis(8'000));
+        setSilent(true);
+        deployment.nodes[leader]->kill();
+    }
+
     bool isRecorded() const
     {
         return !deployment.store.newest("keyed.journal", "s/" + name).empty();
@@ -103,9 +111,7 @@
     SilentMinion minion(3);
     minion.start();
     Deployment &deployment = minion.deployment;
-    std::this_thread::sleep_for(Millis(8'000)); // a planner before the first one could renew leases for as long
-    minion.setSilent(true);
-    deployment.nodes[minion.leader]->kill();
+    minion.loseWithPlanner();
     const auto hasSuccessor = [&] { return deployment.leader() && *deployment.leader() != minion.leader; };
     ASSERT_TRUE(Cluster::eventually(hasSuccessor, Millis(5'000)));
     const std::size_t second = *deployment.leader();
@@ -128,9 +134,7 @@
     SilentMinion minion(3);
     minion.start();
     Deployment &deployment = minion.deployment;
-    std::this_thread::sleep_for(Millis(8'000)); // a planner before the first one could renew leases for as long
-    minion.setSilent(true);
-    deployment.nodes[minion.leader]->kill();
+    minion.loseWithPlanner();
     ASSERT_TRUE(Cluster::eventually([&] { return minion.isRecorded(); }, Millis(6'000)));
     deployment.store.put("keyed.servers", minion.name, "");
     deployment.startNode(minion.leader);
--- a/tests/unit/stepservices.cpp
+++ b/tests/unit/stepservices.cpp
@@ -234,12 +234,13 @@
     constexpr int GANGS = 80;
     AdmissionTurns turns;
     std::vector<AdmissionRequest> waiting;
+    waiting.reserve(GANGS);
     for (int i = 0; i < GANGS; ++i) {
         waiting.push_back(admissionRequest("gang" + std::to_string(i), 5));
     }
     std::uint64_t queries = 0;
     const auto takeFirst = [&](std::vector<AdmissionRequest> &from) {
-        const std::string job = take(turns, from);
+        std::string job = take(turns, from);
         std::erase_if(from, [&job](const AdmissionRequest &request) { return request.step.job.value() == job; });
         ++queries;
         return job;
