--- a/packages/dispatch/minionlink.h
+++ b/packages/dispatch/minionlink.h
@@ -29,7 +29,7 @@
 
 /** The planner's state of one minion. */
 struct MinionLink {
-    /** Start orders, and stop orders, to one minion that are in flight. A minion takes them one by one. */
+    /** Most start orders in flight to one minion, and most stop orders. With more, they end in time-outs. */
     static constexpr std::size_t MAX_ORDERS_IN_FLIGHT = 32;
 
     MinionEntry entry;
@@ -65,9 +65,9 @@
     std::vector<UnitKey> strays;        ///< tasks that its last report lists as running, but that are not placed on it
     std::size_t startsInFlight = 0;     ///< start orders that wait for a connection or for an answer
     std::deque<std::shared_ptr<Assignment>> waitingStarts; ///< wait until fewer start orders are in flight
-    /** For the calls that stop runs. */
+    /** Limits the stop orders in flight. */
     std::shared_ptr<CallSlots> stopSlots = CallSlots::create(MAX_ORDERS_IN_FLIGHT);
-    Millis pollPause {0};      ///< before the next poll
+    Millis pollPause {0};      ///< wait before the next poll, after a report of many tasks
     bool confirming = false;   ///< polls are made to confirm that runs are absent
     bool confirmAgain = false; ///< another one is needed, as the last began too early
     /** When a report was last used to learn interference. */
