Give a restarted minion no work while a poll may hide its ends

Cause: a long poll that the planner had sent to the former instance of a minion reached the new one just after its restart. It carried lastSeen of the former instance, and the stand-in forgets each end up to that number as it appears while the poll waits. The planner noticed the restart by the new entry and started work at once; the ends of that work were never reported, so that the tasks counted as missing and were started again. Whether the platform forgets ends while a poll waits is not known.

Evidence: minion-reborn, unit-placed within 1 ms, no run-ended of run 1. RebornMinion.GetsNoWorkWhileAPollOfItsFormerInstanceMayHideEnds, which delays such a poll, was red in 3 of 3 plays on the code before.

Change: ends are acknowledged once, so that only the first poll after an end carries lastSeen. If such a poll waits and has no answer when a restart is noticed, the minion gets no work ("former-poll") until it is answered, for at most the longest wait of a poll after the fence was raised, since no earlier poll begins after that.

--- a/packages/dispatch/stepplanner.cpp
+++ b/packages/dispatch/stepplanner.cpp
@@ -386,6 +386,9 @@
     if (m_reserved.contains(link.entry.id)) {
         return RESERVED_FOR_UPKEEP;
     }
+    if (nowMs < link.formerPollUntilMs) {
+        return "former-poll";
+    }
     if (nowMs < link.backOffUntilMs) {
         return "back-off";
     }
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -471,6 +471,16 @@
     return std::min(std::chrono::duration_cast<Millis>(handling * polled), MAX_POLL_PAUSE);
 }
 
+void StepPlanner::longPollEnded(MinionLink &link, std::uint64_t knownRestarts)
+{
+    if (link.restarts == knownRestarts) {
+        link.ackPollUntilMs = 0;
+    } else if (link.restarts == knownRestarts + 1) {
+        link.formerPollUntilMs = 0;
+        requestPass();
+    }
+}
+
 Asio::awaitable<bool> StepPlanner::pollOnce(MinionId id, PollKind kind)
 {
     MinionLink *link = &m_links.at(id);
@@ -478,7 +488,9 @@
     ++m_load.counts.polls;
     PollOrder order;
     order.fence = link->fence;
-    order.ackUpTo = link->mayAcknowledge() ? link->endsStored : 0;
+    // Acknowledged once, as an instance that was not expected may forget its own ends up to this number.
+    const bool acknowledges = link->mayAcknowledge() && link->endsAcked < link->endsStored;
+    order.ackUpTo = acknowledges ? link->endsStored : 0;
     const std::uint64_t coveredStarts = link->unverifiedStarts;
     const std::uint64_t knownRestarts = link->restarts;
     const Endpoint address = link->entry.address;
@@ -493,12 +505,18 @@
     const Millis steadyWait = link->shared ? SHARED_POLL_WAIT : POLL_WAIT;
     const Millis longWait = hasQuietRun(*link) ? std::min(WATCH_POLL_WAIT, steadyWait) : steadyWait;
     order.wait = mayWait ? longWait : Millis(0);
+    if (acknowledges && mayWait) {
+        link->ackPollUntilMs = sent + LATE_START_SPAN_MS + order.wait.count();
+    }
     const PollAnswer answer =
         co_await m_context.minionControl.poll(link->entry, order, order.wait + POLL_REPLY_TIMEOUT);
     if (!m_leading) {
         co_return false;
     }
     link = &m_links.at(id);
+    if (acknowledges && mayWait && answer.outcome != OrderOutcome::NoAnswer) {
+        longPollEnded(*link, knownRestarts);
+    }
     if (link->restarts != knownRestarts) {
         co_return false; // of the former instance
     }
@@ -543,6 +561,9 @@
         const bool former = link->restarts > 0 || mayGetFormerOrders(answer.report);
         link->clock.grant(bootMillis(), former ? m_context.maxLease.count() : LEASE_MS);
         link->fenceRaised = order.fence == link->fence; // not if this answer has shown a restart
+        if (link->fenceRaised) {                        // no poll of before begins after this
+            link->formerPollUntilMs = std::min(link->formerPollUntilMs, bootMillis() + POLL_WAIT.count());
+        }
         requestPass();
     }
     const TimePoint received = Clock::now();
--- a/packages/dispatch/stepplannerreports.cpp
+++ b/packages/dispatch/stepplannerreports.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <utility>
 
 // Processing of minion reports: ended, running and missing tasks, and the outcome of their units.
 
@@ -196,6 +197,7 @@
     link.fence = m_fence;
     link.fenceRaised = false;
     link.endsHandled = link.endsStored = link.endsAcked = 0;
+    link.formerPollUntilMs = std::max(link.formerPollUntilMs, std::exchange(link.ackPollUntilMs, 0));
     link.runFailures = 0;
     link.strays.clear();
     link.fillPace = FillPace();
--- a/tests/integration/rebornminions.cpp
+++ b/tests/integration/rebornminions.cpp
@@ -283,6 +283,38 @@
 }
 
 // Guards against a minion that gets no work any more because it was silent when its last poll loop ended: only an
+// Guards against a second run of a task that is done: a long poll to the former instance of a minion reaches the new
+// one, and makes it forget each end as it appears.
+TEST(RebornMinion, GetsNoWorkWhileAPollOfItsFormerInstanceMayHideEnds)
+{
+    Deployment deployment({1, 1});
+    deployment.start();
+    runShortJobs(deployment, 3);
+    Standins::PlatformMinionStandin &minion = *deployment.minions.front();
+    const std::string lasting = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", lasting, Deployment::step(1), {{"workMs", 6'000}}).status);
+    const std::string ending = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", ending, Deployment::step(1), {{"workMs", 600}}).status);
+    ASSERT_TRUE(deployment.waitForRunCount(ending, 1));
+    std::this_thread::sleep_for(Millis(100));
+    PlatformMinionFaults slow;
+    slow.slowPolls = 1;
+    slow.lateMs = 150;
+    minion.setFaults(slow);
+    const std::size_t polls = minion.pollsAnswered();
+    ASSERT_TRUE(Cluster::eventually([&] { return minion.pollsAnswered() > polls; }));
+    std::this_thread::sleep_for(Millis(80)); // the poll that acknowledges the end is on its way
+    minion.restartUnlisted();
+    std::this_thread::sleep_for(Millis(170));
+    const std::string after = deployment.newId();
+    ASSERT_EQ(200, deployment.submit(0, "plan", after, Deployment::step(2), {{"workMs", 100}}).status);
+    minion.list();
+    EXPECT_TRUE(deployment.waitForState("plan", after, "completed"));
+    EXPECT_EQ(2U, deployment.runs.of(after).size());
+    EXPECT_TRUE(deployment.waitForState("plan", lasting, "completed", Millis(12'000)));
+    EXPECT_TRUE(deployment.runs.doubled().empty());
+}
+
 // answer to a poll shows that it can be reached again.
 TEST(CutOffMinion, GetsWorkAgainOnceItsEntryIsBack)
 {
--- a/tests/standins/platformminionstandin.cpp
+++ b/tests/standins/platformminionstandin.cpp
@@ -418,6 +418,9 @@
         co_return pace(body);
     }
     if (path == "/-/hold") {
+        if (const std::int64_t delayMs = takePollDelay(); delayMs > 0) {
+            co_await sleepFor(Millis(delayMs));
+        }
         co_return co_await hold(body);
     }
     co_return jsonAnswer(404, Json::object());
@@ -437,6 +440,16 @@
     return 0;
 }
 
+std::int64_t PlatformMinionStandin::takePollDelay()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_faults.slowPolls == 0) {
+        return 0;
+    }
+    --m_faults.slowPolls;
+    return m_faults.lateMs;
+}
+
 Asio::awaitable<void> PlatformMinionStandin::carryOutLate(std::string path, Json body, std::int64_t lateMs)
 {
     co_await sleepFor(Millis(lateMs));
--- a/tests/standins/platformminionstandin.h
+++ b/tests/standins/platformminionstandin.h
@@ -35,6 +35,7 @@
     bool hang = false;              ///< no run makes progress
     std::int64_t lateStarts = 0;    ///< number of starts that are carried out after lateMs and get no answer
     std::int64_t lateOrders = 0;    ///< the same for orders of any kind: starts, stops and polls
+    std::int64_t slowPolls = 0;     ///< number of polls that arrive after lateMs and are answered
     std::int64_t lateMs = 0;        ///< delay of a late order, in milliseconds
     std::int64_t garbledStarts = 0; ///< number of starts that are carried out and answered with 500
     std::int64_t refuseStarts = 0;  ///< number of starts that are refused with 409 and reason "room"
@@ -185,6 +186,8 @@
     void endRun(const std::string &task, const std::string &how);
     /** @return the delay after which the order at @p path is to be carried out; 0 if it is not late. */
     std::int64_t takeLateness(const std::string &path);
+    /** @return how much later the next poll arrives, in milliseconds. */
+    std::int64_t takePollDelay();
     /** Carries out a late order on the instance that runs by then. */
     Asio::awaitable<void> carryOutLate(std::string path, Json body, std::int64_t lateMs);
     HttpResponse startRun(const Json &body);
