Take no delay of the event loop for silence of the store

While the event loop is delayed, an answer that has arrived passes several turns of it before it is handled.

Change: - LoopClock counts the time in which the event loop runs; a delay counts as one step of 50 ms. The store is judged by it.

TopicFollower.DoesNotTakeADelayOfItsOwnEventLoopForSilenceOfTheStore: by the plain clock, which it reads too, an answer is overdue for more than 600 ms; by LoopClock the store counts as answering. TakesAStoreThatDoes- NotAnswerForSilent: a silent store still counts as lost.

--- a/packages/dispatch/jobapi.cpp
+++ b/packages/dispatch/jobapi.cpp
@@ -216,20 +216,22 @@
     for (;;) {
         const TimePoint now = Clock::now();
         const std::optional<Endpoint> peer = m_context.relay == nullptr ? std::nullopt : m_context.relayTo();
-        situation.store = m_context.storeHealth();
+        const StoreEvidence evidence = m_context.storeEvidence();
+        situation.store = healthOf(evidence);
         situation.relayKnown = peer.has_value();
         situation.mayHold = now < held;
         switch (routeRecord(situation)) {
         case RecordRoute::Append: {
             const TimePoint attempt = std::max(time.attempt, std::min(now + STORE_TIMEOUT, time.latest));
-            co_return StoreAttempt {co_await m_context.writer->append(std::move(records), attempt), lostForOthers};
+            co_return StoreAttempt {co_await m_context.writer->append(std::move(records), attempt), lostForOthers,
+                                    evidence};
         }
         case RecordRoute::Relay: {
             const RelayAnswer answer =
                 co_await m_context.relay->append(*peer, records, std::min(now + SLOW_RELAY_TIME, time.latest));
             m_context.metrics.count(StepEvent::Relay, toString(answer.outcome));
             if (answer.outcome != AppendOutcome::NotStored) {
-                co_return StoreAttempt {answer.outcome, false};
+                co_return StoreAttempt {answer.outcome, false, evidence};
             }
             situation.relayRefused = true;
             lostForOthers = answer.reached;
@@ -239,7 +241,7 @@
             co_await sleepFor(HOLD_POLL_INTERVAL);
             break;
         case RecordRoute::Refuse:
-            co_return StoreAttempt {AppendOutcome::NotStored, lostForOthers};
+            co_return StoreAttempt {AppendOutcome::NotStored, lostForOthers, evidence};
         }
     }
 }
@@ -249,7 +251,7 @@
     const std::int64_t begun = bootMillis();
     std::vector<StoredRecord> records;
     records.push_back(encodeRecord(record));
-    const auto [outcome, lostForOthers] = co_await storeSomehow(std::move(records), time);
+    const auto [outcome, lostForOthers, evidence] = co_await storeSomehow(std::move(records), time);
     m_context.metrics.count(StepEvent::Store, toString(outcome));
     if (outcome == AppendOutcome::Stored) {
         m_context.onStored(record);
@@ -257,6 +259,13 @@
     }
     logEvent(LogLevel::Info, event,
              {{"job", id.value()}, {"outcome", toString(outcome)}, {"took_ms", bootMillis() - begun}});
+    if (outcome != AppendOutcome::Stored) {
+        logEvent(LogLevel::Info, "record-not-stored",
+                 {{"job", id.value()},
+                  {"failed_reads", std::uint64_t(evidence.failures)},
+                  {"overdue_ms", evidence.overdue.count()},
+                  {"read_delay_ms", evidence.readDelay.count()}});
+    }
     HttpResponse response;
     switch (outcome) {
     case AppendOutcome::Stored:
--- a/packages/dispatch/jobapi.h
+++ b/packages/dispatch/jobapi.h
@@ -33,7 +33,7 @@
         std::function<bool()> upToDate;                  ///< whether the journal has been read recently
         std::function<void(const JobRecord &)> onStored; ///< called with each record that the API has stored
         StepMetrics &metrics;
-        std::function<StoreHealth()> storeHealth;
+        std::function<StoreEvidence()> storeEvidence;
         /** Reads on in the journal for at most the given time. */
         std::function<Asio::awaitable<void>(Millis)> refresh;
         JournalRelay *relay;                              ///< null if records are not passed to other nodes
@@ -67,6 +67,7 @@
     struct StoreAttempt {
         AppendOutcome outcome = AppendOutcome::NotStored; ///< Stored, NotStored or Unknown
         bool lostForOthers = false;                       ///< the store does not answer the planner either
+        StoreEvidence evidence;                           ///< that decided on the way
     };
     /** Stores @p records by whichever way there is. */
     Asio::awaitable<StoreAttempt> storeSomehow(std::vector<StoredRecord> records, CallerTime time);
--- a/packages/dispatch/stepnode.cpp
+++ b/packages/dispatch/stepnode.cpp
@@ -87,14 +87,14 @@
                           [this](const auto &records) { deployment.configReceived(records); })
         , minionForwarder([this](const auto &records) { deployment.minionsReloaded(records); },
                           [this](const auto &records) { deployment.minionsReceived(records); })
-        , journal(io, *platform.store, Topic::Journal, journalForwarder, JOURNAL_READ_WAIT)
-        , configTopic(io, *platform.store, Topic::Config, configForwarder, CONFIG_READ_WAIT)
+        , journal(io, *platform.store, Topic::Journal, journalForwarder, JOURNAL_READ_WAIT, loopClock)
+        , configTopic(io, *platform.store, Topic::Config, configForwarder, CONFIG_READ_WAIT, loopClock)
         , writer(JournalWriter::create(io, *platform.store, std::nullopt, readDelay()))
         , peerPool(io)
         , relay(peerPool)
         , jobApi({*platform.codec, writer, jobTable, [this] { return deployment.config(); },
                   [this] { return upToDate(); }, [this](const JobRecord &record) { ownRecordStored(record); }, metrics,
-                  [this] { return storeHealth(); }, [this](Millis limit) { return journal.refresh(limit); }, &relay,
+                  [this] { return storeEvidence(); }, [this](Millis limit) { return journal.refresh(limit); }, &relay,
                   [this] { return relayPeer(); }, [this] { return wallNow(); }})
         , relayReceiver([this](std::vector<StoredRecord> records, TimePoint deadline) {
             return appendRelayed(std::move(records), deadline);
@@ -130,6 +130,7 @@
     {
         startedMs = bootMillis();
         wallClock.observe(wallMillis(), startedMs);
+        Asio::co_spawn(io, clockLoop(*this), Asio::detached);
         journal.start();
         configTopic.start();
         Asio::co_spawn(io, tickLoop(*this), Asio::detached);
@@ -328,9 +329,9 @@
 
     // --- Store ---
 
-    [[nodiscard]] StoreHealth storeHealth() const
+    [[nodiscard]] StoreEvidence storeEvidence() const
     {
-        return healthOf({journal.failures(), journal.overdue(), journal.shortReadDelay()});
+        return {journal.failures(), journal.silence(), journal.shortReadDelay()};
     }
 
     /** @return where the planner takes records of other nodes, unless it is this node. */
@@ -345,7 +346,7 @@
     /** Appends records that another node has passed to this one. */
     Asio::awaitable<AppendOutcome> appendRelayed(std::vector<StoredRecord> records, TimePoint deadline)
     {
-        if (storeHealth() == StoreHealth::Lost || draining) {
+        if (healthOf(storeEvidence()) == StoreHealth::Lost || draining) {
             co_return AppendOutcome::NotStored;
         }
         const TimePoint attempt = deadline - JournalWriter::ANSWER_MARGIN;
@@ -364,6 +365,14 @@
 
     // --- Leadership ---
 
+    static Asio::awaitable<void> clockLoop(Parts &parts)
+    {
+        for (;;) {
+            parts.loopClock.tick(bootMillis());
+            co_await sleepFor(Millis(LoopClock::TICK_INTERVAL_MS));
+        }
+    }
+
     static Asio::awaitable<void> tickLoop(Parts &parts)
     {
         for (;;) {
@@ -554,7 +563,7 @@
     {
         if (!minionTopic) {
             minionTopic = std::make_unique<TopicFollower>(io, *platform.store, Topic::Minions, minionForwarder,
-                                                          MINIONS_READ_WAIT);
+                                                          MINIONS_READ_WAIT, loopClock);
             minionTopic->setMinInterval(MINIONS_READ_INTERVAL);
             minionTopic->start();
         }
@@ -663,6 +672,7 @@
     DeploymentView deployment;
     RecordForwarder configForwarder;
     RecordForwarder minionForwarder;
+    LoopClock loopClock;
     TopicFollower journal;
     TopicFollower configTopic;
     std::unique_ptr<TopicFollower> minionTopic;
--- a/packages/dispatch/topicfollower.cpp
+++ b/packages/dispatch/topicfollower.cpp
@@ -45,13 +45,15 @@
 
 } // namespace
 
-TopicFollower::TopicFollower(Asio::io_context &io, RecordStore &store, Topic topic, TopicHandler &handler, Millis wait)
+TopicFollower::TopicFollower(Asio::io_context &io, RecordStore &store, Topic topic, TopicHandler &handler, Millis wait,
+                             const LoopClock &clock)
     : m_io(io)
     , m_pause(io)
     , m_store(store)
     , m_topic(topic)
     , m_handler(handler)
     , m_wait(wait)
+    , m_clock(clock)
     , m_readKb(READ_KB)
 {
 }
@@ -68,7 +70,9 @@
         const TimePoint startTime = Clock::now();
         self.m_reading = true;
         if (self.m_failures == 0) { // otherwise, the store has been due since the first read that failed
-            self.m_dueMs = bootMillis() + (self.m_loaded ? self.m_wait : LOAD_ALLOWANCE).count();
+            const Millis allowance = self.m_loaded ? self.m_wait : LOAD_ALLOWANCE;
+            self.m_dueMs = bootMillis() + allowance.count();
+            self.m_dueByClock = self.m_clock.at(bootMillis()) + allowance.count();
         }
         try {
             co_await self.readNext();
@@ -113,6 +117,11 @@
     return m_dueMs == 0 ? Millis(0) : std::max(Millis(0), Millis(bootMillis() - m_dueMs));
 }
 
+Millis TopicFollower::silence() const
+{
+    return m_dueMs == 0 ? Millis(0) : std::max(Millis(0), Millis(m_clock.at(bootMillis()) - m_dueByClock));
+}
+
 Asio::awaitable<void> TopicFollower::readNext()
 {
     const std::int64_t sent = bootMillis();
--- a/packages/dispatch/topicfollower.h
+++ b/packages/dispatch/topicfollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection/waiter.h"
+#include "dispatch/loopclock.h"
 #include "dispatch/recordstore.h"
 
 #include <boost/asio/io_context.hpp>
@@ -33,8 +34,12 @@
 class TopicFollower
 {
 public:
-    /** @param handler must outlive the work of the io_context */
-    TopicFollower(Asio::io_context &io, RecordStore &store, Topic topic, TopicHandler &handler, Millis wait);
+    /**
+     * @param handler must outlive the work of the io_context
+     * @param clock counts the time in which the event loop runs
+     */
+    TopicFollower(Asio::io_context &io, RecordStore &store, Topic topic, TopicHandler &handler, Millis wait,
+                  const LoopClock &clock);
 
     void start();
 
@@ -93,6 +98,8 @@
     }
     /** @return for how long an answer has been due, counted from the first read without one; 0 if none is. */
     [[nodiscard]] Millis overdue() const;
+    /** @return overdue() by the clock of the event loop, which leaves out delays of the node itself. */
+    [[nodiscard]] Millis silence() const;
     /** @return since when all reads have succeeded, in bootMillis(). */
     [[nodiscard]] std::int64_t healthySinceMs() const
     {
@@ -110,6 +117,7 @@
     Topic m_topic;
     TopicHandler &m_handler;
     Millis m_wait;
+    const LoopClock &m_clock;
     std::size_t m_readKb; ///< limit of the next read
     Millis m_minInterval {0};
     Offset m_next;
@@ -123,8 +131,9 @@
     std::array<Millis, 3> m_readDelays {}; ///< of the last reads, in turn
     std::size_t m_reads = 0;
     std::uint32_t m_failures = 0;
-    bool m_reading = false;   ///< a read is in flight
-    std::int64_t m_dueMs = 0; ///< when the first read without an answer should have had one, in bootMillis(); or 0
+    bool m_reading = false;        ///< a read is in flight
+    std::int64_t m_dueMs = 0;      ///< when the first read without an answer should have had one, in bootMillis(); or 0
+    std::int64_t m_dueByClock = 0; ///< the same by m_clock
     Broadcast m_readEnded;
 };
 
