Reclaim the workers that a guarantee is assigned to

Not seen by users.

Cause: reclaim() tried the cheapest workers of each group only, and gave up if each of these choices would break another guarantee.

Change: the workers that the map of guarantees assigns to the gang's own guarantee are the last option.

ReclaimsWorkersThatNoOtherGuaranteeNeeds is the shrunk case; it was red before (no gang was stopped).

--- a/packages/process/guaranteescheduling.cpp
+++ b/packages/process/guaranteescheduling.cpp
@@ -178,13 +178,18 @@
             return unused.team == gang.team && unused.shape == guaranteed;
         });
     // If the fleet cannot satisfy all guarantees, claimed ones take precedence over unclaimed ones.
-    const std::size_t allowedBroken = pass.brokenCount();
+    const GuaranteeMap map = assignGuarantees(pass.reclaimable, pass.unusedGuarantees);
+    const std::size_t allowedBroken = map.broken.size();
     const GuaranteedGang entry = *own;
+    const auto assigned =
+        std::find_if(map.assignments.begin(), map.assignments.end(), [&](const GuaranteeAssignment &assignment) {
+            return assignment.gang.team == gang.team && assignment.gang.shape == guaranteed;
+        });
     pass.unusedGuarantees.erase(own);
     WaitingGang constrained = gang;
     constrained.shape.adjacency = guaranteed.adjacency;
-    // 2. Uses free workers if that breaks no further guarantee; else workers of borrowers, and finally workers that are
-    //    held for borrowers.
+    // 2. Uses free workers if that breaks no further guarantee; else workers of borrowers, at last those that the
+    //    guarantee is assigned to, and finally workers that are held for borrowers.
     bool reclaimed = false;
     do {
         const auto workers = m_placement.place(pass.free, constrained.shape, gang.avoid);
@@ -192,7 +197,8 @@
             recordPlacement(pass, gang, *workers, true);
             return true;
         }
-        reclaimed = reclaim(pass, constrained, true, allowedBroken);
+        reclaimed = reclaim(pass, constrained, true, allowedBroken,
+                            assigned == map.assignments.end() ? PartWorkers() : assigned->workers);
     } while (!reclaimed && dropBorrowerHolds(pass));
     if (!reclaimed) {
         pass.unusedGuarantees.push_back(entry);
--- a/packages/process/guaranteescheduling.h
+++ b/packages/process/guaranteescheduling.h
@@ -51,10 +51,14 @@
     bool dropBorrowerHolds(Pass &pass);
     bool placeFromHold(Pass &pass, const WaitingGang &gang, bool guaranteed);
     void hold(Pass &pass, const WaitingGang &gang, PartWorkers workers, bool guaranteed);
-    bool reclaim(Pass &pass, const WaitingGang &gang, bool guaranteed, std::size_t allowedBroken);
+    /** @param assigned workers to take if no others keep the guarantees; empty if there are none */
+    bool reclaim(Pass &pass, const WaitingGang &gang, bool guaranteed, std::size_t allowedBroken,
+                 const PartWorkers &assigned = {});
     static std::optional<ReclaimOption> reclaimInGroup(const Pass &pass, const FleetModel &base,
                                                        const WorkerGroup &group, const WaitingGang &gang,
                                                        bool guaranteed);
+    static std::optional<ReclaimOption> reclaimAssigned(const Pass &pass, const FleetModel &base,
+                                                        const PartWorkers &assigned, const WaitingGang &gang);
     static void chooseVictims(const Pass &pass, const WaitingGang &gang, bool guaranteed, ReclaimOption &option);
     [[nodiscard]] std::optional<ReclaimOption> consolidateInGroup(const Pass &pass, const WorkerGroup &group,
                                                                   const WaitingGang &gang) const;
--- a/packages/process/schedulingreclaim.cpp
+++ b/packages/process/schedulingreclaim.cpp
@@ -64,7 +64,8 @@
     return gangs == gangsByWorker.end() ? NONE : gangs->second;
 }
 
-bool GuaranteeScheduling::reclaim(Pass &pass, const WaitingGang &gang, bool guaranteed, std::size_t allowedBroken)
+bool GuaranteeScheduling::reclaim(Pass &pass, const WaitingGang &gang, bool guaranteed, std::size_t allowedBroken,
+                                  const PartWorkers &assigned)
 {
     // 1. Finds what each group of workers could provide, and which gangs would be stopped.
     FleetModel base = pass.free;
@@ -83,6 +84,10 @@
     //    workers and stops its victims.
     std::stable_sort(options.begin(), options.end(),
                      [](const ReclaimOption &a, const ReclaimOption &b) { return a.cost < b.cost; });
+    // Each group offers its cheapest workers only, and all of these may be needed for other guarantees.
+    if (auto option = reclaimAssigned(pass, base, assigned, gang)) {
+        options.push_back(std::move(*option));
+    }
     for (ReclaimOption &option : options) {
         if (guaranteed && !pass.keepsGuarantees(option.workers, gang.shape.part, allowedBroken)) {
             continue;
@@ -132,6 +137,25 @@
     return option;
 }
 
+std::optional<GuaranteeScheduling::ReclaimOption> GuaranteeScheduling::reclaimAssigned(const Pass &pass,
+                                                                                       const FleetModel &base,
+                                                                                       const PartWorkers &assigned,
+                                                                                       const WaitingGang &gang)
+{
+    FleetModel trial = base;
+    trial.allocateAll(assigned, gang.shape.part);
+    const bool fits = std::none_of(assigned.begin(), assigned.end(), [&](WorkerIndex worker) {
+        return trial.overcommitted(worker) || gang.avoid.contains(worker);
+    });
+    if (assigned.empty() || !fits) {
+        return std::nullopt;
+    }
+    ReclaimOption option;
+    option.workers = assigned;
+    chooseVictims(pass, gang, true, option);
+    return option;
+}
+
 void GuaranteeScheduling::chooseVictims(const Pass &pass, const WaitingGang &gang, bool guaranteed,
                                         ReclaimOption &option)
 {
--- a/tests/property/scheduling.cpp
+++ b/tests/property/scheduling.cpp
@@ -143,6 +143,46 @@
     EXPECT_TRUE(reclaimed.placements[0].guaranteed);
 }
 
+// Guards against a guaranteed gang that waits forever because the cheapest workers are needed for another guarantee.
+TEST(Scheduling, ReclaimsWorkersThatNoOtherGuaranteeNeeds)
+{
+    PlanningView view;
+    const Shape whole {1, {0, 0, 8}, Adjacency::Place};
+    const Shape halves {2, {0, 0, 4}, Adjacency::Place};
+    for (int i = 0; i < 4; ++i) {
+        view.fleet.add(WorkerId("w" + std::to_string(i)), PlaceName("a"), RackName("r"), {64, 1000, 8});
+    }
+    view.guarantees = {{TeamName("bergen"), whole, 2}, {TeamName("oslo"), halves, 2}};
+    const auto run = [&view](const char *job, const char *team, const Shape &shape, PartWorkers workers,
+                             bool guaranteed) {
+        RunningGang gang;
+        gang.job = JobId(job);
+        gang.team = TeamName(team);
+        gang.restart = RestartRule::Checkpoint;
+        gang.shape = shape;
+        gang.workers = std::move(workers);
+        gang.guaranteed = guaranteed;
+        view.running.push_back(gang);
+    };
+    run("first half", "oslo", halves, {0, 1}, true);
+    run("whole", "bergen", whole, {2}, true);
+    run("borrower", "hygiene", {1, {0, 0, 3}, Adjacency::Any}, {0}, false);
+    const GangDemand plan {JobId("plan"),   TeamName("oslo"),        CallerName(),
+                           Urgency::Normal, RestartRule::Checkpoint, halves};
+    view.waiting = {{plan, 1'000, 1'000, {}}};
+    view.nowMs = 1'000;
+    GuaranteeScheduling policy;
+    const ScheduleDecision reclaiming = policy.plan(view);
+    ASSERT_EQ(1U, reclaiming.stops.size());
+    EXPECT_EQ(JobId("borrower"), reclaiming.stops[0].job);
+    view.running.pop_back();
+    view.nowMs = 2'000;
+    const ScheduleDecision reclaimed = policy.plan(view);
+    ASSERT_EQ(1U, reclaimed.placements.size());
+    EXPECT_EQ((std::set<WorkerIndex> {0, 1}),
+              std::set<WorkerIndex>(reclaimed.placements[0].workers.begin(), reclaimed.placements[0].workers.end()));
+}
+
 TEST(Scheduling, PlacesAGuaranteedGangOnAWorkerReservedForABorrower)
 {
     PlanningView view;
