--- a/packages/dispatch/jobapi.h
+++ b/packages/dispatch/jobapi.h
@@ -67,7 +67,7 @@
     struct StoreAttempt {
         AppendOutcome outcome = AppendOutcome::NotStored; ///< Stored, NotStored or Unknown
         bool lostForOthers = false;                       ///< the store does not answer the planner either
-        StoreEvidence evidence;                           ///< that decided on the way
+        StoreEvidence evidence;                           ///< on which the choice of the way rests
     };
     /** Stores @p records by whichever way there is. */
     Asio::awaitable<StoreAttempt> storeSomehow(std::vector<StoredRecord> records, CallerTime time);
--- a/packages/dispatch/minionlink.h
+++ b/packages/dispatch/minionlink.h
@@ -52,8 +52,8 @@
     std::uint64_t endsHandled = 0;      ///< ends up to this number have been applied to the job table
     std::uint64_t endsStored = 0;       ///< ends up to this number are journaled and may be acknowledged
     std::uint64_t endsAcked = 0;        ///< ends up to this number have been acknowledged
-    std::int64_t ackPollUntilMs = 0;    ///< until when it may hold a long poll that acknowledges ends
-    std::int64_t formerPollUntilMs = 0; ///< the same of a poll sent before its last restart: it would forget new ends
+    std::int64_t ackPollUntilMs = 0;    ///< until when a long poll that acknowledges ends may be in progress
+    std::int64_t formerPollUntilMs = 0; ///< the same of one sent before the last restart: new ends may be forgotten
     std::vector<PlacedMember> placed;   ///< placed members that are not known to have ended
     Resources used;                     ///< taken by the placed members
     Resources stopping;                 ///< the part of used that members being stopped take
--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -215,7 +215,10 @@
         Immediate,
     };
     Asio::awaitable<bool> pollOnce(MinionId id, PollKind kind = PollKind::Waiting);
-    /** The minion holds a long poll that acknowledged ends no more. @param knownRestarts those when it was sent */
+    /**
+     * Handles the answer to a long poll that acknowledged ends.
+     * @param knownRestarts restarts of the minion that had been noticed when the poll was sent
+     */
     void longPollEnded(MinionLink &link, std::uint64_t knownRestarts);
     /** @return how long the next poll of a minion waits after @p report, which took @p handling. */
     [[nodiscard]] Millis pollPause(const MinionReport &report, Duration handling) const;
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -561,7 +561,8 @@
         const bool former = link->restarts > 0 || mayGetFormerOrders(answer.report);
         link->clock.grant(bootMillis(), former ? m_context.maxLease.count() : LEASE_MS);
         link->fenceRaised = order.fence == link->fence; // not if this answer has shown a restart
-        if (link->fenceRaised) {                        // no poll of before begins after this
+        if (link->fenceRaised) {
+            // No poll that was sent before begins from now on.
             link->formerPollUntilMs = std::min(link->formerPollUntilMs, bootMillis() + POLL_WAIT.count());
         }
         requestPass();
