Do not take tasks whose late end is accepted for standing still

Trace: two tasks on minion i-6 were done at 05:30:06, while it was cut off, and their leases lapsed at 05:30:13.36. The planner placed the tasks again, heard of their ends 0.4 s later ("earlier-run-done"), stopped the new runs and completed the jobs. The check counts a done run only if its end was acknowledged before its lease expired, or if it was the last run, and so took the tasks for unfinished.

The stand-in notes the acknowledgement of late ends as well. In a job that has ended, such an end counts from its acknowledgement on, not from the end itself, and only if no run of the task starts after it. Standstills.AreNotOfTasksWhoseLateEndIsAccepted checks these limits; its second expectation fails with the check before.

--- a/tests/soak/standstillchecks.cpp
+++ b/tests/soak/standstillchecks.cpp
@@ -239,6 +239,28 @@
     EXPECT_EQ(1U, scene.found()) << "it had to run again";
 }
 
+// Guards against a false alarm: the planner learns that a run is done after it has taken the run for lost.
+TEST(Standstills, AreNotOfTasksWhoseLateEndIsAccepted)
+{
+    Scene scene;
+    scene.seen.untilMs = 120'000;
+    scene.run("j.0.0.0", "i-0", 95'000, 96'000, "done");
+    scene.run("j.0.0.0", "i-1", 100'000, 100'400, "stopped");
+    scene.seen.runs[0].notedMs = 0;
+    scene.seen.jobs["j"].ended = true;
+    EXPECT_EQ(1U, scene.found()) << "the end was never acknowledged";
+    scene.seen.runs[0].ackedMs = 100'300;
+    EXPECT_EQ(0U, scene.found());
+    scene.seen.runs[0].ackedMs = 108'000;
+    EXPECT_EQ(1U, scene.found()) << "nothing ran until the end was acknowledged";
+    scene.seen.runs[0].ackedMs = 100'300;
+    scene.seen.jobs["j"].ended = false;
+    EXPECT_EQ(1U, scene.found()) << "its job has not ended";
+    scene.seen.jobs["j"].ended = true;
+    scene.run("j.0.0.0", "i-1", 110'000, 110'400, "stopped");
+    EXPECT_EQ(1U, scene.found()) << "it was started again after the acknowledgement";
+}
+
 } // namespace
 
 } // namespace Papaya::Testing
--- a/tests/soak/standstills.cpp
+++ b/tests/soak/standstills.cpp
@@ -220,6 +220,17 @@
         return turn;
     }
 
+    /**
+     * @return true if the end of @p run, which came after its lease had expired, counted from its acknowledgement on: a
+     * later run may have started before that, but none after it.
+     */
+    [[nodiscard]] static bool isKnownFrom(const TaskRun &run, const std::vector<const TaskRun *> &runs)
+    {
+        return run.ackedMs != 0 && std::all_of(runs.begin(), runs.end(), [&run](const TaskRun *other) {
+                   return other->startedMs < run.ackedMs;
+               });
+    }
+
     /** @return since when @p unit is done or has failed for good. */
     std::int64_t unitEndMs(const UnitId &unit, const JobSeen &job)
     {
@@ -236,6 +247,8 @@
         for (const TaskRun *run : runs) {
             if (run->how == "done" && (run->notedMs != 0 || (run->run == last && job.ended))) {
                 end = std::min(end, run->endedMs);
+            } else if (run->how == "done" && job.ended && isKnownFrom(*run, runs)) {
+                end = std::min(end, run->ackedMs);
             } else if (run->how == "failed") {
                 failures.emplace(run->run, run->endedMs);
             }
--- a/tests/standins/platformminionstandin.cpp
+++ b/tests/standins/platformminionstandin.cpp
@@ -86,10 +86,11 @@
     m_runs[index].how = how;
 }
 
-void PlatformRuns::note(std::size_t index)
+void PlatformRuns::note(std::size_t index, bool inTime)
 {
     const std::lock_guard lock(m_mutex);
-    m_runs[index].notedMs = nowMs();
+    m_runs[index].ackedMs = nowMs();
+    m_runs[index].notedMs = inTime ? m_runs[index].ackedMs : 0;
 }
 
 PlatformMinionStandin::PlatformMinionStandin(std::string id, std::string service, std::string rack, PlatformRuns &runs)
@@ -598,8 +599,8 @@
                     std::max(m_leaseUntilMs, std::min(body["untilMs"].get<std::int64_t>(), clock() + MAX_LEASE_MS));
             }
             for (const End &end : m_ends) {
-                if (end.number <= seen && !end.leaseExpired) {
-                    m_runs.note(end.index);
+                if (end.number <= seen) {
+                    m_runs.note(end.index, !end.leaseExpired);
                 }
             }
             std::erase_if(m_ends, [seen](const End &end) { return end.number <= seen; });
--- a/tests/standins/platformminionstandin.h
+++ b/tests/standins/platformminionstandin.h
@@ -23,6 +23,7 @@
     std::int64_t startedMs = 0; ///< milliseconds since the Unix epoch
     std::int64_t endedMs = 0;   ///< milliseconds since the Unix epoch; 0 during the run
     std::int64_t notedMs = 0;   ///< when the end was acknowledged, if the lease had not expired since; or 0
+    std::int64_t ackedMs = 0;   ///< when the end was acknowledged, also after the lease had expired; or 0
     /** done, failed, stopped, lapsed (lease expired) or gone (minion restarted or lost power); empty during the run. */
     std::string how;
 };
@@ -71,8 +72,8 @@
     std::size_t begin(TaskRun run);
     /** Records the end of the run at @p index. */
     void end(std::size_t index, const std::string &how);
-    /** Records that the end of the run at @p index was acknowledged. */
-    void note(std::size_t index);
+    /** Records that the end of the run at @p index was acknowledged. @param inTime while the lease held */
+    void note(std::size_t index, bool inTime);
 
 private:
     mutable std::mutex m_mutex;
