Wait for polls rather than for times in a test, and restore a comment

Read as a newcomer: - the new test of restarted minions had split the comment of the test after it; it now waits until a poll is held or on its way, which the stand-in counts, instead of sleeping for 100, 80 and 170 ms. The test of many gangs waits for ten queries instead of 1.5 s.

--- a/packages/dispatch/leaseterms.h
+++ b/packages/dispatch/leaseterms.h
@@ -23,8 +23,8 @@
 /** Time after a take-over until every lease of earlier planners has expired, even on the slowest permitted clock. */
 constexpr std::int64_t PRIOR_LEASE_SPAN_MS = RENEWAL_WINDOW_MS + LAST_LEASE_SPAN_MS;
 /**
- * How much later a start without an answer may be carried out. The minion is polled until then, so that its restart is
- * noticed soon: the new instance may carry out the start until the first poll raises its fence.
+ * How much later a start or poll without an answer may be carried out. After a start, the minion is polled until then,
+ * so that its restart is noticed soon: the new instance may carry out the start until the first poll raises its fence.
  */
 constexpr std::int64_t LATE_START_SPAN_MS = 12'000;
 
--- a/tests/integration/rebornminions.cpp
+++ b/tests/integration/rebornminions.cpp
@@ -282,7 +282,6 @@
     minions.expectNoOverlapOnceCutOff(id, Millis(20'000));
 }
 
-// Guards against a minion that gets no work any more because it was silent when its last poll loop ended: only an
 // Guards against a second run of a task that is done: a long poll to the former instance of a minion reaches the new
 // one, and makes it forget each end as it appears.
 TEST(RebornMinion, GetsNoWorkWhileAPollOfItsFormerInstanceMayHideEnds)
@@ -296,16 +295,15 @@
     const std::string ending = deployment.newId();
     ASSERT_EQ(200, deployment.submit(0, "plan", ending, Deployment::step(1), {{"workMs", 600}}).status);
     ASSERT_TRUE(deployment.waitForRunCount(ending, 1));
-    std::this_thread::sleep_for(Millis(100));
+    ASSERT_TRUE(Cluster::eventually([&] { return minion.pollsHeld() == 1; }));
     PlatformMinionFaults slow;
     slow.slowPolls = 1;
     slow.lateMs = 150;
     minion.setFaults(slow);
-    const std::size_t polls = minion.pollsAnswered();
-    ASSERT_TRUE(Cluster::eventually([&] { return minion.pollsAnswered() > polls; }));
-    std::this_thread::sleep_for(Millis(80)); // the poll that acknowledges the end is on its way
+    // The poll that acknowledges the end is on its way when the minion restarts.
+    ASSERT_TRUE(Cluster::eventually([&] { return minion.pollsDelayed() == 1; }));
     minion.restartUnlisted();
-    std::this_thread::sleep_for(Millis(170));
+    ASSERT_TRUE(Cluster::eventually([&] { return minion.pollsHeld() == 1; }));
     const std::string after = deployment.newId();
     ASSERT_EQ(200, deployment.submit(0, "plan", after, Deployment::step(2), {{"workMs", 100}}).status);
     minion.list();
@@ -315,6 +313,7 @@
     EXPECT_TRUE(deployment.runs.doubled().empty());
 }
 
+// Guards against a minion that gets no work any more because it was silent when its last poll loop ended: only an
 // answer to a poll shows that it can be reached again.
 TEST(CutOffMinion, GetsWorkAgainOnceItsEntryIsBack)
 {
--- a/tests/integration/stepservices.cpp
+++ b/tests/integration/stepservices.cpp
@@ -181,7 +181,7 @@
         deployment.oracle.refuse(id);
         ASSERT_TRUE(Cluster::eventually([&] { return deployment.submit(0, "advised", id, {gang}).status == 200; }));
     }
-    std::this_thread::sleep_for(Millis(1'500));
+    ASSERT_TRUE(Cluster::eventually([&] { return deployment.oracle.calls() >= 10; }));
     for (int i = 0; i < SMALL_JOBS; ++i) {
         const std::string small = deployment.newId();
         const std::int64_t submittedMs = nowMs();
--- a/tests/standins/platformminionstandin.cpp
+++ b/tests/standins/platformminionstandin.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <optional>
 
 namespace Papaya::Standins
 {
@@ -29,6 +30,26 @@
     return response;
 }
 
+/** Counts in a number for as long as it exists. */
+class Presence
+{
+public:
+    explicit Presence(std::atomic<int> &count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+    ~Presence()
+    {
+        --m_count;
+    }
+    Presence(const Presence &) = delete;
+    Presence &operator=(const Presence &) = delete;
+
+private:
+    std::atomic<int> &m_count;
+};
+
 std::string stepOf(const std::string &task)
 {
     return task.substr(0, task.rfind('.'));
@@ -420,6 +441,7 @@
     }
     if (path == "/-/hold") {
         if (const std::int64_t delayMs = takePollDelay(); delayMs > 0) {
+            const Presence delayed(m_pollsDelayed);
             co_await sleepFor(Millis(delayMs));
         }
         co_return co_await hold(body);
@@ -584,6 +606,7 @@
     const TimePoint deadline = Clock::now() + Millis(body.value("waitMs", 0));
     std::int64_t bornMs = 0; // of the instance that the call has reached
     bool first = true;
+    std::optional<Presence> held;
     for (;;) {
         {
             const std::lock_guard lock(m_mutex);
@@ -610,6 +633,9 @@
             }
         }
         first = false;
+        if (!held) {
+            held.emplace(m_pollsHeld);
+        }
         co_await sleepFor(TICK_INTERVAL);
     }
 }
--- a/tests/standins/platformminionstandin.h
+++ b/tests/standins/platformminionstandin.h
@@ -141,6 +141,16 @@
     [[nodiscard]] std::size_t lateOrdersCarriedOut() const;
     /** @return the number of polls that were answered with a report. */
     [[nodiscard]] std::size_t pollsAnswered() const;
+    /** @return how many polls have arrived and wait for an end. */
+    [[nodiscard]] int pollsHeld() const
+    {
+        return m_pollsHeld;
+    }
+    /** @return how many polls are on their way, see PlatformMinionFaults::slowPolls. */
+    [[nodiscard]] int pollsDelayed() const
+    {
+        return m_pollsDelayed;
+    }
     /** @return the number of reported ends that have not been acknowledged. */
     [[nodiscard]] std::size_t unacknowledgedEnds() const;
     /** Publishes the minion's entry in the store. */
@@ -215,6 +225,8 @@
     std::size_t m_ticketsRefused = 0;
     std::size_t m_lateOrdersCarriedOut = 0;
     std::size_t m_pollsAnswered = 0;
+    std::atomic<int> m_pollsHeld {0};
+    std::atomic<int> m_pollsDelayed {0};
     bool m_poweredOff = false;
     bool m_replaced = false; ///< another minion has its address
     mutable std::mutex m_mutex;
