--- a/packages/dispatch/stepplanner.h
+++ b/packages/dispatch/stepplanner.h
@@ -36,7 +36,9 @@
 //
 // 1. A start is journaled before it is ordered, so that a successor knows of every run that may exist.
 // 2. The end of a unit is journaled before it is acknowledged to the minion, which then forgets it. Which members of a
-//    unit have ended is journaled only if the others take long to end; see recordMemberEnds().
+//    unit have ended is journaled only if the others take long to end; see recordMemberEnds(). A long poll that
+//    acknowledges ends and reaches the next instance of the minion could make that one forget its own ends, so a
+//    restarted minion gets no work while such a poll may be in progress.
 // 3. A member counts as running until one of these holds: the minion refuses the first order to start it, the minion
 //    lists its end, a later poll does not list the run, another minion answers at its address, or the lease has expired
 //    even on the slowest permitted clock. Until then its unit is not started elsewhere. This holds also if the minion
@@ -215,6 +217,12 @@
         Immediate,
     };
     Asio::awaitable<bool> pollOnce(MinionId id, PollKind kind = PollKind::Waiting);
+    /** @return a poll of the minion of @p link to be sent at @p nowMs; grants the lease that it carries. */
+    PollOrder pollOrder(MinionLink &link, PollKind kind, std::int64_t nowMs);
+    /** Handles a poll to @p address that was sent at @p sentMs and has failed. */
+    void pollFailed(MinionLink &link, OrderOutcome outcome, const Endpoint &address, std::int64_t sentMs);
+    /** Handles the first answered poll with @p fence since the take-over or a restart of the minion. */
+    void fenceAnswered(MinionLink &link, Epoch fence, const MinionReport &report);
     /**
      * Handles the answer to a long poll that acknowledged ends.
      * @param knownRestarts restarts of the minion that had been noticed when the poll was sent
--- a/packages/dispatch/stepplannerorders.cpp
+++ b/packages/dispatch/stepplannerorders.cpp
@@ -481,40 +481,74 @@
     }
 }
 
-Asio::awaitable<bool> StepPlanner::pollOnce(MinionId id, PollKind kind)
+PollOrder StepPlanner::pollOrder(MinionLink &link, PollKind kind, std::int64_t nowMs)
 {
-    MinionLink *link = &m_links.at(id);
-    const std::int64_t sent = bootMillis();
-    ++m_load.counts.polls;
     PollOrder order;
-    order.fence = link->fence;
+    order.fence = link.fence;
     // Acknowledged once, as an instance that was not expected may forget its own ends up to this number.
-    const bool acknowledges = link->mayAcknowledge() && link->endsAcked < link->endsStored;
-    order.ackUpTo = acknowledges ? link->endsStored : 0;
-    const std::uint64_t coveredStarts = link->unverifiedStarts;
-    const std::uint64_t knownRestarts = link->restarts;
-    const Endpoint address = link->entry.address;
+    order.ackUpTo = link.mayAcknowledge() && link.endsAcked < link.endsStored ? link.endsStored : 0;
     // Leases of a minion that does not answer are not renewed, so that they expire.
-    if (!link->placed.empty() && link->clock.known() && !link->silenceRecorded
-        && link->pollFailures <= MAX_UNANSWERED_RENEWALS && mayRenew()) {
-        order.leaseUntilMs = link->clock.grant(sent, LEASE_MS);
+    if (!link.placed.empty() && link.clock.known() && !link.silenceRecorded
+        && link.pollFailures <= MAX_UNANSWERED_RENEWALS && mayRenew()) {
+        order.leaseUntilMs = link.clock.grant(nowMs, LEASE_MS);
     }
-    const bool upToDate = link->fenceRaised && link->pollFailures == 0 && link->endsStored == link->endsHandled;
+    const bool upToDate = link.fenceRaised && link.pollFailures == 0 && link.endsStored == link.endsHandled;
     const bool mayWait =
-        kind == PollKind::Waiting && upToDate && (!link->placed.empty() || sent < link->lateStartsUntilMs);
-    const Millis steadyWait = link->shared ? SHARED_POLL_WAIT : POLL_WAIT;
-    const Millis longWait = hasQuietRun(*link) ? std::min(WATCH_POLL_WAIT, steadyWait) : steadyWait;
+        kind == PollKind::Waiting && upToDate && (!link.placed.empty() || nowMs < link.lateStartsUntilMs);
+    const Millis steadyWait = link.shared ? SHARED_POLL_WAIT : POLL_WAIT;
+    const Millis longWait = hasQuietRun(link) ? std::min(WATCH_POLL_WAIT, steadyWait) : steadyWait;
     order.wait = mayWait ? longWait : Millis(0);
-    if (acknowledges && mayWait) {
+    return order;
+}
+
+void StepPlanner::pollFailed(MinionLink &link, OrderOutcome outcome, const Endpoint &address, std::int64_t sentMs)
+{
+    if (link.pollFailures++ == 0) {
+        logEvent(LogLevel::Warning, "minion-silent",
+                 {{"minion", link.entry.id.value()},
+                  {"outcome", toString(outcome)},
+                  {"members", std::uint64_t(link.placed.size())}});
+    }
+    checkAddress(link);
+    if (outcome == OrderOutcome::OtherIncarnation && link.hasLatestAddress() && link.entry.address == address) {
+        endReplaced(link, sentMs);
+    }
+}
+
+void StepPlanner::fenceAnswered(MinionLink &link, Epoch fence, const MinionReport &report)
+{
+    // A predecessor may have renewed the lease until just before the fence was raised, but no later. A lease that was
+    // granted by the clock of a former instance is only limited by the minion.
+    const bool former = link.restarts > 0 || mayGetFormerOrders(report);
+    link.clock.grant(bootMillis(), former ? m_context.maxLease.count() : LEASE_MS);
+    link.fenceRaised = fence == link.fence; // not if this answer has shown a restart
+    if (link.fenceRaised) {
+        // No poll that was sent before begins from now on.
+        link.formerPollUntilMs = std::min(link.formerPollUntilMs, bootMillis() + POLL_WAIT.count());
+    }
+    requestPass();
+}
+
+Asio::awaitable<bool> StepPlanner::pollOnce(MinionId id, PollKind kind)
+{
+    MinionLink *link = &m_links.at(id);
+    const std::int64_t sent = bootMillis();
+    ++m_load.counts.polls;
+    const PollOrder order = pollOrder(*link, kind, sent);
+    const bool mayHideEnds = order.ackUpTo > 0 && order.wait > Millis(0);
+    if (mayHideEnds) {
         link->ackPollUntilMs = sent + LATE_START_SPAN_MS + order.wait.count();
     }
+    const std::uint64_t coveredStarts = link->unverifiedStarts;
+    const std::uint64_t knownRestarts = link->restarts;
+    const Endpoint address = link->entry.address;
     const PollAnswer answer =
         co_await m_context.minionControl.poll(link->entry, order, order.wait + POLL_REPLY_TIMEOUT);
     if (!m_leading) {
         co_return false;
     }
     link = &m_links.at(id);
-    if (acknowledges && mayWait && answer.outcome != OrderOutcome::NoAnswer) {
+    if (mayHideEnds && answer.outcome != OrderOutcome::NoAnswer) {
         longPollEnded(*link, knownRestarts);
     }
     if (link->restarts != knownRestarts) {
@@ -525,17 +559,7 @@
         co_return false;
     }
     if (answer.outcome != OrderOutcome::Done) {
-        if (link->pollFailures++ == 0) {
-            logEvent(LogLevel::Warning, "minion-silent",
-                     {{"minion", id.value()},
-                      {"outcome", toString(answer.outcome)},
-                      {"members", std::uint64_t(link->placed.size())}});
-        }
-        checkAddress(*link);
-        if (answer.outcome == OrderOutcome::OtherIncarnation && link->hasLatestAddress()
-            && link->entry.address == address) {
-            endReplaced(*link, sent);
-        }
+        pollFailed(*link, answer.outcome, address, sent);
         co_return false;
     }
     if (link->pollFailures > 0) {
@@ -556,16 +580,7 @@
     link->verifiedStarts = std::max(link->verifiedStarts, coveredStarts);
     link->clock.addReading(answer.report.clockMs, bootMillis());
     if (!link->fenceRaised) {
-        // A predecessor may have renewed the lease until just before the fence was raised, but no later. A lease that
-        // was granted by the clock of a former instance is only limited by the minion.
-        const bool former = link->restarts > 0 || mayGetFormerOrders(answer.report);
-        link->clock.grant(bootMillis(), former ? m_context.maxLease.count() : LEASE_MS);
-        link->fenceRaised = order.fence == link->fence; // not if this answer has shown a restart
-        if (link->fenceRaised) {
-            // No poll that was sent before begins from now on.
-            link->formerPollUntilMs = std::min(link->formerPollUntilMs, bootMillis() + POLL_WAIT.count());
-        }
-        requestPass();
+        fenceAnswered(*link, order.fence, answer.report);
     }
     const TimePoint received = Clock::now();
     handleReport(*link, answer.report, sent);
--- a/packages/dispatch/topicfollower.h
+++ b/packages/dispatch/topicfollower.h
@@ -98,7 +98,7 @@
     }
     /** @return for how long an answer has been due, counted from the first read without one; 0 if none is. */
     [[nodiscard]] Millis overdue() const;
-    /** @return overdue() by the clock of the event loop, which leaves out delays of the node itself. */
+    /** @return for how long an answer has been due by LoopClock, which leaves out delays of this node. */
     [[nodiscard]] Millis silence() const;
     /** @return since when all reads have succeeded, in bootMillis(). */
     [[nodiscard]] std::int64_t healthySinceMs() const
