--- a/review/harness-3/world.cc
+++ b/review/harness-3/world.cc
@@ -31,14 +31,6 @@
 constexpr int LOST_BEATS = 3;           // an entry is removed after as many without a word
 constexpr const char *PROGRAM = "target/apps/papayahalld";
 
-Json queue(const std::string &name, int priority)
-{
-    return {{"name", name},      {"host", "jobs.example"},    {"pathPrefix", "/" + name + "/"},
-            {"service", "desk"}, {"priority", priority},      {"attempts", 4},
-            {"stretch", 3.0},    {"targetDurationMs", 1'000}, {"authExempt", false},
-            {"timeoutMs", 3'000}, {"kind", "non_idempotent"}};
-}
-
 Asio::awaitable<Reply> exchange(HttpPool &pool, Endpoint to, HttpRequest request)
 {
     Reply reply;
@@ -206,11 +198,10 @@
         std::ofstream(base + ".json") << settings.dump(2);
         nodes.push_back(std::make_unique<Process>(base + ".json", base + ".log"));
     }
-    const Json config = {{"version", 3},
-                         {"routes", {queue("urgent", 0), queue("plan", 1), queue("batch", 2)}},
-                         {"services", {{{"name", "desk"}, {"admissionCheck", true}, {"spare", false}}}},
-                         {"tenants", {{{"name", "a"}, {"apiKeys", {"key-a"}}, {"guaranteed", {{"gpu", 8}}}}}}};
-    store.put("keyed.op", "config", config.dump());
+    config = {{"routes", {queue("urgent", 0), queue("plan", 1), queue("batch", 2)}},
+              {"services", {{{"name", "desk"}, {"admissionCheck", true}, {"spare", false}}}},
+              {"tenants", {{{"name", "a"}, {"apiKeys", {"key-a"}}, {"guaranteed", {{"gpu", 8}}}}}}};
+    configure();
     m_beats = std::thread([this] { beat(); });
 }
 
@@ -236,6 +227,21 @@
     std::filesystem::remove_all(m_directory);
 }
 
+void World::configure()
+{
+    m_version += 3; // versions increase in uneven steps
+    config["version"] = m_version;
+    store.put("keyed.op", "config", config.dump());
+}
+
+Json World::queue(const std::string &name, int priority)
+{
+    return {{"name", name},       {"host", "jobs.example"},    {"pathPrefix", "/" + name + "/"},
+            {"service", "desk"},  {"priority", priority},      {"attempts", 4},
+            {"stretch", 3.0},     {"targetDurationMs", 1'000}, {"authExempt", false},
+            {"timeoutMs", 3'000}, {"kind", "non_idempotent"}};
+}
+
 void World::beat()
 {
     std::int64_t nextMs = nowMs() + BEAT_MS;
--- a/review/harness-3/world.hh
+++ b/review/harness-3/world.hh
@@ -96,6 +96,10 @@
     World(const World &) = delete;
     World &operator=(const World &) = delete;
 
+    /** Writes the next version of the configuration to the store. */
+    void configure();
+    /** @return the route of a queue as an operator configures it. */
+    static Json queue(const std::string &name, int priority);
     /** Starts all processes. @return true once all are ready and one leads */
     bool start();
     bool ready(std::size_t node);
@@ -111,6 +115,7 @@
     static bool eventually(const std::function<bool()> &condition, std::int64_t timeoutMs);
     static std::string id(unsigned number);
 
+    Json config;
     Asio::io_context io;
     Store store;
     Standins::PlatformRuns runs;
@@ -133,6 +138,7 @@
     std::vector<std::int64_t> m_lostMs; ///< when each minion has lost power; 0 if it has not
     HttpPool m_pool;
     std::string m_directory;
+    int m_version = 0;
     std::vector<Endpoint> m_callers;
     std::vector<Endpoint> m_ready;
 };
